limits: search a takeover whose beats are answered; catch a guard that breaks its promise

Cause: the scenario silenced the guard for two steps before the search, so that the holder had given up its guard and took no acknowledgement as a promise: the mutation could not matter. With the loans of the other scenarios, the heir's wait for loans also outlasts the holder's session.

--- a/crates/limits/tests/search.rs
+++ b/crates/limits/tests/search.rs
@@ -27,6 +27,12 @@
 const MOST_STATES: usize = 25_000;
 /// One step of time, in true milliseconds.
 const STEP: u64 = 100;
+/// Steps in which a holder's beats are answered before a takeover is searched: enough for a guard
+/// that forgets its answers to remove its host.
+const ANSWERED_STEPS: u32 = 3;
+/// A loan so short that the heir's wait for loans ends before the session of the host that it
+/// takes over from: only the guard's promise keeps the two apart.
+const SHORT_LOAN: Duration = Duration::from_millis(30);
 /// The first host's clock is true, the others' run slow.
 const SLOW: f64 = 0.9;
 
@@ -317,14 +323,7 @@
             if b.asks > 0 {
                 go(format!("ask {i}"), &|s| {
                     s.budget.asks -= 1;
-                    let ask = Ask {
-                        key: key(0, 0),
-                        tokens: 1,
-                        latest: s.now(i) + Duration::from_secs(60),
-                    };
-                    s.with(i, |l, now, a| {
-                        l.ask(now, &ask, a);
-                    });
+                    ask(s, i);
                 });
             }
             let first = self.running[i].first().copied();
@@ -375,6 +374,18 @@
 /// A data centre of `n` hosts in which the first holds all shards and, if `guarded`, the second
 /// is its guard; all in order.
 fn fleet(mutation: Mutation, n: usize, guarded: bool, heir: bool, in_flight: u32) -> State {
+    fleet_with(|i| terms(mutation, i), mutation, n, guarded, heir, in_flight)
+}
+
+/// Like [`fleet`], with the terms of each host.
+fn fleet_with(
+    terms: impl Fn(usize) -> Terms,
+    mutation: Mutation,
+    n: usize,
+    guarded: bool,
+    heir: bool,
+    in_flight: u32,
+) -> State {
     let mut state = State {
         mutation: Mutation::None,
         limit: in_flight,
@@ -392,7 +403,7 @@
             me: host(i, 1),
             data_centre: data_centre(0),
             seed: i as u64,
-            terms: terms(mutation, i),
+            terms: terms(i),
             queue: 4,
         })));
         state.declare(i, &[limit(key(0, 0), 1000.0, 1000.0, in_flight)], 1);
@@ -427,17 +438,18 @@
     state.with(0, |l, now, a| l.peers(now, seen, a));
     settle(&mut state);
     assert!(state.net.is_empty() && state.calls.is_empty());
-    if guarded {
-        // The guard's last acknowledgement lies two steps back.
-        for _ in 0..2 {
-            state.step();
-            state.net.clear();
-        }
-    }
     state.mutation = mutation;
     state
 }
 
+/// Time in which the guard hears nothing.
+fn silence(state: &mut State) {
+    for _ in 0..2 {
+        state.step();
+        state.net.clear();
+    }
+}
+
 /// Delivers what is on its way.
 fn settle(state: &mut State) {
     for _ in 0..10 {
@@ -493,9 +505,42 @@
 }
 
 fn takeover(mutation: Mutation, budget: Budget) -> State {
+    let mut state = fleet(mutation, 2, true, false, 1);
+    silence(&mut state);
+    State { budget, ..state }
+}
+
+/// A takeover after the holder's beats were answered for some steps and it runs a request.
+///
+/// A guard that keeps its promises removes nobody here. One that forgets them has written its
+/// host out by now, and what is left to search is the time until its heir lends.
+fn answered_beats(mutation: Mutation) -> State {
+    let short = |_| Terms {
+        loan: SHORT_LOAN,
+        ..terms(Mutation::None, 0)
+    };
+    let mut state = fleet_with(short, mutation, 2, true, false, 1);
+    for _ in 0..ANSWERED_STEPS {
+        state.step();
+        deliver_beats(&mut state);
+    }
+    ask(&mut state, 0);
     State {
-        budget,
-        ..fleet(mutation, 2, true, false, 1)
+        budget: Budget {
+            steps: 2,
+            asks: 1,
+            ..NONE
+        },
+        ..state
+    }
+}
+
+/// Delivers beats and their acknowledgements; all else stays on its way.
+fn deliver_beats(state: &mut State) {
+    let is_beat = |m: &Message| matches!(m, Message::Beat { .. } | Message::BeatAck { .. });
+    while let Some(k) = state.net.iter().position(|(_, _, m)| is_beat(m)) {
+        let (from, to, message) = state.net.remove(k);
+        state.deliver(from, to, message);
     }
 }
 
@@ -506,6 +551,33 @@
     }
 }
 
+/// A handover by a host that has just lent rights and runs a request under them.
+fn left_with_a_loan(mutation: Mutation) -> State {
+    let mut state = fleet(mutation, 2, false, true, 1);
+    ask(&mut state, 0);
+    state.with(0, |l, now, a| l.leave(now, a));
+    settle(&mut state);
+    State {
+        budget: Budget {
+            steps: 2,
+            asks: 1,
+            ..NONE
+        },
+        ..state
+    }
+}
+
+fn ask(state: &mut State, i: usize) {
+    let ask = Ask {
+        key: key(0, 0),
+        tokens: 1,
+        latest: state.now(i) + Duration::from_secs(60),
+    };
+    state.with(i, |l, now, a| {
+        l.ask(now, &ask, a);
+    });
+}
+
 const NONE: Budget = Budget {
     steps: 0,
     asks: 0,
@@ -632,30 +704,22 @@
     );
 }
 
+#[test]
+fn takeovers_never_pass_the_limit_while_beats_are_answered() {
+    holds("answered beats", answered_beats(Mutation::None));
+}
+
 #[test]
 fn a_guard_that_breaks_its_promise_is_caught() {
-    caught(
-        "early guard",
-        takeover(
-            Mutation::EarlyGuard,
-            Budget {
-                steps: 3,
-                ..TAKEOVER
-            },
-        ),
-    );
+    caught("early guard", answered_beats(Mutation::EarlyGuard));
+}
+
+#[test]
+fn handovers_never_pass_the_limit_while_a_loan_lasts() {
+    holds("loan of a leaver", left_with_a_loan(Mutation::None));
 }
 
 #[test]
 fn an_heir_that_does_not_wait_is_caught() {
-    caught(
-        "no wait",
-        handover(
-            Mutation::NoWait,
-            Budget {
-                steps: 2,
-                ..HANDOVER
-            },
-        ),
-    );
+    caught("no wait", left_with_a_loan(Mutation::NoWait));
 }
