--- a/crates/limits/tests/search.rs
+++ b/crates/limits/tests/search.rs
@@ -142,8 +142,8 @@
     };
     match mutation {
         Mutation::NoMargin if i == 0 => terms.margin = ms(0),
-        // The last holder's loans run long enough for the heir's bucket to fill.
-        Mutation::NoWait if i == 0 => terms.loan = ms(290),
+        // The last holder's loans, counted from the ask, run until the heir's bucket has filled.
+        Mutation::NoWait if i == 0 => (terms.loan, terms.session) = (ms(390), ms(500)),
         Mutation::NoWait if i == 1 => (terms.loan, terms.margin) = (ms(30), ms(0)),
         _ => {}
     }
@@ -374,7 +374,14 @@
 /// A data centre of `n` hosts in which the first holds all shards and, if `guarded`, the second
 /// is its guard; all in order.
 fn fleet(mutation: Mutation, n: usize, guarded: bool, heir: bool, in_flight: u32) -> State {
-    fleet_with(|i| terms(mutation, i), mutation, n, guarded, heir, in_flight)
+    fleet_with(
+        |i| terms(mutation, i),
+        mutation,
+        n,
+        guarded,
+        heir,
+        in_flight,
+    )
 }
 
 /// Like [`fleet`], with the terms of each host.
@@ -555,6 +562,10 @@
 fn left_with_a_loan(mutation: Mutation) -> State {
     let mut state = fleet(mutation, 2, false, true, 1);
     ask(&mut state, 0);
+    while state.running[0].is_empty() {
+        state.step();
+        settle(&mut state);
+    }
     state.with(0, |l, now, a| l.leave(now, a));
     settle(&mut state);
     State {
