--- /dev/null
+++ b/crates/fleet/src/endpoints.rs
@@ -0,0 +1,168 @@
+//! The endpoints that are known, and which of them may get new work.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+
+use crate::layers::LayerRange;
+
+/// One incarnation of an endpoint, as the platform's list shows it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Endpoint {
+    /// New at each start of the endpoint.
+    pub id: Rc<str>,
+    /// The service it serves.
+    pub service: Rc<str>,
+    /// Where it listens. Used again by other endpoints after this one has ended.
+    pub addr: SocketAddr,
+    /// Where it is.
+    pub data_centre: Rc<str>,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// It has said that it is leaving.
+    pub leaving: bool,
+    /// The kind of its accelerator, where it holds layers of a model.
+    pub accelerator: Option<Rc<str>>,
+    /// The layers that it holds.
+    pub layers: Option<LayerRange>,
+}
+
+/// How long an endpoint is avoided after the first of a run of failures.
+const FIRST_AVOID: Duration = Duration::from_millis(400);
+/// The longest that an endpoint is avoided: the pace of probing one that stays bad.
+const LONGEST_AVOID: Duration = Duration::from_secs(3);
+
+/// What this host has seen of an endpoint itself.
+#[derive(Debug, Clone, Default)]
+struct Seen {
+    /// Failures in a row.
+    failures: u32,
+    /// No new work before then, if others can take it.
+    avoid_until: Duration,
+    /// Requests of this host that are at it.
+    in_flight: u32,
+}
+
+/// All endpoints that are known.
+#[derive(Debug, Default)]
+pub struct Directory {
+    endpoints: FxHashMap<Rc<str>, Rc<Endpoint>>,
+    seen: FxHashMap<Rc<str>, Seen>,
+    /// Grows whenever chains may have changed.
+    generation: u64,
+}
+
+impl Directory {
+    /// Grows whenever an endpoint comes, goes, changes or begins to be avoided.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// All endpoints, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
+        self.endpoints.values()
+    }
+
+    /// The endpoint of that id.
+    pub fn get(&self, id: &str) -> Option<&Rc<Endpoint>> {
+        self.endpoints.get(id)
+    }
+
+    /// Takes a new or changed entry; true if anything but its place in time changed.
+    pub fn put(&mut self, endpoint: Endpoint) -> bool {
+        let known = self.endpoints.get(&endpoint.id);
+        if known.is_some_and(|old| **old == endpoint) {
+            return false;
+        }
+        self.generation += 1;
+        let id = endpoint.id.clone();
+        self.endpoints.insert(id, Rc::new(endpoint));
+        true
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub fn remove(&mut self, id: &str) -> Option<Rc<Endpoint>> {
+        let gone = self.endpoints.remove(id)?;
+        self.seen.remove(id);
+        self.generation += 1;
+        Some(gone)
+    }
+
+    /// Whether an endpoint may get new work.
+    pub fn usable(&self, id: &str, now: Duration) -> bool {
+        let listed = self.endpoints.get(id).is_some_and(|e| !e.leaving);
+        listed && self.seen.get(id).is_none_or(|s| s.avoid_until <= now)
+    }
+
+    /// Whether an endpoint is listed and has not said that it is leaving.
+    pub fn listed(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|e| !e.leaving)
+    }
+
+    /// An endpoint failed, or refused what it should have taken.
+    pub fn failed(&mut self, id: &str, now: Duration) {
+        if !self.endpoints.contains_key(id) {
+            return;
+        }
+        let seen = self.seen.entry(Rc::from(id)).or_default();
+        let doubled = FIRST_AVOID * 2u32.saturating_pow(seen.failures.min(8));
+        seen.failures += 1;
+        seen.avoid_until = now + doubled.min(LONGEST_AVOID);
+        self.generation += 1;
+    }
+
+    /// An endpoint answered well.
+    pub fn succeeded(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id).filter(|s| s.failures > 0) {
+            seen.failures = 0;
+            seen.avoid_until = Duration::ZERO;
+            self.generation += 1;
+        }
+    }
+
+    /// When the next endpoint stops being avoided.
+    pub fn next_return(&self, now: Duration) -> Option<Duration> {
+        let later = self.seen.values().map(|s| s.avoid_until);
+        later.filter(|t| *t > now).min()
+    }
+
+    /// A request of this host has gone to an endpoint.
+    pub fn begin(&mut self, id: &str) {
+        self.seen.entry(Rc::from(id)).or_default().in_flight += 1;
+    }
+
+    /// A request of this host has left an endpoint.
+    pub fn end(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.in_flight = seen.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Requests of this host at an endpoint.
+    pub fn in_flight(&self, id: &str) -> u32 {
+        self.seen.get(id).map_or(0, |s| s.in_flight)
+    }
+
+    /// The endpoint of a plain service for one request: the least busy, near ones first.
+    ///
+    /// An endpoint that is avoided is taken only if there is no other.
+    pub fn pick(
+        &self,
+        service: &str,
+        data_centre: &str,
+        tried: &[Rc<str>],
+        now: Duration,
+    ) -> Option<Rc<Endpoint>> {
+        let fits = |e: &&Rc<Endpoint>| {
+            &*e.service == service && !e.leaving && !tried.iter().any(|t| *t == e.id)
+        };
+        let rank = |e: &Rc<Endpoint>| {
+            let avoided = !self.usable(&e.id, now);
+            // A whole queue's length of its own is worth a way to another data centre.
+            let load = self.in_flight(&e.id) / e.slots.max(1);
+            let far = *e.data_centre != *data_centre;
+            (avoided, load, far, self.in_flight(&e.id), e.id.clone())
+        };
+        self.iter().filter(fits).min_by_key(|e| rank(e)).cloned()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/layers.rs
@@ -0,0 +1,35 @@
+//! Ranges of a model's layers.
+
+use std::fmt;
+
+/// A range of layers, never empty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LayerRange {
+    /// The first layer.
+    pub first: u32,
+    /// The layer after the last one. Invariant: `first < end`.
+    pub end: u32,
+}
+
+impl LayerRange {
+    /// The range, unless it is empty.
+    pub fn new(first: u32, end: u32) -> Option<Self> {
+        (first < end).then_some(Self { first, end })
+    }
+
+    /// How many layers.
+    pub fn count(&self) -> u32 {
+        self.end - self.first
+    }
+
+    /// Whether it has the layer.
+    pub fn contains(&self, layer: u32) -> bool {
+        (self.first..self.end).contains(&layer)
+    }
+}
+
+impl fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.first, self.end)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,25 @@
+//! What an entry host decides when it forwards requests to endpoints that drive a chain themselves.
+//!
+//! Everything here is a plain function or a state machine without sockets, tasks or clocks:
+//! callers pass the time in. The programs, the tests and the searches run the same code.
+//!
+//! Where to start:
+//!
+//! - [`catalogue`] holds routes, services, workspaces and their keys, as one immutable version.
+//! - [`endpoints`] holds the endpoints that are known, and which of them may get new work.
+//! - [`placement`] decides which endpoint holds which layers; [`duty`] decides which host may say
+//!   so.
+//! - [`chains`] finds chains of endpoints that cover all layers; [`choice`] picks one of them for a
+//!   request.
+//! - [`freshness`] says for how long a catalogue may be acted on without news from the store.
+//! - [`budget`] bounds how often a request is sent a second time.
+
+pub mod budget;
+pub mod catalogue;
+pub mod chains;
+pub mod choice;
+pub mod duty;
+pub mod endpoints;
+pub mod freshness;
+pub mod layers;
+pub mod placement;
--- /dev/null
+++ b/crates/gateway/src/control/catalogue.rs
@@ -0,0 +1,68 @@
+//! Follows the catalogue in the store, and proves again and again that what is known is the newest.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time;
+
+use super::Backoff;
+use crate::{
+    gateway::Gateway,
+    ports::{CatalogueNews, Mark, StoreError},
+};
+
+/// The part of the time for which a proof holds that a read waits for news. Two reads in a row may
+/// be lost before the proof runs out.
+const WAIT_PART: f64 = 0.3;
+/// How much longer than it waits a read may take.
+const SLACK: Duration = Duration::from_millis(900);
+
+/// Follows the catalogue for as long as the process lives.
+pub async fn follow(gateway: Rc<Gateway>) {
+    let wait = gateway.settings.key_revocation.mul_f64(WAIT_PART);
+    let mut mark = None;
+    let mut backoff = Backoff::default();
+    loop {
+        let sent_at = gateway.now();
+        let read = gateway.platform.store.catalogue(mark, wait);
+        let read = match time::timeout(wait + SLACK, read).await {
+            Ok(read) => read,
+            Err(_) => Err(StoreError::Away("no answer in time".to_owned())),
+        };
+        let calls = &gateway.metrics.store_calls;
+        match read {
+            Ok(news) => {
+                calls.with_label_values(&["ok"]).inc();
+                backoff.succeeded();
+                mark = Some(take(&gateway, news, sent_at, mark));
+            }
+            Err(StoreError::HistoryGone) => {
+                log::info!(target: "catalogue", "History is gone; the catalogue is read anew.");
+                mark = None;
+            }
+            Err(e) => {
+                calls.with_label_values(&["failed"]).inc();
+                log::warn!(target: "catalogue", why:% = e, fresh = gateway.fresh(); "No news of the catalogue.");
+                if matches!(e, StoreError::Unusable(_)) {
+                    mark = None;
+                }
+                backoff.failed().await;
+            }
+        }
+    }
+}
+
+/// Takes what a read has brought; gives where to go on.
+fn take(gateway: &Gateway, news: CatalogueNews, sent_at: Duration, before: Option<Mark>) -> Mark {
+    if let Some(new) = news.catalogue {
+        let mut known = gateway.catalogue.borrow_mut();
+        let newer = known.as_ref().is_none_or(|old| old.version < new.version);
+        if newer {
+            log::info!(target: "catalogue", version = new.version; "Catalogue is in force.");
+            *known = Some(new);
+        }
+    }
+    if gateway.catalogue.borrow().is_some() {
+        gateway.proven(sent_at);
+    }
+    news.mark.max(before.unwrap_or(0))
+}
--- /dev/null
+++ b/crates/gateway/src/control/endpoints.rs
@@ -0,0 +1,141 @@
+//! Follows the list of endpoints in the store.
+
+use std::{rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+use tokio::time;
+
+use super::Backoff;
+use crate::{
+    gateway::Gateway,
+    ports::{EndpointNews, Mark, StoreError},
+};
+
+/// The part of the time after which a leaving endpoint may get nothing more that lies between two
+/// reads at least. Entries change all the time, so that reads are paced and not held open.
+const PACE_PART: f64 = 0.25;
+/// The longest that a read waits for news.
+const WAIT: Duration = Duration::from_millis(800);
+/// How much longer than it waits a read may take.
+const SLACK: Duration = Duration::from_millis(900);
+/// For how long after trouble with the store a removed entry may come back: entries lapse while
+/// endpoints can't reach the store, and are written anew when they can.
+const TROUBLE: Duration = Duration::from_secs(3);
+/// How long an entry that was removed in that time is kept.
+const DOUBT: Duration = Duration::from_secs(2);
+
+struct Follower {
+    gateway: Rc<Gateway>,
+    mark: Option<Mark>,
+    /// When a read last failed.
+    trouble_at: Option<Duration>,
+    /// Entries that were removed and may come back, until when.
+    doubted: FxHashMap<Rc<str>, Duration>,
+}
+
+/// Follows the endpoints for as long as the process lives.
+pub async fn follow(gateway: Rc<Gateway>) {
+    let pace = gateway.settings.endpoint_drain.mul_f64(PACE_PART);
+    let mut follower = Follower {
+        gateway,
+        mark: None,
+        trouble_at: None,
+        doubted: FxHashMap::default(),
+    };
+    let mut backoff = Backoff::default();
+    loop {
+        let began = time::Instant::now();
+        match follower.read().await {
+            Ok(()) => backoff.succeeded(),
+            Err(e) => {
+                log::warn!(target: "fleet", why:% = e; "No news of the endpoints.");
+                backoff.failed().await;
+            }
+        }
+        follower.drop_doubted();
+        follower.gateway.idle.sweep(|_| true);
+        time::sleep_until(began + pace).await;
+    }
+}
+
+impl Follower {
+    async fn read(&mut self) -> Result<(), StoreError> {
+        let read = self.gateway.platform.store.endpoints(self.mark, WAIT);
+        let read = match time::timeout(WAIT + SLACK, read).await {
+            Ok(read) => read,
+            Err(_) => Err(StoreError::Away("no answer in time".to_owned())),
+        };
+        let calls = &self.gateway.metrics.store_calls;
+        match read {
+            Ok(news) => {
+                calls.with_label_values(&["ok"]).inc();
+                self.take(news);
+                Ok(())
+            }
+            Err(StoreError::HistoryGone) => {
+                self.mark = None;
+                Ok(())
+            }
+            Err(e) => {
+                calls.with_label_values(&["failed"]).inc();
+                self.trouble_at = Some(self.gateway.now());
+                Err(e)
+            }
+        }
+    }
+
+    fn take(&mut self, news: EndpointNews) {
+        let now = self.gateway.now();
+        self.mark = Some(news.mark);
+        let mut removed = news.removed;
+        if news.whole {
+            let directory = self.gateway.directory.borrow();
+            let listed = |id: &Rc<str>| news.changed.iter().any(|e| e.id == *id);
+            removed.extend(
+                directory
+                    .iter()
+                    .map(|e| e.id.clone())
+                    .filter(|id| !listed(id)),
+            );
+            self.gateway.endpoints_known.set(true);
+        }
+        for endpoint in news.changed {
+            self.doubted.remove(&endpoint.id);
+            let line = (endpoint.id.clone(), endpoint.leaving, endpoint.layers);
+            if self.gateway.directory.borrow_mut().put(endpoint) {
+                let (id, leaving, layers) = line;
+                log::info!(target: "fleet", endpoint = &*id, leaving = leaving, layers:? = layers; "Endpoint is listed.");
+            }
+        }
+        let troubled = self.trouble_at.is_some_and(|at| at + TROUBLE > now);
+        for id in removed {
+            match troubled {
+                true => {
+                    self.doubted.entry(id).or_insert(now + DOUBT);
+                }
+                false => self.forget(&id),
+            }
+        }
+    }
+
+    fn forget(&self, id: &str) {
+        if self.gateway.directory.borrow_mut().remove(id).is_some() {
+            log::info!(target: "fleet", endpoint = id; "Endpoint is gone.");
+            self.gateway.loads.borrow_mut().forget(id);
+        }
+    }
+
+    fn drop_doubted(&mut self) {
+        let now = self.gateway.now();
+        let due: Vec<Rc<str>> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.doubted.remove(&id);
+            self.forget(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/call.rs
@@ -0,0 +1,168 @@
+//! Plain calls: a request, and an answer that is read whole before it is passed on.
+//!
+//! Reading it whole first lets a call that may be repeated be sent again when the answer breaks
+//! off, and keeps an answer that breaks off from looking complete.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use dragonflyrill_fleet::{catalogue::RouteKind, endpoints::Endpoint};
+use http::StatusCode;
+use tokio::time;
+
+use super::{
+    Admitted, Ended,
+    refusal::Refusal,
+    send::{self, Begun, Failed, Target},
+    success,
+};
+use crate::{gateway::Gateway, http::callers::Responder};
+
+/// The largest answer of a plain call.
+const MOST_ANSWER: usize = 8 * 1024 * 1024;
+/// The part of the time left that a send may take while another one could follow.
+const FIRST_PART: f64 = 0.5;
+
+struct Whole {
+    begun: Begun,
+    body: Bytes,
+}
+
+/// Forwards a call and passes its answer on.
+pub(super) async fn forward(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    out: &mut Responder<'_>,
+) -> Result<(), Ended> {
+    let whole = answer(gateway, admitted).await?;
+    let Begun {
+        mut connection,
+        mut head,
+        ..
+    } = whole.begun;
+    if connection.reusable() {
+        let addr = connection.peer();
+        gateway.idle.put(addr, connection);
+    }
+    gateway.platform.dialect.strip(&mut head.headers);
+    let kind = admitted.kind_label();
+    gateway
+        .metrics
+        .answers
+        .with_label_values(&[kind, head.status.as_str()])
+        .inc();
+    let headers = std::mem::take(&mut head.headers);
+    out.whole(head.status, headers, whole.body).await?;
+    Ok(())
+}
+
+async fn answer(gateway: &Gateway, admitted: &Admitted) -> Result<Whole, Refusal> {
+    let mut tried: Vec<Rc<str>> = Vec::new();
+    let mut last = Refusal::NoEndpoint("no endpoint of the service is known");
+    let mut failure: Option<Whole> = None;
+    let repeatable = admitted.route.kind == RouteKind::Idempotent;
+    for attempt in 0..admitted.route.max_attempts.max(1) {
+        if admitted.left().is_zero() {
+            break;
+        }
+        let Some(endpoint) = pick(gateway, admitted, &tried) else {
+            break;
+        };
+        if attempt > 0 && !gateway.may_repeat(&admitted.service.name) {
+            break;
+        }
+        if attempt > 0 {
+            gateway.metrics.repeats.inc();
+        }
+        tried.push(endpoint.id.clone());
+        let more = repeatable && attempt + 1 < admitted.route.max_attempts;
+        let left = admitted.left();
+        let limit = if more { left.mul_f64(FIRST_PART) } else { left };
+        match attempt_at(gateway, admitted, &endpoint, limit).await {
+            Ok(whole) if success(whole.begun.head.status) || !may_improve(&whole, more) => {
+                return Ok(whole);
+            }
+            Ok(whole) => failure = Some(whole),
+            Err(Failed::NotRun(why)) => last = Refusal::NotRun(why),
+            Err(Failed::MayHaveRun(why)) => {
+                last = Refusal::MayHaveRun(why);
+                if !repeatable {
+                    break;
+                }
+            }
+        }
+    }
+    if let Some(whole) = failure {
+        return Ok(whole);
+    }
+    match (&last, admitted.left().is_zero()) {
+        (Refusal::MayHaveRun(_), true) => Err(Refusal::OutOfTime),
+        _ => Err(last),
+    }
+}
+
+/// Whether another endpoint may do better than this failure.
+fn may_improve(whole: &Whole, more: bool) -> bool {
+    more && whole.begun.head.status.is_server_error()
+}
+
+fn pick(gateway: &Gateway, admitted: &Admitted, tried: &[Rc<str>]) -> Option<Rc<Endpoint>> {
+    let directory = gateway.directory.borrow();
+    let now = gateway.now();
+    let near = &gateway.settings.data_centre;
+    directory.pick(&admitted.service.name, near, tried, now)
+}
+
+async fn attempt_at(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    endpoint: &Endpoint,
+    limit: Duration,
+) -> Result<Whole, Failed> {
+    let _at = AtEndpoint::new(gateway, &endpoint.id);
+    let target = Target {
+        id: &endpoint.id,
+        addr: endpoint.addr,
+        chain: &[],
+        after_event: None,
+    };
+    let until = time::Instant::now() + limit;
+    let result = async {
+        let mut begun = send::send(gateway, admitted, &target, limit).await?;
+        let body = time::timeout_at(until, begun.connection.whole_body(MOST_ANSWER)).await;
+        match body {
+            Ok(Ok(body)) => Ok(Whole { begun, body }),
+            Ok(Err(e)) => Err(Failed::MayHaveRun(e.to_string())),
+            Err(_) => Err(Failed::MayHaveRun("the answer took too long".to_owned())),
+        }
+    }
+    .await;
+    let mut directory = gateway.directory.borrow_mut();
+    match &result {
+        Ok(whole) if whole.begun.head.status != StatusCode::SERVICE_UNAVAILABLE => {
+            directory.succeeded(&endpoint.id);
+        }
+        Err(Failed::MayHaveRun(_)) => directory.failed(&endpoint.id, gateway.now()),
+        _ => {}
+    }
+    result
+}
+
+/// Counts a request at an endpoint while it is there.
+struct AtEndpoint<'a> {
+    gateway: &'a Gateway,
+    id: &'a str,
+}
+
+impl<'a> AtEndpoint<'a> {
+    fn new(gateway: &'a Gateway, id: &'a str) -> Self {
+        gateway.directory.borrow_mut().begin(id);
+        Self { gateway, id }
+    }
+}
+
+impl Drop for AtEndpoint<'_> {
+    fn drop(&mut self) {
+        self.gateway.directory.borrow_mut().end(self.id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/mod.rs
@@ -0,0 +1,213 @@
+//! Forwarding of callers' requests to endpoints.
+//!
+//! [`Forwarder`] reads what a request is, finds its route and whose it is, and hands it to
+//! [`call`] or [`stream`]. What is refused there is said in one place, [`refusal`].
+
+mod call;
+mod events;
+mod refusal;
+mod send;
+mod stream;
+
+use std::{io, rc::Rc, time::Duration};
+
+use actix_http::{RequestHead, header};
+use bytes::Bytes;
+use dragonflyrill_fleet::catalogue::{CallerLimits, Route, RouteKind, Service, Workspace};
+use http::StatusCode;
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::{
+    gateway::Gateway,
+    http::callers::{Handler, Received, Responder},
+    ports::Incoming,
+};
+
+pub use events::{Events, Taken};
+use refusal::Refusal;
+
+/// How long a request waits for which neither its route nor its caller says it.
+const USUAL_DEADLINE: Duration = Duration::from_secs(30);
+
+/// A request whose route and workspace are known.
+struct Admitted {
+    head: RequestHead,
+    body: Bytes,
+    incoming: Incoming,
+    route: Rc<Route>,
+    service: Rc<Service>,
+    workspace: Option<Rc<str>>,
+    priority: u8,
+    at: Instant,
+    /// When its final answer is due: the route's timeout, or the caller's deadline.
+    due: Instant,
+}
+
+impl Admitted {
+    fn id(&self) -> &str {
+        let id = self.incoming.attempt.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    /// How long the caller and the route still wait.
+    fn left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    fn kind_label(&self) -> &'static str {
+        match self.route.kind {
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::NonIdempotent => "non_idempotent",
+            RouteKind::Stream { .. } => "stream",
+        }
+    }
+}
+
+/// Answers callers' requests by forwarding them.
+pub struct Forwarder {
+    gateway: Rc<Gateway>,
+}
+
+impl Forwarder {
+    /// A forwarder for a host.
+    pub fn new(gateway: Rc<Gateway>) -> Self {
+        Self { gateway }
+    }
+
+    fn admit(&self, received: Received) -> Result<Admitted, (Incoming, Refusal)> {
+        let Received { mut head, body, at } = received;
+        let gateway = &self.gateway;
+        let incoming = match gateway.platform.dialect.incoming(&mut head) {
+            Ok(incoming) => incoming,
+            Err(fault) => return Err((Incoming::default(), Refusal::Malformed(fault.to_string()))),
+        };
+        match self.find(&head, &incoming) {
+            Ok((route, workspace)) => {
+                let service = route.service(rand::rng().random()).clone();
+                gateway.count_request(&service.name);
+                let deadline = incoming.deadline.unwrap_or(USUAL_DEADLINE);
+                let priority = workspace.as_ref().and_then(|w| w.priority);
+                Ok(Admitted {
+                    due: at + route.timeout.min(deadline),
+                    priority: priority.unwrap_or(route.priority).min(9),
+                    workspace: workspace.map(|w| w.name),
+                    head,
+                    body,
+                    incoming,
+                    route,
+                    service,
+                    at,
+                })
+            }
+            Err(refusal) => Err((incoming, refusal)),
+        }
+    }
+
+    /// The route of a request and whose it is.
+    fn find(
+        &self,
+        head: &RequestHead,
+        incoming: &Incoming,
+    ) -> Result<(Rc<Route>, Option<Workspace>), Refusal> {
+        let gateway = &self.gateway;
+        let catalogue = gateway.catalogue.borrow();
+        // A catalogue that may be outdated must neither honour a key nor deny a route.
+        let Some(catalogue) = catalogue.as_ref().filter(|_| gateway.fresh()) else {
+            return Err(Refusal::Stale);
+        };
+        let host = head.headers.get(header::HOST);
+        let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+        let host = host.split(':').next().unwrap_or_default();
+        let Some(route) = catalogue.route(host, head.uri.path()) else {
+            return Err(Refusal::NoRoute);
+        };
+        let workspace = incoming.key.as_deref().and_then(|k| catalogue.workspace(k));
+        if workspace.is_none() && catalogue.needs_keys && !route.anonymous {
+            return Err(Refusal::NoWorkspace);
+        }
+        Ok((route.clone(), workspace.cloned()))
+    }
+}
+
+impl Handler for Forwarder {
+    fn limits(&self) -> CallerLimits {
+        let catalogue = self.gateway.catalogue.borrow();
+        catalogue
+            .as_ref()
+            .map_or_else(CallerLimits::default, |c| c.caller_limits)
+    }
+
+    fn leaving(&self) -> bool {
+        self.gateway.leaving()
+    }
+
+    async fn handle(&self, received: Received, out: &mut Responder<'_>) -> io::Result<()> {
+        let gateway = &self.gateway;
+        let _open = OpenRequest::new(gateway);
+        let admitted = match self.admit(received) {
+            Ok(admitted) => admitted,
+            Err((incoming, refusal)) => {
+                return refusal::answer(gateway, &incoming, "unrouted", &refusal, out).await;
+            }
+        };
+        let result = match admitted.route.kind {
+            RouteKind::Stream { .. } => stream::forward(gateway, &admitted, out).await,
+            _ => call::forward(gateway, &admitted, out).await,
+        };
+        match result {
+            Ok(()) => Ok(()),
+            Err(Ended::Io(e)) => Err(e),
+            Err(Ended::Refused(refusal)) => {
+                refusal::log(&admitted, &refusal);
+                let kind = admitted.kind_label();
+                refusal::answer(gateway, &admitted.incoming, kind, &refusal, out).await
+            }
+        }
+    }
+
+    fn abandoned(&self) {
+        self.gateway.metrics.abandoned.inc();
+    }
+}
+
+/// Counts a request while it is being answered.
+struct OpenRequest<'a>(&'a Gateway);
+
+impl<'a> OpenRequest<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        gateway.open.set(gateway.open.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Why a request was not answered by an endpoint.
+enum Ended {
+    /// The caller's connection failed, or the answer broke off.
+    Io(io::Error),
+    /// The gateway gives an answer of its own.
+    Refused(Refusal),
+}
+
+impl From<io::Error> for Ended {
+    fn from(e: io::Error) -> Self {
+        Self::Io(e)
+    }
+}
+
+impl From<Refusal> for Ended {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// Whether the status is a success.
+fn success(status: StatusCode) -> bool {
+    status.is_success()
+}
--- /dev/null
+++ b/crates/gateway/src/forward/refusal.rs
@@ -0,0 +1,88 @@
+//! The answers that the gateway gives itself, and the status of each.
+
+use std::{io, time::Duration};
+
+use bytes::Bytes;
+use http::StatusCode;
+use rand::Rng;
+
+use super::Admitted;
+use crate::{gateway::Gateway, http::callers::Responder, ports::Incoming};
+
+/// When a refused caller may come back, at least; spread, so that callers don't return together.
+const COME_BACK: Duration = Duration::from_millis(150);
+/// The spread of that.
+const COME_BACK_SPREAD: Duration = Duration::from_millis(350);
+
+/// Why the gateway answers itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// A header can't be used.
+    Malformed(String),
+    /// No catalogue is known that may be acted on.
+    Stale,
+    /// No route has the host and a prefix of the path.
+    NoRoute,
+    /// The key is no workspace's.
+    NoWorkspace,
+    /// No endpoint can take it; it was not run.
+    NoEndpoint(&'static str),
+    /// All endpoints that were asked refused it; it was not run.
+    NotRun(String),
+    /// It was sent and may have run; nothing usable came back.
+    MayHaveRun(String),
+    /// Time is up; it was sent and may have run.
+    OutOfTime,
+}
+
+impl Refusal {
+    /// The status. Those of refusals that promise that nothing was run are given only by cases that
+    /// know it.
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Malformed(_) => StatusCode::BAD_REQUEST,
+            Self::Stale | Self::NoEndpoint(_) | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoWorkspace => StatusCode::UNAUTHORIZED,
+            Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
+            Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the caller may come back.
+    fn retry_after(&self) -> Option<Duration> {
+        let again = self.status() == StatusCode::SERVICE_UNAVAILABLE;
+        again.then(|| COME_BACK + COME_BACK_SPREAD.mul_f64(rand::rng().random()))
+    }
+}
+
+/// Gives the answer.
+pub(super) async fn answer(
+    gateway: &Gateway,
+    incoming: &Incoming,
+    kind: &str,
+    refusal: &Refusal,
+    out: &mut Responder<'_>,
+) -> io::Result<()> {
+    let status = refusal.status();
+    gateway
+        .metrics
+        .answers
+        .with_label_values(&[kind, status.as_str()])
+        .inc();
+    let dialect = &gateway.platform.dialect;
+    let headers = dialect.own_answer(incoming, refusal.retry_after());
+    out.whole(status, headers, Bytes::new()).await
+}
+
+/// Writes a line on a request that was routed and not served.
+pub(super) fn log(admitted: &Admitted, refusal: &Refusal) {
+    log::info!(
+        target: "forward",
+        id = admitted.id(),
+        route = &*admitted.route.name,
+        after_ms = admitted.at.elapsed().as_millis() as u64,
+        why:? = refusal;
+        "Request is not served."
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,197 @@
+//! What an entry host knows, shared by its tasks.
+//!
+//! All tasks run on one thread, so that nothing here needs a lock; no borrow is held over a wait.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_http::ServiceConfig;
+use dragonflyrill_fleet::{
+    budget::RetryBudget,
+    catalogue::{Catalogue, Engine},
+    chains::{self, Chain},
+    choice::Loads,
+    endpoints::Directory,
+    freshness::Freshness,
+};
+use rustc_hash::FxHashMap;
+use tokio::{sync::watch, time::Instant};
+
+use crate::{
+    http::pool::Idle,
+    metrics::Metrics,
+    ports::{Dialect, Engines, Store},
+    settings::Settings,
+};
+
+/// The platform that a host runs on.
+pub struct Platform {
+    /// How requests are marked.
+    pub dialect: Rc<dyn Dialect>,
+    /// The store.
+    pub store: Rc<dyn Store>,
+    /// Orders to engines.
+    pub engines: Rc<dyn Engines>,
+}
+
+/// The chains of one service, found for one state of the directory.
+struct FoundChains {
+    generation: u64,
+    until: Option<Duration>,
+    chains: Rc<Vec<Chain>>,
+}
+
+/// What an entry host knows.
+pub struct Gateway {
+    /// Its settings.
+    pub settings: Settings,
+    /// The platform.
+    pub platform: Platform,
+    /// The codec's settings.
+    pub codec: ServiceConfig,
+    /// The newest catalogue known.
+    pub catalogue: RefCell<Option<Rc<Catalogue>>>,
+    /// For how long it may be acted on.
+    pub freshness: Cell<Freshness>,
+    /// The endpoints; empty until the list was read.
+    pub directory: RefCell<Directory>,
+    /// Whether the list of endpoints was read.
+    pub endpoints_known: Cell<bool>,
+    /// Loads of chains.
+    pub loads: RefCell<Loads>,
+    /// Hosts that are alive, this one included.
+    pub hosts: Cell<u32>,
+    /// Idle connections to endpoints.
+    pub idle: Idle,
+    /// Counters.
+    pub metrics: Metrics,
+    budgets: RefCell<FxHashMap<Rc<str>, RetryBudget>>,
+    found: RefCell<FxHashMap<Rc<str>, FoundChains>>,
+    epoch: Instant,
+    /// Set once this host is to stop.
+    leaving: Cell<bool>,
+    closing: watch::Sender<bool>,
+    /// Requests that are being answered.
+    pub open: Cell<u32>,
+}
+
+impl Gateway {
+    /// A host that knows nothing yet.
+    pub fn new(settings: Settings, platform: Platform, codec: ServiceConfig) -> Rc<Self> {
+        let freshness = Freshness::new(settings.key_revocation);
+        Rc::new(Self {
+            settings,
+            platform,
+            codec,
+            catalogue: RefCell::default(),
+            freshness: Cell::new(freshness),
+            directory: RefCell::default(),
+            endpoints_known: Cell::new(false),
+            loads: RefCell::default(),
+            hosts: Cell::new(1),
+            idle: Idle::default(),
+            metrics: Metrics::default(),
+            budgets: RefCell::default(),
+            found: RefCell::default(),
+            epoch: Instant::now(),
+            leaving: Cell::new(false),
+            closing: watch::Sender::new(false),
+            open: Cell::new(0),
+        })
+    }
+
+    /// The monotonic time since the start.
+    pub fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// The moment as time since the start.
+    pub fn since_start(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.epoch)
+    }
+
+    /// Whether the catalogue may be acted on.
+    pub fn fresh(&self) -> bool {
+        self.freshness.get().fresh(self.now())
+    }
+
+    /// A read sent at `sent_at` has shown that the catalogue is the newest.
+    pub fn proven(&self, sent_at: Duration) {
+        let mut freshness = self.freshness.get();
+        freshness.proven(sent_at);
+        self.freshness.set(freshness);
+    }
+
+    /// Whether this host takes new connections.
+    pub fn ready(&self) -> bool {
+        let knows = self.catalogue.borrow().is_some() && self.endpoints_known.get();
+        knows && self.fresh() && !self.leaving.get()
+    }
+
+    /// Whether this host is to stop.
+    pub fn leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// This host is to stop: no new connections, and connections end with their next answer.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Idle connections are closed from now on.
+    pub fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Tells when idle connections are to be closed.
+    pub fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
+    /// A request for a service came in.
+    pub fn count_request(&self, service: &Rc<str>) {
+        let now = self.now();
+        self.with_budget(service, |b| b.request(now));
+    }
+
+    /// Whether a request may be sent once more.
+    pub fn may_repeat(&self, service: &Rc<str>) -> bool {
+        let (now, hosts) = (self.now(), self.hosts.get());
+        self.with_budget(service, |b| b.take(now, hosts))
+    }
+
+    fn with_budget<R>(&self, service: &Rc<str>, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
+        let mut budgets = self.budgets.borrow_mut();
+        let terms = self.settings.retries;
+        f(budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(terms)))
+    }
+
+    /// The chains of a service's endpoints, found anew if the endpoints have changed.
+    pub fn chains(&self, service: &Rc<str>, engine: &Engine) -> Rc<Vec<Chain>> {
+        let now = self.now();
+        let directory = self.directory.borrow();
+        let mut found = self.found.borrow_mut();
+        if let Some(found) = found.get(service) {
+            let returned = found.until.is_some_and(|t| t <= now);
+            if found.generation == directory.generation() && !returned {
+                return found.chains.clone();
+            }
+        }
+        let usable = directory
+            .iter()
+            .filter(|e| e.service == *service && directory.usable(&e.id, now));
+        let chains = Rc::new(chains::find(engine, usable.map(|e| &**e)));
+        let entry = FoundChains {
+            generation: directory.generation(),
+            until: directory.next_return(now),
+            chains: chains.clone(),
+        };
+        found.insert(service.clone(), entry);
+        chains
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ports.rs
@@ -0,0 +1,212 @@
+//! What the gateway needs of the platform that it runs on: implemented by an adapter, and by fakes
+//! in tests.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{RequestHead, ResponseHead, header::HeaderMap};
+use dragonflyrill_fleet::{catalogue::Catalogue, endpoints::Endpoint, layers::LayerRange};
+use futures_util::future::LocalBoxFuture;
+use http::header::HeaderValue;
+
+use crate::http::call::CallError;
+
+/// What a caller said of its request, besides method, path and body.
+#[derive(Debug, Clone, Default)]
+pub struct Incoming {
+    /// The id of the caller's attempt, as it was sent.
+    pub attempt: Option<HeaderValue>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// Tokens of the prompt, and the most of the answer.
+    pub tokens: Option<(u32, u32)>,
+    /// The caller's guess of the answer's tokens.
+    pub answer_guess: Option<u32>,
+    /// The last event that the caller has of an earlier attempt.
+    pub last_event: Option<u64>,
+}
+
+/// What the gateway says of a request to the endpoint that it sends it to.
+#[derive(Debug)]
+pub struct Outgoing<'a> {
+    /// How long the caller still waits.
+    pub deadline: Duration,
+    /// The incarnation that is meant; any other refuses.
+    pub endpoint: &'a str,
+    /// Whose request it is.
+    pub workspace: Option<&'a str>,
+    /// Its rank, 0 is first.
+    pub priority: u8,
+    /// The endpoints that run it and the layers of each.
+    pub chain: &'a [(SocketAddr, LayerRange)],
+    /// The answer is to go on after this event.
+    pub after_event: Option<u64>,
+}
+
+/// What an endpoint said with its answer.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerFacts {
+    /// The id of the attempt that it answers.
+    pub attempt: Option<HeaderValue>,
+    /// It vouches for the body.
+    pub sealed: bool,
+    /// It did not and will not run the request.
+    pub not_run: bool,
+    /// Another incarnation has the address, or a part does not hold its layers.
+    pub misdirected: bool,
+    /// Requests that it runs, and that wait at it.
+    pub load: Option<(u32, u32)>,
+    /// The endpoint at fault, if it is not the one that answered.
+    pub fault_at: Option<SocketAddr>,
+    /// The body is not as the endpoint made it.
+    pub encoded: bool,
+}
+
+/// A header that can't be used; names it.
+#[derive(Debug, thiserror::Error)]
+#[error("header {name}: {problem}")]
+pub struct HeaderFault {
+    /// The header.
+    pub name: &'static str,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// How requests and answers are marked on the wire.
+pub trait Dialect {
+    /// Reads what a caller said, and takes out of the head what no endpoint may see.
+    fn incoming(&self, head: &mut RequestHead) -> Result<Incoming, HeaderFault>;
+    /// Marks a request for an endpoint.
+    fn mark(&self, headers: &mut HeaderMap, out: &Outgoing<'_>);
+    /// Reads what an endpoint said.
+    fn answer(&self, head: &ResponseHead) -> AnswerFacts;
+    /// Takes out of an answer's headers what is not for callers.
+    fn strip(&self, headers: &mut HeaderMap);
+    /// The headers of an answer of the gateway's own.
+    fn own_answer(&self, incoming: &Incoming, retry_after: Option<Duration>) -> HeaderMap;
+    /// Whether the path asks if this host takes new connections.
+    fn asks_ready(&self, path: &str) -> bool;
+}
+
+/// Why the store gave nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// It can't be reached, or turned the call away: nothing was done.
+    #[error("store is away: {0}")]
+    Away(String),
+    /// A write may have been done, or may be later.
+    #[error("outcome is not known: {0}")]
+    Unknown(String),
+    /// Its history does not reach back to the mark.
+    #[error("history is gone")]
+    HistoryGone,
+    /// Something it holds can't be used; names the place.
+    #[error("{0}")]
+    Unusable(String),
+}
+
+/// A place in the store's history.
+pub type Mark = u64;
+
+/// The newest catalogue, if it is newer than what is known.
+pub struct CatalogueNews {
+    /// The catalogue.
+    pub catalogue: Option<Rc<Catalogue>>,
+    /// Where to go on.
+    pub mark: Mark,
+}
+
+/// What has changed among the endpoints.
+pub struct EndpointNews {
+    /// These are all there are.
+    pub whole: bool,
+    /// New and changed ones.
+    pub changed: Vec<Endpoint>,
+    /// Ids of those whose entries were removed.
+    pub removed: Vec<Rc<str>>,
+    /// Where to go on.
+    pub mark: Mark,
+}
+
+/// A row of the hosts' own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: String,
+    /// Its version.
+    pub version: u64,
+}
+
+/// How a conditional write ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Written {
+    /// Done; the version of the row now.
+    Done(u64),
+    /// Not done: the row is as given.
+    Conflict(Option<Row>),
+}
+
+/// The platform's store.
+pub trait Store {
+    /// The catalogue, read anew if `after` is `None`, else what comes within `wait`.
+    fn catalogue(
+        &self,
+        after: Option<Mark>,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<CatalogueNews, StoreError>>;
+    /// The endpoints, read anew if `after` is `None`, else what changes within `wait`.
+    fn endpoints(
+        &self,
+        after: Option<Mark>,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<EndpointNews, StoreError>>;
+    /// All rows of the hosts' own.
+    fn rows(&self) -> LocalBoxFuture<'_, Result<Vec<Row>, StoreError>>;
+    /// Writes a row if it has that version, 0 if there is none; `None` writes in any case.
+    fn write(
+        &self,
+        key: &str,
+        value: &str,
+        expected: Option<u64>,
+    ) -> LocalBoxFuture<'_, Result<Written, StoreError>>;
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ordered {
+    /// Begun.
+    Begun,
+    /// It was so already.
+    Holds,
+    /// Refused; says why.
+    Refused(String),
+}
+
+/// What a model engine says of itself.
+#[derive(Debug, Clone, Default)]
+pub struct EngineReport {
+    /// The layers that it holds.
+    pub layers: Option<LayerRange>,
+    /// An order is being carried out.
+    pub busy: bool,
+    /// Orders that it has begun since it started.
+    pub orders: u64,
+    /// The engines that requests at it wait for because they do not answer.
+    pub stalled: Vec<SocketAddr>,
+}
+
+/// Orders to model engines.
+pub trait Engines {
+    /// Has an engine hold just these layers; `orders` is how many orders it must have begun.
+    fn place(
+        &self,
+        addr: SocketAddr,
+        layers: LayerRange,
+        orders: Option<u64>,
+    ) -> LocalBoxFuture<'_, Result<Ordered, CallError>>;
+    /// Asks an engine for its state.
+    fn report(&self, addr: SocketAddr) -> LocalBoxFuture<'_, Result<EngineReport, CallError>>;
+}
