gateway: refuse requests that come too late after the signal to stop

Change: 2.9 s after the signal new requests get 503 at once, not run, with a time to come back that is next to nothing, since another host takes them.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -78,6 +78,10 @@
     fn admit(&self, received: Received) -> Result<Admitted, (Incoming, Refusal)> {
         let Received { mut head, body, at } = received;
         let gateway = &self.gateway;
+        if !gateway.takes_requests() {
+            let incoming = gateway.platform.dialect.incoming(&mut head);
+            return Err((incoming.unwrap_or_default(), Refusal::Leaving));
+        }
         let incoming = match gateway.platform.dialect.incoming(&mut head) {
             Ok(incoming) => incoming,
             Err(fault) => return Err((Incoming::default(), Refusal::Malformed(fault.to_string()))),
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -11,6 +11,8 @@
 
 /// When a refused caller may come back, at least; spread, so that callers don't return together.
 const COME_BACK: Duration = Duration::from_millis(150);
+/// When a caller may come back to another host, at most.
+const ELSEWHERE: Duration = Duration::from_millis(50);
 /// The spread of that.
 const COME_BACK_SPREAD: Duration = Duration::from_millis(350);
 
@@ -19,6 +21,8 @@
 pub(super) enum Refusal {
     /// A header can't be used.
     Malformed(String),
+    /// This host is about to end.
+    Leaving,
     /// No catalogue is known that may be acted on.
     Stale,
     /// No route has the host and a prefix of the path.
@@ -41,7 +45,9 @@
     fn status(&self) -> StatusCode {
         match self {
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
-            Self::Stale | Self::NoEndpoint(_) | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Leaving | Self::Stale | Self::NoEndpoint(_) | Self::NotRun(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoWorkspace => StatusCode::UNAUTHORIZED,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
@@ -51,8 +57,15 @@
 
     /// When the caller may come back.
     fn retry_after(&self) -> Option<Duration> {
-        let again = self.status() == StatusCode::SERVICE_UNAVAILABLE;
-        again.then(|| COME_BACK + COME_BACK_SPREAD.mul_f64(rand::rng().random()))
+        let draw: f64 = rand::rng().random();
+        match self {
+            // Another host takes it at once.
+            Self::Leaving => Some(ELSEWHERE.mul_f64(draw)),
+            _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                Some(COME_BACK + COME_BACK_SPREAD.mul_f64(draw))
+            }
+            _ => None,
+        }
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,10 @@
     settings::Settings,
 };
 
+/// How long requests are still taken after the signal to stop: the balancer asks once a second and
+/// believes the second answer.
+pub const STILL_TAKING: Duration = Duration::from_millis(2900);
+
 /// The platform that a host runs on.
 pub struct Platform {
     /// How requests are marked.
@@ -71,8 +75,8 @@
     budgets: RefCell<FxHashMap<Rc<str>, RetryBudget>>,
     found: RefCell<FxHashMap<Rc<str>, FoundChains>>,
     epoch: Instant,
-    /// Set once this host is to stop.
-    leaving: Cell<bool>,
+    /// When this host was asked to stop.
+    leaving_since: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
     /// Requests that are being answered.
     pub open: Cell<u32>,
@@ -97,7 +101,7 @@
             budgets: RefCell::default(),
             found: RefCell::default(),
             epoch: Instant::now(),
-            leaving: Cell::new(false),
+            leaving_since: Cell::new(None),
             closing: watch::Sender::new(false),
             open: Cell::new(0),
         })
@@ -128,17 +132,24 @@
     /// Whether this host takes new connections.
     pub fn ready(&self) -> bool {
         let knows = self.catalogue.borrow().is_some() && self.endpoints_known.get();
-        knows && self.fresh() && !self.leaving.get()
+        knows && self.fresh() && !self.leaving()
     }
 
     /// Whether this host is to stop.
     pub fn leaving(&self) -> bool {
-        self.leaving.get()
+        self.leaving_since.get().is_some()
+    }
+
+    /// Whether this host still takes requests: for a while after it was asked to stop it does, as
+    /// the balancer has not noticed yet; what comes later could not be finished.
+    pub fn takes_requests(&self) -> bool {
+        let asked = self.leaving_since.get();
+        asked.is_none_or(|asked| asked.elapsed() < STILL_TAKING)
     }
 
     /// This host is to stop: no new connections, and connections end with their next answer.
     pub fn leave(&self) {
-        self.leaving.set(true);
+        self.leaving_since.set(Some(Instant::now()));
     }
 
     /// Idle connections are closed from now on.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,15 +14,12 @@
 use crate::{
     control,
     forward::Forwarder,
-    gateway::Gateway,
+    gateway::{Gateway, STILL_TAKING},
     http::callers::{self, Handler, Received, Responder},
 };
 
 /// New connections that wait to be accepted; beyond that the kernel drops them.
 const BACKLOG: u32 = 1024;
-/// How long new connections are still taken after the signal: the balancer asks once a second and
-/// believes the second answer.
-const STILL_ACCEPTING: Duration = Duration::from_millis(3200);
 /// What is kept of the time between the signal and the kill, for the process to end by itself.
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// How often it is looked whether the last request has ended.
@@ -61,7 +58,7 @@
     let asked = Instant::now();
     let until = asked + gateway.settings.grace.saturating_sub(END_MARGIN);
     gateway.leave();
-    time::sleep_until((asked + STILL_ACCEPTING).min(until)).await;
+    time::sleep_until((asked + STILL_TAKING).min(until)).await;
     gateway.close_idle();
     while gateway.open.get() > 0 && Instant::now() < until {
         time::sleep(DRAIN_TICK).await;
