--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_fleet::endpoints::Endpoint;
 use rustc_hash::FxHashMap;
 use tokio::time;
 
@@ -101,10 +102,10 @@
         }
         for endpoint in news.changed {
             self.doubted.remove(&endpoint.id);
-            let line = (endpoint.id.clone(), endpoint.leaving, endpoint.layers);
-            if self.gateway.directory.borrow_mut().put(endpoint) {
-                let (id, leaving, layers) = line;
-                log::info!(target: "fleet", endpoint = &*id, leaving = leaving, layers:? = layers; "Endpoint is listed.");
+            let id = endpoint.id.clone();
+            let mut directory = self.gateway.directory.borrow_mut();
+            if directory.put(endpoint) {
+                directory.get(&id).into_iter().for_each(|e| log_listed(e));
             }
         }
         let troubled = self.trouble_at.is_some_and(|at| at + TROUBLE > now);
@@ -139,3 +140,16 @@
         }
     }
 }
+
+fn log_listed(endpoint: &Endpoint) {
+    let layers = endpoint.layers.map(|l| l.to_string());
+    log::info!(
+        target: "fleet",
+        endpoint = &*endpoint.id,
+        data_centre = &*endpoint.data_centre,
+        accelerator = endpoint.accelerator.as_deref().unwrap_or("-"),
+        layers = layers.as_deref().unwrap_or("-"),
+        leaving = endpoint.leaving;
+        "Endpoint is listed."
+    );
+}
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     catalogue::{Engine, RouteKind},
-    chains::Chain,
+    chains::{Chain, Part},
     choice::{self, Want},
     layers::LayerRange,
 };
@@ -130,8 +130,7 @@
         log::info!(
             target: "forward",
             id = self.admitted.id(),
-            first = &*chain.first().id,
-            parts = chain.parts.len(),
+            chain = text(chain),
             started = started,
             after_event:? = self.events.last(),
             why:? = failed;
@@ -277,6 +276,13 @@
         }
         let first = chain.first();
         let report = time::timeout(REPORT, gateway.platform.engines.report(first.addr)).await;
+        log::info!(
+            target: "forward",
+            id = self.admitted.id(),
+            chain = text(chain),
+            report:? = report;
+            "A chain does not go on."
+        );
         let at_fault = match report {
             Ok(Ok(report)) => {
                 let stalled = report.stalled.first().copied();
@@ -292,6 +298,13 @@
     }
 }
 
+/// A chain as its endpoints and their layers.
+fn text(chain: &Chain) -> String {
+    let part = |p: &Part| format!("{}={}", p.id, p.layers);
+    let parts: Vec<String> = chain.parts.iter().map(part).collect();
+    parts.join(",")
+}
+
 fn broke_off(why: &str) -> RunEnd {
     RunEnd::Failed(Failed::MayHaveRun(why.to_owned()))
 }
