--- a/crates/fleet/src/chains.rs
+++ b/crates/fleet/src/chains.rs
@@ -8,7 +8,11 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use crate::{catalogue::Engine, endpoints::Endpoint, layers::LayerRange};
+use crate::{
+    catalogue::{Accelerator, Engine},
+    endpoints::Endpoint,
+    layers::LayerRange,
+};
 
 /// The most chains kept for one data centre. Each further one is slower than the last, and a
 /// request looks at all of them.
@@ -16,6 +20,12 @@
 /// What handing a token to the next stage takes, in ms: the network inside a data centre and the
 /// wait for the pass that is under way.
 const HOP_MS: f64 = 0.5;
+/// Requests that run are longer than the usual one, as long ones run longer: their part of the
+/// memory against that of the usual request.
+const LONG_REQUESTS: f64 = 1.3;
+/// The part of its time that an endpoint may read; the rest is for steps.
+const MOST_READING: f64 = 0.6;
+const MS_PER_S: f64 = 1000.0;
 /// How much dearer an endpoint looks for each chain that already uses it.
 const USED_FACTOR: f64 = 4.0;
 
@@ -61,15 +71,87 @@
     }
 }
 
+/// What a holder of layers is able to do.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Holding {
+    /// The layers that it holds.
+    pub(crate) layers: LayerRange,
+    pub(crate) pace: f64,
+    pub(crate) read_factor: f64,
+    pub(crate) memory_mb: f64,
+    /// Chains that use it already.
+    pub(crate) used: u32,
+}
+
+impl Holding {
+    pub(crate) fn new(accelerator: &Accelerator, layers: LayerRange) -> Self {
+        Self {
+            layers,
+            pace: accelerator.pace,
+            read_factor: accelerator.read_factor,
+            memory_mb: accelerator.memory_mb,
+            used: 0,
+        }
+    }
+}
+
 /// An endpoint that may be part of a chain.
 struct Holder<'a> {
     endpoint: &'a Endpoint,
-    layers: LayerRange,
-    pace: f64,
-    read_factor: f64,
-    memory_mb: f64,
-    /// Chains that use it already.
-    used: u32,
+    holding: Holding,
+}
+
+/// The times and the room of a chain, from the layers that each holder runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Figures {
+    pub(crate) token_ms: f64,
+    pub(crate) token_ms_per_request: f64,
+    pub(crate) read_ms: f64,
+    pub(crate) read_busy_ms: f64,
+    pub(crate) room: f64,
+}
+
+impl Figures {
+    pub(crate) fn new<'a>(
+        engine: &Engine,
+        parts: impl Iterator<Item = (&'a Holding, LayerRange)>,
+    ) -> Self {
+        let context_k = (engine.usual_prompt + engine.usual_answer) / 1000.0;
+        let per_request = engine.step_ms_per_request + engine.step_ms_per_1k_context * context_k;
+        let mut figures = Self {
+            token_ms: 0.0,
+            token_ms_per_request: 0.0,
+            read_ms: 0.0,
+            read_busy_ms: 0.0,
+            room: f64::INFINITY,
+        };
+        for (holding, layers) in parts {
+            let share = f64::from(layers.count()) / f64::from(engine.layers);
+            let pace = share * holding.pace;
+            let read_ms = share * holding.read_factor / engine.read_per_ms;
+            let held_mb = f64::from(holding.layers.count()) * engine.layer_mb;
+            let per_token_mb = f64::from(layers.count()) * engine.token_layer_mb;
+            let room = (holding.memory_mb - held_mb).max(0.0) / per_token_mb;
+            figures.token_ms += pace * engine.step_ms + HOP_MS;
+            figures.token_ms_per_request += pace * per_request;
+            figures.read_ms += read_ms;
+            figures.read_busy_ms = figures.read_busy_ms.max(read_ms);
+            figures.room = figures.room.min(room);
+        }
+        figures
+    }
+
+    /// Requests that such a chain serves in a second: as many at once as its memory holds, each for
+    /// as long as its answer takes; no more than can be read.
+    pub(crate) fn rate(&self, engine: &Engine) -> f64 {
+        let request = (engine.usual_prompt + engine.usual_answer).max(1.0);
+        let at_once = self.room / (request * LONG_REQUESTS);
+        let token_ms = self.token_ms + self.token_ms_per_request * at_once;
+        let answer_ms = engine.usual_answer * token_ms + engine.usual_prompt * self.read_ms;
+        let by_memory = at_once / answer_ms.max(1.0);
+        let by_reading = MOST_READING / (engine.usual_prompt * self.read_busy_ms).max(1e-9);
+        by_memory.min(by_reading) * MS_PER_S
+    }
 }
 
 /// The chains through the endpoints given, of all data centres.
@@ -85,10 +167,10 @@
     centres.dedup();
     let mut chains = Vec::new();
     for centre in centres {
-        let (mut local, rest): (Vec<_>, Vec<_>) = holders
+        let (local, rest): (Vec<_>, Vec<_>) = holders
             .into_iter()
             .partition(|h| h.endpoint.data_centre == centre);
-        find_in(engine, &centre, &mut local, &mut chains);
+        find_in(engine, &centre, &local, &mut chains);
         holders = rest;
     }
     chains
@@ -98,25 +180,22 @@
     let accelerator = engine.accelerator(endpoint.accelerator.as_deref()?)?;
     Some(Holder {
         endpoint,
-        layers: endpoint.layers?,
-        pace: accelerator.pace,
-        read_factor: accelerator.read_factor,
-        memory_mb: accelerator.memory_mb,
-        used: 0,
+        holding: Holding::new(accelerator, endpoint.layers?),
     })
 }
 
-fn find_in(engine: &Engine, centre: &Rc<str>, holders: &mut [Holder<'_>], out: &mut Vec<Chain>) {
+fn find_in(engine: &Engine, centre: &Rc<str>, holders: &[Holder<'_>], out: &mut Vec<Chain>) {
     let start = out.len();
+    let mut holdings: Vec<Holding> = holders.iter().map(|h| h.holding).collect();
     while out.len() < start + MOST_CHAINS {
-        let Some(path) = cheapest(engine, holders) else {
+        let Some(path) = cheapest(engine, &holdings) else {
             return;
         };
         let chain = build(engine, centre, holders, &path);
         for (i, _) in &path {
-            holders[*i].used += 1;
+            holdings[*i].used += 1;
         }
-        let fresh = path.iter().any(|(i, _)| holders[*i].used == 1);
+        let fresh = path.iter().any(|(i, _)| holdings[*i].used == 1);
         if !fresh {
             return;
         }
@@ -133,7 +212,7 @@
 }
 
 /// The cheapest cover of all layers: holders, each with the layers it runs.
-fn cheapest(engine: &Engine, holders: &[Holder<'_>]) -> Option<Vec<(usize, LayerRange)>> {
+pub(crate) fn cheapest(engine: &Engine, holders: &[Holding]) -> Option<Vec<(usize, LayerRange)>> {
     let end = engine.layers;
     let mut boundaries: Vec<u32> = holders
         .iter()
@@ -204,36 +283,22 @@
     holders: &[Holder<'_>],
     path: &[(usize, LayerRange)],
 ) -> Chain {
-    let mut chain = Chain {
-        data_centre: centre.clone(),
-        parts: Vec::with_capacity(path.len()),
-        token_ms: 0.0,
-        token_ms_per_request: 0.0,
-        read_ms: 0.0,
-        read_busy_ms: 0.0,
-        room: f64::INFINITY,
+    let parts = path
+        .iter()
+        .map(|(i, layers)| (&holders[*i].holding, *layers));
+    let figures = Figures::new(engine, parts);
+    let part = |(i, layers): &(usize, LayerRange)| Part {
+        id: holders[*i].endpoint.id.clone(),
+        addr: holders[*i].endpoint.addr,
+        layers: *layers,
     };
-    for (i, layers) in path {
-        let holder = &holders[*i];
-        let share = f64::from(layers.count()) / f64::from(engine.layers);
-        let pace = share * holder.pace;
-        let read_ms = share * holder.read_factor / engine.read_per_ms;
-        let held_mb = f64::from(holder.layers.count()) * engine.layer_mb;
-        let per_token_mb = f64::from(layers.count()) * engine.token_layer_mb;
-        let context_k = (engine.usual_prompt + engine.usual_answer) / 1000.0;
-        let per_request = engine.step_ms_per_request + engine.step_ms_per_1k_context * context_k;
-        chain.token_ms += pace * engine.step_ms + HOP_MS;
-        chain.token_ms_per_request += pace * per_request;
-        chain.read_ms += read_ms;
-        chain.read_busy_ms = chain.read_busy_ms.max(read_ms);
-        chain.room = chain
-            .room
-            .min((holder.memory_mb - held_mb).max(0.0) / per_token_mb);
-        chain.parts.push(Part {
-            id: holder.endpoint.id.clone(),
-            addr: holder.endpoint.addr,
-            layers: *layers,
-        });
+    Chain {
+        data_centre: centre.clone(),
+        parts: path.iter().map(part).collect(),
+        token_ms: figures.token_ms,
+        token_ms_per_request: figures.token_ms_per_request,
+        read_ms: figures.read_ms,
+        read_busy_ms: figures.read_busy_ms,
+        room: figures.room,
     }
-    chain
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -6,13 +6,15 @@
 //! accelerators make the first cover with room for many requests, and the slow ones a second
 //! cover, which carries on when an endpoint of the first is lost.
 //!
-//! What is loaded stays where it is: only endpoints that hold nothing are given layers, each the
-//! range that its data centre is weakest in.
+//! What is loaded mostly stays where it is: endpoints that hold nothing are given the layers that
+//! help their data centre most, and a loaded one moves only if that is worth far more than it
+//! costs.
 
 use std::rc::Rc;
 
 use crate::{
     catalogue::{Accelerator, Engine},
+    chains::{self, Figures, Holding},
     layers::LayerRange,
 };
 
@@ -26,18 +28,19 @@
 const USUAL_REQUESTS: f64 = 32.0;
 /// The most covers of one data centre: each further one makes planning some thirty times longer.
 const MOST_COVERS: usize = 3;
+/// How many times more a data centre must serve for layers to be chosen by that.
+const WORTH_A_LOAD: f64 = 1.02;
+/// How many times more a data centre must serve after a move, which takes seconds in which it
+/// serves less.
+const WORTH_A_MOVE: f64 = 1.25;
+/// The most moves at once where no chain is left.
+const MOST_MOVES: usize = 6;
+/// What a covered layer is worth where there is no chain, in requests a second: next to nothing.
+const COVERED_WEIGHT: f64 = 0.001;
 /// What a request served after the loss of an endpoint is worth beside one served before.
 const LOSS_WEIGHT: f64 = 0.5;
-/// Requests that run are longer than the usual one, as long ones run longer: their part of the
-/// memory against that of the usual request.
-const LONG_REQUESTS: f64 = 1.3;
-/// The part of its time that an endpoint may read; the rest is for steps.
-const MOST_READING: f64 = 0.6;
-/// What handing a token to the next stage takes, in ms.
-const HOP_MS: f64 = 0.5;
-
 /// An endpoint that may hold layers.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
     /// The endpoint.
     pub id: Rc<str>,
@@ -47,6 +50,8 @@
     pub accelerator: Rc<str>,
     /// The layers that it holds, or is loading.
     pub holds: Option<LayerRange>,
+    /// It is loading, or may be.
+    pub loading: bool,
 }
 
 /// Layers that an endpoint should load.
@@ -79,7 +84,13 @@
         let fresh = slots.iter().all(|s| s.candidate.holds.is_none());
         match fresh {
             true => cover_anew(engine, &slots, &mut placements),
-            false => fill_gaps(engine, &slots, &mut placements),
+            false => {
+                let before = placements.len();
+                fill_gaps(engine, &slots, &mut placements);
+                if placements.len() == before && !slots.iter().any(|s| s.candidate.loading) {
+                    moves(engine, &slots, &mut placements);
+                }
+            }
         }
     }
     placements
@@ -184,32 +195,12 @@
     whole + LOSS_WEIGHT * covers.iter().map(kept).sum::<f64>()
 }
 
-/// Requests that a cover serves in a second: as many at once as the memory of its fullest member
-/// holds, each for as long as its answer takes; no more than can be read.
+/// Requests that a cover serves in a second.
 fn rate(engine: &Engine, slots: &[Slot<'_>], members: &[(usize, LayerRange)]) -> f64 {
-    let mut at_once = f64::INFINITY;
-    let mut token_ms = 0.0;
-    let mut request_ms = 0.0;
-    let mut read_ms = 0.0;
-    let mut busiest_read_ms: f64 = 0.0;
-    for (i, layers) in members {
-        let accelerator = slots[*i].accelerator;
-        let count = f64::from(layers.count());
-        let free_mb = accelerator.memory_mb - count * engine.layer_mb;
-        let room = free_mb.max(0.0) / (count * engine.token_layer_mb);
-        at_once = at_once.min(room / (request_tokens(engine) * LONG_REQUESTS));
-        let share = count / f64::from(engine.layers);
-        token_ms += share * accelerator.pace * engine.step_ms + HOP_MS;
-        request_ms += share * accelerator.pace * engine.step_ms_per_request;
-        let read = share * accelerator.read_factor / engine.read_per_ms;
-        read_ms += read;
-        busiest_read_ms = busiest_read_ms.max(read);
-    }
-    let token_ms = token_ms + request_ms * at_once;
-    let answer_ms = engine.usual_answer * token_ms + engine.usual_prompt * read_ms;
-    let by_memory = at_once / answer_ms.max(1.0);
-    let by_reading = MOST_READING / (engine.usual_prompt * busiest_read_ms).max(1e-9);
-    by_memory.min(by_reading) * 1000.0
+    let held = |(i, layers): &(usize, LayerRange)| Holding::new(slots[*i].accelerator, *layers);
+    let holdings: Vec<Holding> = members.iter().map(held).collect();
+    let parts = holdings.iter().map(|h| (h, h.layers));
+    Figures::new(engine, parts).rate(engine)
 }
 
 /// One cover out of the endpoints that are free: the fastest that fit, and for what is missing then
@@ -251,32 +242,160 @@
     ranges
 }
 
-/// Gives endpoints that hold nothing the ranges in which the others are weakest.
-///
-/// What was placed before in `out` counts as held.
+/// The layers of each slot: what it holds, or what was placed on it before in `out`.
+fn held(slots: &[Slot<'_>], out: &[Placement]) -> Vec<Option<LayerRange>> {
+    let placed = |s: &Slot<'_>| {
+        out.iter()
+            .find(|p| p.id == s.candidate.id)
+            .map(|p| p.layers)
+    };
+    slots
+        .iter()
+        .map(|s| s.candidate.holds.or_else(|| placed(s)))
+        .collect()
+}
+
+/// Gives endpoints that hold nothing layers: those that let the data centre serve most, or else
+/// those in which it is weakest.
 fn fill_gaps(engine: &Engine, slots: &[Slot<'_>], out: &mut Vec<Placement>) {
-    let mut speed = vec![0.0; engine.layers as usize];
-    let add = |speed: &mut Vec<f64>, accelerator: &Accelerator, range: LayerRange| {
-        for layer in range.first..range.end.min(engine.layers) {
-            speed[layer as usize] += 1.0 / accelerator.pace;
+    let mut held = held(slots, out);
+    for (i, slot) in slots.iter().enumerate() {
+        if held[i].is_some() {
+            continue;
         }
-    };
-    let sizes = sizes(engine, slots, USUAL_REQUESTS);
-    let mut empty = Vec::new();
-    for (slot, size) in slots.iter().zip(sizes) {
-        let placed = out.iter().find(|p| p.id == slot.candidate.id);
-        match slot.candidate.holds.or(placed.map(|p| p.layers)) {
-            Some(range) => add(&mut speed, slot.accelerator, range),
-            None => empty.push((slot, size.min(engine.layers))),
+        let most = engine.most_layers(slot.accelerator).max(1);
+        let now = value(engine, slots, &held);
+        let range = match best_range(engine, slots, &mut held, i) {
+            Some((range, value)) if value > now * WORTH_A_LOAD => range,
+            _ => {
+                let tokens = USUAL_REQUESTS * request_tokens(engine);
+                let size = most_layers(engine, slot.accelerator, tokens).min(most);
+                weakest(&speeds(engine, slots, &held), size.min(engine.layers))
+            }
+        };
+        held[i] = Some(range);
+        out.push(Placement {
+            id: slot.candidate.id.clone(),
+            layers: range,
+        });
+    }
+}
+
+/// The speed at which each layer is held, over all its holders.
+fn speeds(engine: &Engine, slots: &[Slot<'_>], held: &[Option<LayerRange>]) -> Vec<f64> {
+    let mut speeds = vec![0.0; engine.layers as usize];
+    for (slot, range) in slots.iter().zip(held) {
+        for layer in range.iter().flat_map(|r| r.first..r.end.min(engine.layers)) {
+            speeds[layer as usize] += 1.0 / slot.accelerator.pace;
         }
     }
-    for (slot, size) in empty {
-        let range = weakest(&speed, size);
-        add(&mut speed, slot.accelerator, range);
+    speeds
+}
+
+/// What a data centre serves in a second with such holdings, by chains that share no endpoint;
+/// where there is none, the more the nearer it is to having one.
+fn value(engine: &Engine, slots: &[Slot<'_>], held: &[Option<LayerRange>]) -> f64 {
+    let holding =
+        |(s, r): (&Slot<'_>, &Option<LayerRange>)| Some(Holding::new(s.accelerator, (*r)?));
+    let mut holdings: Vec<Holding> = slots.iter().zip(held).filter_map(holding).collect();
+    let mut rate = 0.0;
+    while let Some(path) = chains::cheapest(engine, &holdings) {
+        let parts = path.iter().map(|(i, layers)| (&holdings[*i], *layers));
+        rate += Figures::new(engine, parts).rate(engine);
+        let mut place = 0;
+        holdings.retain(|_| {
+            place += 1;
+            path.iter().all(|(i, _)| i + 1 != place)
+        });
+    }
+    let covered = speeds(engine, slots, held)
+        .iter()
+        .filter(|s| **s > 0.0)
+        .count();
+    rate + COVERED_WEIGHT * covered as f64
+}
+
+/// The layers for one endpoint with which its data centre serves most, and how much that is.
+///
+/// Ranges begin and end where other holders' do, or are as large as the memory allows.
+fn best_range(
+    engine: &Engine,
+    slots: &[Slot<'_>],
+    held: &mut [Option<LayerRange>],
+    slot: usize,
+) -> Option<(LayerRange, f64)> {
+    let before = held[slot];
+    let tokens = FEWEST_REQUESTS * request_tokens(engine);
+    let most = most_layers(engine, slots[slot].accelerator, tokens).min(engine.layers);
+    let mut ends: Vec<u32> = vec![0, engine.layers];
+    for (i, range) in held.iter().enumerate() {
+        if let Some(range) = range.filter(|_| i != slot) {
+            ends.extend([range.first, range.end]);
+        }
+    }
+    ends.sort_unstable();
+    ends.dedup();
+    let mut ranges: Vec<LayerRange> = Vec::new();
+    for (i, &first) in ends.iter().enumerate() {
+        for &end in &ends[i + 1..] {
+            match end - first <= most {
+                true => ranges.extend(LayerRange::new(first, end)),
+                false => {
+                    // A part of a longer stretch, from either side.
+                    ranges.extend(LayerRange::new(first, first + most));
+                    ranges.extend(LayerRange::new(end - most, end));
+                    break;
+                }
+            }
+        }
+    }
+    let mut best: Option<(LayerRange, f64)> = None;
+    for range in ranges {
+        held[slot] = Some(range);
+        let value = value(engine, slots, held);
+        if best.is_none_or(|(_, v)| value > v + 1e-9) {
+            best = Some((range, value));
+        }
+    }
+    held[slot] = before;
+    best
+}
+
+/// Moves of loaded endpoints after which a data centre serves much more, the best first.
+///
+/// Where no chain is left several endpoints may move at once, as there is nothing to lose; else
+/// one at a time.
+fn moves(engine: &Engine, slots: &[Slot<'_>], out: &mut Vec<Placement>) {
+    let mut held = held(slots, out);
+    for _ in 0..MOST_MOVES {
+        let now = value(engine, slots, &held);
+        let alive = now > COVERED_WEIGHT * f64::from(engine.layers) + 1e-6;
+        let mut best: Option<(usize, LayerRange, f64)> = None;
+        for i in 0..slots.len() {
+            if let Some((range, value)) = best_range(engine, slots, &mut held, i)
+                && best.is_none_or(|(_, _, v)| value > v)
+            {
+                best = Some((i, range, value));
+            }
+        }
+        let needed = if alive {
+            now * WORTH_A_MOVE
+        } else {
+            now + 1e-6
+        };
+        let Some((i, range, _)) = best.filter(|(i, r, v)| *v > needed && held[*i] != Some(*r))
+        else {
+            return;
+        };
+        held[i] = Some(range);
+        out.retain(|p| p.id != slots[i].candidate.id);
         out.push(Placement {
-            id: slot.candidate.id.clone(),
+            id: slots[i].candidate.id.clone(),
             layers: range,
         });
+        if alive {
+            return;
+        }
     }
 }
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -46,6 +46,7 @@
         data_centre: data_centre.into(),
         accelerator: accelerator.into(),
         holds: None,
+        loading: false,
     }
 }
 
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -54,6 +54,8 @@
     /// How many engines are listed, and since when.
     listed: (usize, Duration),
     first_seen: Option<Duration>,
+    /// The state for which there was nothing to order.
+    planned_for: Option<Vec<Candidate>>,
 }
 
 impl Placing {
@@ -64,6 +66,7 @@
             known: FxHashMap::default(),
             listed: (0, Duration::ZERO),
             first_seen: None,
+            planned_for: None,
         }
     }
 
@@ -87,8 +90,15 @@
             }
             self.ask(&endpoints).await;
             let candidates = self.candidates(&endpoints);
+            if self.planned_for.as_ref() == Some(&candidates) {
+                continue;
+            }
             let mut placements = placement::plan(engine, &candidates);
-            placements.retain(|p| matches!(self.known.get(&p.id), Some(Known::Empty(_))));
+            placements.retain(|p| match self.known.get(&p.id) {
+                Some(Known::Empty(_)) | None => true,
+                Some(Known::Loading(..) | Known::Unsure(_)) => false,
+            });
+            self.planned_for = placements.is_empty().then_some(candidates);
             self.order(&endpoints, placements).await;
         }
         let directory = self.gateway.directory.borrow();
@@ -127,7 +137,12 @@
                 Some(Known::Unsure(until) | Known::Loading(_, until)) => *until <= now,
                 _ => false,
             };
-            if expired || endpoint.layers.is_some() {
+            let loaded = match self.known.get(&endpoint.id) {
+                Some(Known::Loading(layers, _)) => endpoint.layers == Some(*layers),
+                Some(Known::Unsure(_)) => false,
+                _ => endpoint.layers.is_some(),
+            };
+            if expired || loaded {
                 self.known.remove(&endpoint.id);
             }
         }
@@ -168,7 +183,8 @@
                 id: e.id.clone(),
                 data_centre: e.data_centre.clone(),
                 accelerator: e.accelerator.clone()?,
-                holds: e.layers.or(loading),
+                holds: loading.or(e.layers),
+                loading: self.known.contains_key(&e.id),
             })
         };
         endpoints.iter().filter_map(candidate).collect()
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -207,15 +207,19 @@
         fill(io, buf, limits.idle_timeout).await?;
     }
     let until = Instant::now() + limits.head_timeout;
+    let too_large = NoRequest::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     let request = loop {
+        let came = buf.len();
         match codec.decode(buf) {
+            Ok(Some(Message::Item(_))) if came - buf.len() > limits.head_bytes => {
+                return Err(too_large);
+            }
             Ok(Some(Message::Item(request))) => break request,
             Ok(_) => {}
             Err(_) => return Err(NoRequest::Refused(StatusCode::BAD_REQUEST)),
         }
         if buf.len() > limits.head_bytes {
-            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-            return Err(NoRequest::Refused(status));
+            return Err(too_large);
         }
         match fill(io, buf, until.saturating_duration_since(Instant::now())).await {
             Ok(()) => {}
