--- a/crates/fleet/src/chains.rs
+++ b/crates/fleet/src/chains.rs
@@ -38,6 +38,10 @@
     pub addr: SocketAddr,
     /// The layers that it runs.
     pub layers: LayerRange,
+    /// What each request that is generating there adds to a token, in ms.
+    pub token_ms_per_request: f64,
+    /// The memory of the endpoint for requests, in tokens times layers.
+    pub capacity: f64,
 }
 
 /// Endpoints that together run all layers.
@@ -49,14 +53,10 @@
     pub parts: Vec<Part>,
     /// What one token takes when nothing else runs, in ms.
     pub token_ms: f64,
-    /// What each other request that is generating adds to that, in ms.
-    pub token_ms_per_request: f64,
     /// What reading one token of a prompt takes, in ms.
     pub read_ms: f64,
     /// What reading a token occupies the busiest part for, in ms.
     pub read_busy_ms: f64,
-    /// Tokens of requests for which its parts have memory.
-    pub room: f64,
 }
 
 impl Chain {
@@ -93,6 +93,20 @@
             used: 0,
         }
     }
+
+    /// The memory for requests, in tokens times layers.
+    fn capacity(&self, engine: &Engine) -> f64 {
+        let held_mb = f64::from(self.layers.count()) * engine.layer_mb;
+        (self.memory_mb - held_mb).max(0.0) / engine.token_layer_mb
+    }
+
+    /// What each request that is generating adds to a token, in ms.
+    fn ms_per_request(&self, engine: &Engine, layers: LayerRange) -> f64 {
+        let share = f64::from(layers.count()) / f64::from(engine.layers);
+        let context_k = (engine.usual_prompt + engine.usual_answer) / 1000.0;
+        let per_request = engine.step_ms_per_request + engine.step_ms_per_1k_context * context_k;
+        share * self.pace * per_request
+    }
 }
 
 /// An endpoint that may be part of a chain.
@@ -116,8 +130,6 @@
         engine: &Engine,
         parts: impl Iterator<Item = (&'a Holding, LayerRange)>,
     ) -> Self {
-        let context_k = (engine.usual_prompt + engine.usual_answer) / 1000.0;
-        let per_request = engine.step_ms_per_request + engine.step_ms_per_1k_context * context_k;
         let mut figures = Self {
             token_ms: 0.0,
             token_ms_per_request: 0.0,
@@ -129,11 +141,9 @@
             let share = f64::from(layers.count()) / f64::from(engine.layers);
             let pace = share * holding.pace;
             let read_ms = share * holding.read_factor / engine.read_per_ms;
-            let held_mb = f64::from(holding.layers.count()) * engine.layer_mb;
-            let per_token_mb = f64::from(layers.count()) * engine.token_layer_mb;
-            let room = (holding.memory_mb - held_mb).max(0.0) / per_token_mb;
+            let room = holding.capacity(engine) / f64::from(layers.count());
             figures.token_ms += pace * engine.step_ms + HOP_MS;
-            figures.token_ms_per_request += pace * per_request;
+            figures.token_ms_per_request += holding.ms_per_request(engine, layers);
             figures.read_ms += read_ms;
             figures.read_busy_ms = figures.read_busy_ms.max(read_ms);
             figures.room = figures.room.min(room);
@@ -287,18 +297,21 @@
         .iter()
         .map(|(i, layers)| (&holders[*i].holding, *layers));
     let figures = Figures::new(engine, parts);
-    let part = |(i, layers): &(usize, LayerRange)| Part {
-        id: holders[*i].endpoint.id.clone(),
-        addr: holders[*i].endpoint.addr,
-        layers: *layers,
+    let part = |(i, layers): &(usize, LayerRange)| {
+        let Holder { endpoint, holding } = &holders[*i];
+        Part {
+            id: endpoint.id.clone(),
+            addr: endpoint.addr,
+            layers: *layers,
+            token_ms_per_request: holding.ms_per_request(engine, *layers),
+            capacity: holding.capacity(engine),
+        }
     };
     Chain {
         data_centre: centre.clone(),
         parts: path.iter().map(part).collect(),
         token_ms: figures.token_ms,
-        token_ms_per_request: figures.token_ms_per_request,
         read_ms: figures.read_ms,
         read_busy_ms: figures.read_busy_ms,
-        room: figures.room,
     }
 }
--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -1,9 +1,9 @@
 //! Picks a chain for one request.
 //!
-//! Each chain has an account of the requests that run on it: those of this host, and what the first
-//! stage last said of all hosts' together. From these follow the time to the first event and the
-//! time between events; the chain with the least expected time for the whole answer wins, one that
-//! would miss its targets only if no other is left.
+//! Each endpoint has an account of the requests that run on it: those of this host, and what the
+//! other hosts last told of theirs. From these follow the time to the first event, the time between
+//! events and the memory that is taken on each part of a chain; the chain with the least expected
+//! time for the whole answer wins, one that would miss its targets only if no other is left.
 
 use std::{rc::Rc, time::Duration};
 
@@ -11,10 +11,10 @@
 
 use crate::chains::Chain;
 
-/// A load that an endpoint told is taken as it is for this long.
-const LOAD_AGE: Duration = Duration::from_millis(1500);
-/// The part of a chain's memory that is planned with: answers differ widely in length.
-const ROOM_USED: f64 = 0.8;
+/// For how long what other hosts told is taken as it is; it comes several times a second.
+const TOLD_AGE: Duration = Duration::from_millis(1500);
+/// The part of an endpoint's memory that is planned with: answers differ widely in length.
+const MEMORY_USED: f64 = 0.9;
 
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
@@ -31,69 +31,113 @@
     pub tokens_per_event: f64,
 }
 
-/// The requests at a first stage, of all hosts.
-#[derive(Debug, Clone, Copy, Default)]
-struct Told {
-    running: f64,
-    at: Duration,
-    /// This host's requests sent since, less those that ended since.
-    since: f64,
+/// The requests at one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// How many run there.
+    pub requests: f64,
+    /// Their tokens, each counted once for each layer that the endpoint runs.
+    pub token_layers: f64,
 }
 
-/// The loads of chains, by their first stage.
+impl Load {
+    /// Both together.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            token_layers: self.token_layers + other.token_layers,
+        }
+    }
+
+    /// Without the other's part; never below nothing.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            requests: (self.requests - other.requests).max(0.0),
+            token_layers: (self.token_layers - other.token_layers).max(0.0),
+        }
+    }
+
+    fn times(self, n: f64) -> Self {
+        Self {
+            requests: self.requests * n,
+            token_layers: self.token_layers * n,
+        }
+    }
+}
+
+/// Loads by endpoint.
+pub type LoadMap = FxHashMap<Rc<str>, Load>;
+
+/// The loads of all endpoints, as far as this host knows.
 #[derive(Debug, Default)]
 pub struct Loads {
-    own: FxHashMap<Rc<str>, u32>,
-    told: FxHashMap<Rc<str>, Told>,
+    own: LoadMap,
+    others: LoadMap,
+    others_at: Option<Duration>,
     /// Hosts that send requests, this one included.
     pub hosts: u32,
 }
 
 impl Loads {
-    /// A request of this host was sent to a first stage.
-    pub fn begin(&mut self, first: &Rc<str>) {
-        *self.own.entry(first.clone()).or_default() += 1;
-        if let Some(told) = self.told.get_mut(first) {
-            told.since += 1.0;
+    /// A request of this host with so many tokens begins on a chain.
+    pub fn begin(&mut self, chain: &Chain, tokens: f64) {
+        for part in &chain.parts {
+            let load = self.own.entry(part.id.clone()).or_default();
+            *load = load.plus(part_load(tokens, part.layers.count()));
         }
     }
 
-    /// A request of this host has left a first stage.
-    pub fn end(&mut self, first: &Rc<str>) {
-        if let Some(own) = self.own.get_mut(first) {
-            *own = own.saturating_sub(1);
-        }
-        if let Some(told) = self.told.get_mut(first) {
-            told.since -= 1.0;
+    /// Such a request has ended.
+    pub fn end(&mut self, chain: &Chain, tokens: f64) {
+        for part in &chain.parts {
+            let Some(load) = self.own.get_mut(&part.id) else {
+                continue;
+            };
+            *load = load.minus(part_load(tokens, part.layers.count()));
+            // Nothing of a sum of fractions may stay behind.
+            if load.requests < 0.5 {
+                self.own.remove(&part.id);
+            }
         }
     }
 
-    /// A first stage has told how many requests it runs and how many wait.
-    pub fn told(&mut self, first: &Rc<str>, running: u32, waiting: u32, now: Duration) {
-        let told = Told {
-            running: f64::from(running) + f64::from(waiting),
-            at: now,
-            since: 0.0,
-        };
-        self.told.insert(first.clone(), told);
+    /// What this host puts on endpoints.
+    pub fn own(&self) -> &LoadMap {
+        &self.own
+    }
+
+    /// What the other hosts put on endpoints, as told at `now`.
+    pub fn told(&mut self, others: LoadMap, now: Duration) {
+        self.others = others;
+        self.others_at = Some(now);
     }
 
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, id: &str) {
         self.own.remove(id);
-        self.told.remove(id);
+        self.others.remove(id);
     }
 
-    /// Requests of all hosts at a first stage, as far as is known.
-    pub fn at(&self, first: &str, now: Duration) -> f64 {
-        let own = f64::from(self.own.get(first).copied().unwrap_or(0));
-        match self.told.get(first) {
-            Some(told) if told.at + LOAD_AGE > now => (told.running + told.since).max(own),
-            _ => own * f64::from(self.hosts.max(1)),
+    /// What all hosts put on an endpoint, as far as is known: if the others have not told of
+    /// theirs lately, they are taken to do as this one.
+    pub fn at(&self, id: &str, now: Duration) -> Load {
+        let own = self.own.get(id).copied().unwrap_or_default();
+        match self.others_at {
+            Some(at) if at + TOLD_AGE > now => {
+                own.plus(self.others.get(id).copied().unwrap_or_default())
+            }
+            _ => own.times(f64::from(self.hosts.max(1))),
         }
     }
 }
 
+fn part_load(tokens: f64, layers: u32) -> Load {
+    Load {
+        requests: 1.0,
+        token_layers: tokens * f64::from(layers),
+    }
+}
+
 /// What a request may expect of a chain.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Expected {
@@ -114,21 +158,30 @@
     }
 }
 
-/// What the request may expect of the chain while `running` others run on it.
-pub fn expect(chain: &Chain, want: &Want, running: f64) -> Expected {
-    let token_ms = chain.token_ms + chain.token_ms_per_request * running;
+/// What the request may expect of the chain under such loads.
+pub fn expect(chain: &Chain, want: &Want, load: impl Fn(&str) -> Load) -> Expected {
+    let need = want.prompt + want.answer;
+    let mut token_ms = chain.token_ms;
+    let mut running: f64 = 0.0;
+    let mut fill: f64 = 0.0;
+    for part in &chain.parts {
+        let load = load(&part.id);
+        token_ms += part.token_ms_per_request * load.requests;
+        running = running.max(load.requests);
+        let taken = load.token_layers + need * f64::from(part.layers.count());
+        fill = fill.max(taken / (part.capacity * MEMORY_USED).max(1.0));
+    }
     let gap_ms = token_ms * want.tokens_per_event;
     // Prompts of others are read in between; how many, follows from how long answers take.
     let answer_ms = want.answer * token_ms + want.prompt * chain.read_ms;
     let reading = (running * want.prompt * chain.read_busy_ms / answer_ms.max(1.0)).min(0.95);
     let slowed = 1.0 / (1.0 - reading);
     let first_ms = (want.prompt * chain.read_ms + gap_ms) * slowed;
-    let need = (running + 1.0) * (want.prompt + want.answer);
     Expected {
         first_ms,
         gap_ms: gap_ms * slowed,
         whole_ms: first_ms + want.answer * token_ms * slowed,
-        fill: need / (chain.room * ROOM_USED).max(1.0),
+        fill,
     }
 }
 
@@ -147,7 +200,7 @@
         if !usable(chain) {
             continue;
         }
-        let expected = expect(chain, want, loads.at(&chain.first().id, now));
+        let expected = expect(chain, want, |id| loads.at(id, now));
         let late = !expected.on_time(want);
         // Late ones are ranked by how full they are, as memory that ran out costs most.
         let cost = match late {
--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! The endpoints that are known, and which of them may get new work.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use rustc_hash::FxHashMap;
 
@@ -32,6 +32,9 @@
 /// The longest that an endpoint is avoided: the pace of probing one that stays bad.
 const LONGEST_AVOID: Duration = Duration::from_secs(3);
 
+/// Endpoints that went which are remembered one by one.
+const MOST_REMOVED: usize = 256;
+
 /// What this host has seen of an endpoint itself.
 #[derive(Debug, Clone, Default)]
 struct Seen {
@@ -50,6 +53,27 @@
     seen: FxHashMap<Rc<str>, Seen>,
     /// Grows whenever chains may have changed.
     generation: u64,
+    /// Grows with each change of the list.
+    list_version: u64,
+    /// The change with which each endpoint became what it is.
+    changed_at: FxHashMap<Rc<str>, u64>,
+    /// The last endpoints that went, with the change of each.
+    removed: VecDeque<(u64, Rc<str>)>,
+    /// Changes up to this one can't be told one by one.
+    forgotten: u64,
+}
+
+/// What has changed in a list of endpoints.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListChanges {
+    /// The newest change.
+    pub version: u64,
+    /// These are all there are.
+    pub whole: bool,
+    /// New and changed ones.
+    pub changed: Vec<Rc<Endpoint>>,
+    /// Ids of those that are gone.
+    pub removed: Vec<Rc<str>>,
 }
 
 impl Directory {
@@ -75,7 +99,9 @@
             return false;
         }
         self.generation += 1;
+        self.list_version += 1;
         let id = endpoint.id.clone();
+        self.changed_at.insert(id.clone(), self.list_version);
         self.endpoints.insert(id, Rc::new(endpoint));
         true
     }
@@ -84,10 +110,35 @@
     pub fn remove(&mut self, id: &str) -> Option<Rc<Endpoint>> {
         let gone = self.endpoints.remove(id)?;
         self.seen.remove(id);
+        self.changed_at.remove(id);
         self.generation += 1;
+        self.list_version += 1;
+        self.removed.push_back((self.list_version, gone.id.clone()));
+        if self.removed.len() > MOST_REMOVED
+            && let Some((version, _)) = self.removed.pop_front()
+        {
+            self.forgotten = version;
+        }
         Some(gone)
     }
 
+    /// What has changed in the list since `version`; all of it for one that is not known.
+    pub fn changes_since(&self, version: Option<u64>) -> ListChanges {
+        let known = version.filter(|v| *v >= self.forgotten && *v <= self.list_version);
+        let after = known.unwrap_or(0);
+        let changed = self.changed_at.iter().filter(|(_, at)| **at > after);
+        let removed = self.removed.iter().filter(|(at, _)| *at > after);
+        ListChanges {
+            version: self.list_version,
+            whole: known.is_none(),
+            changed: changed.map(|(id, _)| self.endpoints[id].clone()).collect(),
+            removed: match known {
+                Some(_) => removed.map(|(_, id)| id.clone()).collect(),
+                None => Vec::new(),
+            },
+        }
+    }
+
     /// Whether an endpoint may get new work.
     pub fn usable(&self, id: &str, now: Duration) -> bool {
         let listed = self.endpoints.get(id).is_some_and(|e| !e.leaving);
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -33,6 +33,11 @@
         self.proven_at = self.proven_at.max(Some(sent_at));
     }
 
+    /// How long ago the newest read was sent that found nothing newer.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.proven_at?))
+    }
+
     /// Whether the catalogue may be acted on.
     pub fn fresh(&self, now: Duration) -> bool {
         self.left(now) > Duration::ZERO
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -22,6 +22,10 @@
     let mut mark = None;
     let mut backoff = Backoff::default();
     loop {
+        if !gateway.reads_store() {
+            mark = None;
+            gateway.until_reading().await;
+        }
         let sent_at = gateway.now();
         let read = gateway.platform.store.catalogue(mark, wait);
         let read = match time::timeout(wait + SLACK, read).await {
@@ -54,12 +58,7 @@
 /// Takes what a read has brought; gives where to go on.
 fn take(gateway: &Gateway, news: CatalogueNews, sent_at: Duration, before: Option<Mark>) -> Mark {
     if let Some(new) = news.catalogue {
-        let mut known = gateway.catalogue.borrow_mut();
-        let newer = known.as_ref().is_none_or(|old| old.version < new.version);
-        if newer {
-            log::info!(target: "catalogue", version = new.version; "Catalogue is in force.");
-            *known = Some(new);
-        }
+        gateway.adopt(new);
     }
     if gateway.catalogue.borrow().is_some() {
         gateway.proven(sent_at);
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::endpoints::Endpoint;
 use rustc_hash::FxHashMap;
 use tokio::time;
 
@@ -45,6 +44,10 @@
     };
     let mut backoff = Backoff::default();
     loop {
+        if !follower.gateway.reads_store() {
+            follower.mark = None;
+            follower.gateway.until_reading().await;
+        }
         let began = time::Instant::now();
         match follower.read().await {
             Ok(()) => backoff.succeeded(),
@@ -102,11 +105,7 @@
         }
         for endpoint in news.changed {
             self.doubted.remove(&endpoint.id);
-            let id = endpoint.id.clone();
-            let mut directory = self.gateway.directory.borrow_mut();
-            if directory.put(endpoint) {
-                directory.get(&id).into_iter().for_each(|e| log_listed(e));
-            }
+            self.gateway.list_endpoint(endpoint);
         }
         let troubled = self.trouble_at.is_some_and(|at| at + TROUBLE > now);
         for id in removed {
@@ -120,10 +119,7 @@
     }
 
     fn forget(&self, id: &str) {
-        if self.gateway.directory.borrow_mut().remove(id).is_some() {
-            log::info!(target: "fleet", endpoint = id; "Endpoint is gone.");
-            self.gateway.loads.borrow_mut().forget(id);
-        }
+        self.gateway.forget_endpoint(id);
     }
 
     fn drop_doubted(&mut self) {
@@ -140,16 +136,3 @@
         }
     }
 }
-
-fn log_listed(endpoint: &Endpoint) {
-    let layers = endpoint.layers.map(|l| l.to_string());
-    log::info!(
-        target: "fleet",
-        endpoint = &*endpoint.id,
-        data_centre = &*endpoint.data_centre,
-        accelerator = endpoint.accelerator.as_deref().unwrap_or("-"),
-        layers = layers.as_deref().unwrap_or("-"),
-        leaving = endpoint.leaving;
-        "Endpoint is listed."
-    );
-}
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -4,6 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::duty::{Duty, Seen, Step, Wrote};
+use dragonflyrill_protocol::exchange::{DutyRow, FleetHost};
 use rustc_hash::FxHashMap;
 use tokio::time;
 
@@ -23,35 +24,39 @@
 /// How often the rows are read by hosts that don't hold the duty.
 const LOOK: Duration = Duration::from_millis(1200);
 /// How often a host writes its row.
-const BEAT: Duration = Duration::from_secs(4);
+const BEAT: Duration = Duration::from_secs(8);
 /// How long a host's row may stand still before it no longer counts.
-const ALIVE: Duration = Duration::from_secs(10);
+const ALIVE: Duration = Duration::from_secs(20);
 /// How often it is looked whether anything is due.
 const TICK: Duration = Duration::from_millis(100);
 /// How long a call to the store may take.
 const CALL: Duration = Duration::from_millis(800);
-/// How often the holder of the duty reads the rows, to count the hosts.
-const HOLDER_LOOK: Duration = Duration::from_secs(3);
+/// How often the hosts that read the store for others read the rows.
+const ROWS_LOOK: Duration = Duration::from_millis(1200);
 
 struct Roster {
     gateway: Rc<Gateway>,
     me: String,
     duty: Duty,
-    /// The rows of hosts: the version, and when it was first seen.
-    hosts: FxHashMap<String, (u64, Duration)>,
+    /// The rows of hosts: the version, when it was first seen, and what it says.
+    hosts: FxHashMap<String, (u64, Duration, FleetHost)>,
     read_at: Option<Duration>,
+    /// The row of the duty that was last told by another host.
+    told: Option<DutyRow>,
     beat_at: Option<Duration>,
 }
 
 /// Keeps the roster and the duty for as long as the process lives.
 pub async fn keep(gateway: Rc<Gateway>, incarnation: u64) {
     let me = format!("{} {incarnation}", gateway.settings.host);
+    gateway.peers.set_incarnation(incarnation);
     let mut roster = Roster {
         duty: Duty::new(me.clone(), TERM, LOOK),
         me,
         gateway: gateway.clone(),
         hosts: FxHashMap::default(),
         read_at: None,
+        told: None,
         beat_at: None,
     };
     let mut placing = Placing::new(gateway.clone());
@@ -72,6 +77,7 @@
 impl Roster {
     async fn round(&mut self) -> Result<(), StoreError> {
         let now = self.gateway.now();
+        self.hear(now);
         let step = match self.gateway.leaving() {
             true => Step::Wait,
             false => self.duty.step(now),
@@ -80,9 +86,7 @@
         match step {
             Step::Read => self.read().await?,
             Step::Write { expected } => self.renew(expected).await?,
-            Step::Wait if self.read_at.is_none_or(|at| at + HOLDER_LOOK <= now) => {
-                self.read().await?;
-            }
+            Step::Wait if self.rows_due(now) => self.read().await?,
             Step::Wait => {}
         }
         let now = self.gateway.now();
@@ -96,6 +100,25 @@
         Ok(())
     }
 
+    /// Takes the row of the duty as another host told it, while that reads it for this one.
+    fn hear(&mut self, now: Duration) {
+        if self.gateway.reads_store() || self.read_at.is_none() {
+            return;
+        }
+        let told = self.gateway.peers.duty();
+        if told.is_some() && !self.duty.held(now) {
+            self.duty.read(now, told.as_ref().map(told_row));
+            self.told = told;
+        }
+    }
+
+    /// Whether the rows are to be read although the duty does not ask for it: by the hosts that
+    /// read for others.
+    fn rows_due(&self, now: Duration) -> bool {
+        let due = |at: Duration| at + ROWS_LOOK <= now;
+        self.read_at.is_none() || (self.gateway.reads_store() && self.read_at.is_some_and(due))
+    }
+
     async fn read(&mut self) -> Result<(), StoreError> {
         let rows = within(self.gateway.platform.store.rows()).await;
         count(&self.gateway, rows.is_ok());
@@ -104,6 +127,7 @@
         self.read_at = Some(now);
         let duty = rows.iter().find(|r| r.key == DUTY_ROW);
         self.duty.read(now, duty.map(seen));
+        self.gateway.peers.set_duty(duty.map(duty_row));
         self.count_hosts(now, &rows);
         Ok(())
     }
@@ -114,13 +138,37 @@
                 continue;
             };
             let known = self.hosts.get(host);
-            if known.is_none_or(|(version, _)| *version != row.version) {
-                self.hosts.insert(host.to_owned(), (row.version, now));
+            if known.is_some_and(|(version, _, _)| *version == row.version) {
+                continue;
+            }
+            match serde_json::from_str(&row.value) {
+                Ok(found) => {
+                    self.hosts
+                        .insert(host.to_owned(), (row.version, now, found));
+                }
+                Err(e) => {
+                    log::warn!(target: "roster", row = &*row.key, why:% = e; "A row can't be used.");
+                }
             }
         }
-        self.hosts.retain(|_, (_, at)| *at + ALIVE > now);
-        let me = u32::from(!self.hosts.contains_key(&self.gateway.settings.host));
-        self.gateway.hosts.set(self.hosts.len() as u32 + me);
+        let me = self.myself();
+        let alive = |(host, (_, at, _)): (&String, &mut (u64, Duration, FleetHost))| {
+            *host != me.host && *at + ALIVE > now
+        };
+        self.hosts.retain(|host, seen| alive((host, seen)));
+        let mut fleet: Vec<FleetHost> = self.hosts.values().map(|(_, _, h)| h.clone()).collect();
+        fleet.push(me);
+        self.gateway.peers.set_fleet(fleet);
+    }
+
+    fn myself(&self) -> FleetHost {
+        let settings = &self.gateway.settings;
+        FleetHost {
+            host: settings.host.clone(),
+            incarnation: self.gateway.peers.incarnation(),
+            addr: settings.peers,
+            data_centre: settings.data_centre.to_string(),
+        }
     }
 
     async fn renew(&mut self, expected: u64) -> Result<(), StoreError> {
@@ -141,7 +189,9 @@
     async fn beat(&mut self) -> Result<(), StoreError> {
         self.beat_at = Some(self.gateway.now());
         let key = format!("{HOST_ROW}{}", self.gateway.settings.host);
-        let written = within(self.gateway.platform.store.write(&key, &self.me, None)).await;
+        let row = serde_json::to_string(&self.myself());
+        let row = row.map_err(|e| StoreError::Unusable(e.to_string()))?;
+        let written = within(self.gateway.platform.store.write(&key, &row, None)).await;
         count(&self.gateway, written.is_ok());
         written.map(|_| ())
     }
@@ -154,6 +204,20 @@
     }
 }
 
+fn duty_row(row: &Row) -> DutyRow {
+    DutyRow {
+        holder: row.value.clone(),
+        version: row.version,
+    }
+}
+
+fn told_row(row: &DutyRow) -> Seen {
+    Seen {
+        holder: row.holder.clone(),
+        version: row.version,
+    }
+}
+
 fn count(gateway: &Gateway, ok: bool) {
     let outcome = if ok { "ok" } else { "failed" };
     let calls = &gateway.metrics.store_calls;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,7 +1,7 @@
 //! Forwarding of callers' requests to endpoints.
 //!
 //! [`Forwarder`] reads what a request is, finds its route and whose it is, and hands it to
-//! [`call`] or [`stream`]. What is refused there is said in one place, [`refusal`].
+//! `call` or `stream`. What is refused there is said in one place, `refusal`.
 
 mod call;
 mod events;
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -89,11 +89,6 @@
     facts: AnswerFacts,
     connection: Connection,
 ) -> Result<Begun, Failed> {
-    if let Some((running, waiting)) = facts.load {
-        let now = gateway.now();
-        let mut loads = gateway.loads.borrow_mut();
-        loads.told(target.id, running, waiting, now);
-    }
     if facts.not_run || (facts.misdirected && head.status == StatusCode::MISDIRECTED_REQUEST) {
         let at = facts.fault_at.unwrap_or(target.addr);
         note_refusal(gateway, at, head.status);
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -43,6 +43,7 @@
         admitted,
         events: Events::after(admitted.incoming.last_event),
         tried: Vec::new(),
+        tokens: 0.0,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     let label = admitted.kind_label();
@@ -76,6 +77,8 @@
     events: Events,
     /// First stages that it was sent to.
     tried: Vec<Rc<str>>,
+    /// Tokens that it needs memory for.
+    tokens: f64,
 }
 
 /// How a run ended.
@@ -139,11 +142,12 @@
     }
 
     /// The chain for the next run, with its parts.
-    fn choose(&self, engine: &Engine) -> Option<Chain> {
+    fn choose(&mut self, engine: &Engine) -> Option<Chain> {
         let gateway = self.gateway;
         let chains = gateway.chains(&self.admitted.service.name, engine);
         let now = gateway.now();
         let want = want(self.admitted, engine);
+        self.tokens = want.prompt + want.answer;
         let mut loads = gateway.loads.borrow_mut();
         loads.hosts = gateway.hosts.get();
         let usable = |chain: &Chain| !self.tried.contains(&chain.first().id);
@@ -153,7 +157,7 @@
 
     async fn run_on(&mut self, chain: &Chain, out: &mut Responder<'_>) -> Result<RunEnd, Ended> {
         let gateway = self.gateway;
-        let _on = OnChain::new(gateway, chain);
+        let _on = OnChain::new(gateway, chain, self.tokens);
         let hops: Vec<(SocketAddr, LayerRange)> =
             chain.parts.iter().map(|p| (p.addr, p.layers)).collect();
         let target = Target {
@@ -326,19 +330,23 @@
 /// Counts a request on a chain while it runs there.
 struct OnChain<'a> {
     gateway: &'a Gateway,
-    first: Rc<str>,
+    chain: &'a Chain,
+    tokens: f64,
 }
 
 impl<'a> OnChain<'a> {
-    fn new(gateway: &'a Gateway, chain: &Chain) -> Self {
-        let first = chain.first().id.clone();
-        gateway.loads.borrow_mut().begin(&first);
-        Self { gateway, first }
+    fn new(gateway: &'a Gateway, chain: &'a Chain, tokens: f64) -> Self {
+        gateway.loads.borrow_mut().begin(chain, tokens);
+        Self {
+            gateway,
+            chain,
+            tokens,
+        }
     }
 }
 
 impl Drop for OnChain<'_> {
     fn drop(&mut self) {
-        self.gateway.loads.borrow_mut().end(&self.first);
+        self.gateway.loads.borrow_mut().end(self.chain, self.tokens);
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,12 +9,13 @@
 };
 
 use actix_http::ServiceConfig;
+use bytes::Bytes;
 use dragonflyrill_fleet::{
     budget::RetryBudget,
     catalogue::{Catalogue, Engine},
     chains::{self, Chain},
     choice::Loads,
-    endpoints::Directory,
+    endpoints::{Directory, Endpoint},
     freshness::Freshness,
 };
 use rustc_hash::FxHashMap;
@@ -23,7 +24,8 @@
 use crate::{
     http::pool::Idle,
     metrics::Metrics,
-    ports::{Dialect, Engines, Store},
+    peers::Peers,
+    ports::{Dialect, Engines, ReadCatalogue, Store},
     settings::Settings,
 };
 
@@ -58,6 +60,8 @@
     pub codec: ServiceConfig,
     /// The newest catalogue known.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
+    /// The document that it was read from.
+    pub document: RefCell<Bytes>,
     /// For how long it may be acted on.
     pub freshness: Cell<Freshness>,
     /// The endpoints; empty until the list was read.
@@ -78,6 +82,9 @@
     /// When this host was asked to stop.
     leaving_since: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
+    reading: watch::Sender<bool>,
+    /// The other hosts.
+    pub peers: Peers,
     /// Requests that are being answered.
     pub open: Cell<u32>,
 }
@@ -91,6 +98,7 @@
             platform,
             codec,
             catalogue: RefCell::default(),
+            document: RefCell::default(),
             freshness: Cell::new(freshness),
             directory: RefCell::default(),
             endpoints_known: Cell::new(false),
@@ -103,6 +111,8 @@
             epoch: Instant::now(),
             leaving_since: Cell::new(None),
             closing: watch::Sender::new(false),
+            reading: watch::Sender::new(true),
+            peers: Peers::default(),
             open: Cell::new(0),
         })
     }
@@ -162,6 +172,56 @@
         self.closing.subscribe()
     }
 
+    /// Takes a catalogue over unless a newer one is known.
+    pub fn adopt(&self, new: ReadCatalogue) {
+        let mut known = self.catalogue.borrow_mut();
+        let version = new.catalogue.version;
+        if known.as_ref().is_none_or(|old| old.version < version) {
+            log::info!(target: "catalogue", version = version; "Catalogue is in force.");
+            *known = Some(new.catalogue);
+            *self.document.borrow_mut() = new.document;
+        }
+    }
+
+    /// Takes an endpoint's entry.
+    pub fn list_endpoint(&self, endpoint: Endpoint) {
+        let id = endpoint.id.clone();
+        let mut directory = self.directory.borrow_mut();
+        if directory.put(endpoint) {
+            directory.get(&id).into_iter().for_each(|e| log_listed(e));
+        }
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub fn forget_endpoint(&self, id: &str) {
+        if self.directory.borrow_mut().remove(id).is_some() {
+            log::info!(target: "fleet", endpoint = id; "Endpoint is gone.");
+            self.loads.borrow_mut().forget(id);
+        }
+    }
+
+    /// Whether this host reads the store itself; else another host tells it.
+    pub fn reads_store(&self) -> bool {
+        *self.reading.borrow()
+    }
+
+    /// Says whether this host reads the store itself.
+    pub fn set_reading(&self, reading: bool) {
+        let changed = self
+            .reading
+            .send_if_modified(|r| std::mem::replace(r, reading) != reading);
+        if changed {
+            log::info!(target: "peers", reading = reading; "Whether this host reads the store changed.");
+        }
+    }
+
+    /// Waits until this host reads the store itself.
+    pub async fn until_reading(&self) {
+        let mut reading = self.reading.subscribe();
+        // The sender lives as long as this does.
+        let _ = reading.wait_for(|r| *r).await;
+    }
+
     /// A request for a service came in.
     pub fn count_request(&self, service: &Rc<str>) {
         let now = self.now();
@@ -206,3 +266,16 @@
         chains
     }
 }
+
+fn log_listed(endpoint: &Endpoint) {
+    let layers = endpoint.layers.map(|l| l.to_string());
+    log::info!(
+        target: "fleet",
+        endpoint = &*endpoint.id,
+        data_centre = &*endpoint.data_centre,
+        accelerator = endpoint.accelerator.as_deref().unwrap_or("-"),
+        layers = layers.as_deref().unwrap_or("-"),
+        leaving = endpoint.leaving;
+        "Endpoint is listed."
+    );
+}
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,6 +16,7 @@
     forward::Forwarder,
     gateway::{Gateway, STILL_TAKING},
     http::callers::{self, Handler, Received, Responder},
+    peers,
 };
 
 /// New connections that wait to be accepted; beyond that the kernel drops them.
@@ -32,9 +33,12 @@
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
     let metrics = listen(settings.metrics)?;
+    let peers = listen(settings.peers)?;
     actix_rt::spawn(control::catalogue::follow(gateway.clone()));
     actix_rt::spawn(control::endpoints::follow(gateway.clone()));
-    actix_rt::spawn(control::roster::keep(gateway.clone(), rand::random()));
+    actix_rt::spawn(control::roster::keep(gateway.clone(), incarnation()));
+    actix_rt::spawn(peers::serve::serve(peers, gateway.clone()));
+    actix_rt::spawn(peers::follow::follow(gateway.clone()));
     let forwarder = Rc::new(Forwarder::new(gateway.clone()));
     let status = Rc::new(Status(gateway.clone()));
     actix_rt::spawn(accept(callers, forwarder, gateway.clone()));
@@ -52,6 +56,12 @@
     Ok(())
 }
 
+/// A number for this start, above that of earlier ones as far as the time of day allows.
+fn incarnation() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or_else(|_| rand::random(), |since| since.as_micros() as u64)
+}
+
 /// Stops taking work, and waits until what was taken has ended or the time is up.
 async fn drain(gateway: &Gateway) {
     log::info!(target: "host", open = gateway.open.get(); "Host stops.");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request comes in on a caller's connection ([`http::callers`]), its route and workspace are
 //! found ([`forward`]), an endpoint or a chain is chosen by the rules of `dragonflyrill-fleet`, and
 //! the answer is passed on. Beside that a host follows the catalogue and the endpoints
-//! ([`control`]).
+//! ([`control`]), mostly through another host ([`peers`]), so that few ask the store.
 //!
 //! Nothing here knows how the platform spells its messages: that is behind the traits in [`ports`],
 //! which an adapter implements.
@@ -17,5 +17,6 @@
 pub mod http;
 pub mod logs;
 pub mod metrics;
+pub mod peers;
 pub mod ports;
 pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/peers/follow.rs
@@ -0,0 +1,238 @@
+//! Asks the other hosts for news.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use dragonflyrill_fleet::{choice::LoadMap, endpoints::Endpoint, layers::LayerRange};
+use dragonflyrill_protocol::{
+    MAX_FRAME,
+    exchange::{ExchangeClient, FleetHost, ListNews, Listed, News, Offer},
+};
+use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
+use tokio::time;
+
+use super::{add, from_wire, serve::own_data_centre, to_wire};
+use crate::gateway::Gateway;
+
+/// How often news are asked for: changes are in force on all hosts within a few of these.
+pub const PERIOD: Duration = Duration::from_millis(250);
+/// How long a call may take: hosts are a fraction of a millisecond away, but may be busy.
+const CALL: Duration = Duration::from_millis(350);
+/// How long a host that failed is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(2);
+/// The part of the time for which a proof holds that a proof told by another host may be old.
+const OLD_PART: f64 = 0.55;
+
+struct Follower {
+    gateway: Rc<Gateway>,
+    clients: HashMap<SocketAddr, ExchangeClient>,
+    /// The host that was asked last.
+    asked: Option<String>,
+}
+
+/// Asks for news for as long as the process lives.
+pub async fn follow(gateway: Rc<Gateway>) {
+    let mut follower = Follower {
+        gateway,
+        clients: HashMap::new(),
+        asked: None,
+    };
+    loop {
+        let began = time::Instant::now();
+        follower.round().await;
+        time::sleep_until(began + PERIOD).await;
+    }
+}
+
+impl Follower {
+    async fn round(&mut self) {
+        let gateway = self.gateway.clone();
+        let me = gateway.settings.host.clone();
+        let near = gateway.settings.data_centre.clone();
+        let first = gateway.peers.first(&near, Some(&me), gateway.now());
+        gateway.set_reading(first.is_none());
+        match first {
+            Some(host) => self.ask_near(&host).await,
+            None => {
+                self.asked = None;
+                self.exchange_loads(&near).await;
+            }
+        }
+        let peers = &gateway.peers;
+        let hosts = peers.fleet.borrow().len().max(1) as u32;
+        gateway.hosts.set(hosts);
+    }
+
+    /// Asks the host of this data centre that reads the store.
+    async fn ask_near(&mut self, host: &FleetHost) {
+        let gateway = self.gateway.clone();
+        let peers = &gateway.peers;
+        if self.asked.as_ref() != Some(&host.host) {
+            log::info!(target: "peers", host = &*host.host; "News are asked of another host.");
+            self.asked = Some(host.host.clone());
+        }
+        let loads = gateway.loads.borrow().own().clone();
+        let offer = self.offer(&loads, true);
+        let sent_at = gateway.now();
+        let Some(news) = self.call(host, offer).await else {
+            return;
+        };
+        let age = news.proof_age_us.map(Duration::from_micros);
+        let old = gateway.settings.key_revocation.mul_f64(OLD_PART);
+        if age.is_none_or(|age| age > old) {
+            peers.pass_over(&host.host, gateway.now() + PASSED_OVER);
+        }
+        self.take(news, sent_at, age);
+    }
+
+    fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>) {
+        let gateway = &self.gateway;
+        let peers = &gateway.peers;
+        let now = gateway.now();
+        if let Some((_, document)) = news.catalogue {
+            match gateway.platform.store.decode(Bytes::from(document)) {
+                Ok(read) => gateway.adopt(read),
+                Err(e) => {
+                    log::warn!(target: "peers", why:% = e; "A catalogue from a host can't be used.");
+                    return;
+                }
+            }
+        }
+        // The other host answered after this one asked, so that its proof is at least as new.
+        let proven_at = age.and_then(|age| sent_at.checked_sub(age));
+        if let Some(at) = proven_at.filter(|_| gateway.catalogue.borrow().is_some()) {
+            gateway.proven(at);
+        }
+        if let Some(list) = news.list {
+            take_list(gateway, list);
+        }
+        if let Some(fleet) = news.fleet {
+            peers.set_fleet(fleet);
+        }
+        if news.duty.is_some() {
+            peers.set_duty(news.duty);
+        }
+        let loads = from_wire(&news.loads);
+        *peers.told.borrow_mut() = Some((loads.clone(), now));
+        gateway.loads.borrow_mut().told(loads, now);
+    }
+
+    /// Exchanges loads with the reading hosts of the other data centres.
+    async fn exchange_loads(&mut self, near: &str) {
+        let gateway = self.gateway.clone();
+        let peers = &gateway.peers;
+        for centre in peers.other_data_centres(near) {
+            let Some(host) = peers.first(&centre, None, gateway.now()) else {
+                continue;
+            };
+            let offer = self.offer(&own_data_centre(&gateway), false);
+            if let Some(news) = self.call(&host, offer).await {
+                let now = gateway.now();
+                peers.hear(&host.host, &host.data_centre, from_wire(&news.loads), now);
+            }
+        }
+        let now = gateway.now();
+        let mut others = peers.sum(now, |_, d| d == near);
+        add(&mut others, &peers.sum(now, |_, d| d != near));
+        gateway.loads.borrow_mut().told(others, now);
+    }
+
+    fn offer(&self, loads: &LoadMap, near: bool) -> Offer {
+        let gateway = &self.gateway;
+        let catalogue = gateway.catalogue.borrow();
+        Offer {
+            host: gateway.settings.host.clone(),
+            data_centre: gateway.settings.data_centre.to_string(),
+            // Loads only are exchanged with other data centres.
+            catalogue: match near {
+                true => catalogue.as_ref().map_or(0, |c| c.version),
+                false => u64::MAX,
+            },
+            list: near.then(|| gateway.peers.list.get()),
+            fleet: gateway.peers.fleet_hash.get(),
+            loads: to_wire(loads),
+        }
+    }
+
+    /// Calls a host; one that does not answer is passed over for a while.
+    async fn call(&mut self, host: &FleetHost, offer: Offer) -> Option<News> {
+        let called = time::timeout(CALL, self.exchange(host.addr, offer)).await;
+        if let Ok(Some(news)) = called {
+            return Some(news);
+        }
+        log::info!(target: "peers", host = &*host.host; "A host does not answer.");
+        self.clients.remove(&host.addr);
+        let until = self.gateway.now() + PASSED_OVER;
+        self.gateway.peers.pass_over(&host.host, until);
+        None
+    }
+
+    async fn exchange(&mut self, addr: SocketAddr, offer: Offer) -> Option<News> {
+        let client = match self.clients.get(&addr) {
+            Some(client) => client.clone(),
+            None => {
+                let client = connect(addr).await?;
+                self.clients.insert(addr, client.clone());
+                client
+            }
+        };
+        let mut cx = context::current();
+        cx.deadline = std::time::Instant::now() + CALL;
+        match client.exchange(cx, offer).await {
+            Ok(news) => Some(news),
+            Err(e) => {
+                log::debug!(target: "peers", why:% = e; "A call to a host failed.");
+                None
+            }
+        }
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Option<ExchangeClient> {
+    let mut connecting = tcp::connect(addr, Bincode::default);
+    connecting.config_mut().max_frame_length(MAX_FRAME);
+    match connecting.await {
+        Ok(transport) => {
+            let new = ExchangeClient::new(client::Config::default(), transport);
+            actix_rt::spawn(new.dispatch);
+            Some(new.client)
+        }
+        Err(e) => {
+            log::debug!(target: "peers", why:% = e; "A host was not reached.");
+            None
+        }
+    }
+}
+
+fn take_list(gateway: &Gateway, list: ListNews) {
+    let removed: Vec<String> = match list.whole {
+        false => list.removed,
+        true => {
+            let directory = gateway.directory.borrow();
+            let listed = |id: &str| list.changed.iter().any(|l| l.id == *id);
+            let ids = directory.iter().map(|e| e.id.to_string());
+            ids.filter(|id| !listed(id)).collect()
+        }
+    };
+    removed.iter().for_each(|id| gateway.forget_endpoint(id));
+    for listed in list.changed {
+        gateway.list_endpoint(endpoint(listed));
+    }
+    gateway.endpoints_known.set(true);
+    gateway.peers.list.set(list.mark);
+}
+
+fn endpoint(listed: Listed) -> Endpoint {
+    Endpoint {
+        id: listed.id.into(),
+        service: listed.service.into(),
+        addr: listed.addr,
+        data_centre: listed.data_centre.into(),
+        slots: listed.slots,
+        leaving: listed.leaving,
+        accelerator: listed.accelerator.map(Into::into),
+        layers: listed
+            .layers
+            .and_then(|(first, end)| LayerRange::new(first, end)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,165 @@
+//! The other entry hosts, so that one host of a data centre reads the store for all of it.
+//!
+//! The hosts of a data centre are ranked by name. Each takes the first that works as the one to
+//! ask; the one that finds itself first reads the store. Nobody is elected: if a host can't be
+//! reached, or its own news are old, those who asked it go on to the next, and at the end of the
+//! list to the store. The hosts that read exchange the loads of their data centres.
+//!
+//! [`Peers`] is what is known of the others; [`serve`] answers them and [`follow`] asks them.
+
+pub mod follow;
+pub mod serve;
+
+use std::{
+    cell::{Cell, RefCell},
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
+
+use dragonflyrill_fleet::choice::{Load, LoadMap};
+use dragonflyrill_protocol::exchange::{DutyRow, EndpointLoad, FleetHost, ListMark};
+use rustc_hash::{FxHashMap, FxHasher};
+
+/// How long what another host told of its loads is counted.
+const LOADS_AGE: Duration = Duration::from_millis(1500);
+
+/// What another host told of its loads.
+struct Heard {
+    data_centre: String,
+    loads: LoadMap,
+    at: Duration,
+}
+
+/// What is known of the other hosts.
+#[derive(Default)]
+pub struct Peers {
+    /// All hosts that are alive, this one included, in order.
+    fleet: RefCell<Vec<FleetHost>>,
+    fleet_hash: Cell<u64>,
+    /// Hosts that could not be used, until when they are passed over.
+    passed_over: RefCell<FxHashMap<String, Duration>>,
+    /// Hosts of this data centre, and the reading hosts of others, by name.
+    heard: RefCell<FxHashMap<String, Heard>>,
+    /// The loads of the others, as the host that this one asks told them.
+    told: RefCell<Option<(LoadMap, Duration)>>,
+    /// Up to where the list of the host that this one asks is known.
+    list: Cell<ListMark>,
+    /// The row of the duty as it was last read or told.
+    duty: RefCell<Option<DutyRow>>,
+    /// This incarnation of this host.
+    incarnation: Cell<u64>,
+}
+
+impl Peers {
+    /// Sets this host's incarnation.
+    pub fn set_incarnation(&self, incarnation: u64) {
+        self.incarnation.set(incarnation);
+    }
+
+    /// This host's incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.get()
+    }
+
+    /// The hosts that are alive.
+    pub fn fleet(&self) -> Vec<FleetHost> {
+        self.fleet.borrow().clone()
+    }
+
+    /// Takes the hosts that are alive.
+    pub fn set_fleet(&self, mut fleet: Vec<FleetHost>) {
+        fleet.sort();
+        let mut hasher = FxHasher::default();
+        fleet.hash(&mut hasher);
+        self.fleet_hash.set(hasher.finish());
+        *self.fleet.borrow_mut() = fleet;
+    }
+
+    /// The row of the duty.
+    pub fn duty(&self) -> Option<DutyRow> {
+        self.duty.borrow().clone()
+    }
+
+    /// Takes the row of the duty.
+    pub fn set_duty(&self, row: Option<DutyRow>) {
+        *self.duty.borrow_mut() = row;
+    }
+
+    /// The first host of a data centre that is not passed over, of those before `me` in rank if
+    /// that is given; `None` if there is none.
+    fn first(&self, data_centre: &str, me: Option<&str>, now: Duration) -> Option<FleetHost> {
+        let passed_over = self.passed_over.borrow();
+        let fleet = self.fleet.borrow();
+        let mut ranked = fleet
+            .iter()
+            .filter(|h| h.data_centre == data_centre && me.is_none_or(|me| *h.host < *me));
+        let works = |h: &&FleetHost| passed_over.get(&h.host).is_none_or(|t| *t <= now);
+        ranked.find(works).cloned()
+    }
+
+    /// The data centres of the fleet but one.
+    fn other_data_centres(&self, but: &str) -> Vec<String> {
+        let fleet = self.fleet.borrow();
+        let mut others: Vec<String> = fleet.iter().map(|h| h.data_centre.clone()).collect();
+        others.retain(|d| d != but);
+        others.dedup();
+        others.sort();
+        others.dedup();
+        others
+    }
+
+    fn pass_over(&self, host: &str, until: Duration) {
+        self.passed_over.borrow_mut().insert(host.to_owned(), until);
+    }
+
+    /// Another host told of its loads, or of those of its data centre.
+    fn hear(&self, host: &str, data_centre: &str, loads: LoadMap, now: Duration) {
+        let mut heard = self.heard.borrow_mut();
+        heard.retain(|_, h| h.at + LOADS_AGE > now);
+        let told = Heard {
+            data_centre: data_centre.to_owned(),
+            loads,
+            at: now,
+        };
+        heard.insert(host.to_owned(), told);
+    }
+
+    /// The sum of what was heard from hosts that `of` accepts, by name and data centre.
+    fn sum(&self, now: Duration, of: impl Fn(&str, &str) -> bool) -> LoadMap {
+        let mut sum = LoadMap::default();
+        for (host, heard) in self.heard.borrow().iter() {
+            if heard.at + LOADS_AGE > now && of(host, &heard.data_centre) {
+                add(&mut sum, &heard.loads);
+            }
+        }
+        sum
+    }
+}
+
+fn add(sum: &mut LoadMap, loads: &LoadMap) {
+    for (id, load) in loads {
+        let entry = sum.entry(id.clone()).or_default();
+        *entry = entry.plus(*load);
+    }
+}
+
+fn to_wire(loads: &LoadMap) -> Vec<EndpointLoad> {
+    let one = |(id, load): (&Rc<str>, &Load)| EndpointLoad {
+        endpoint: id.to_string(),
+        requests: load.requests as f32,
+        token_layers: load.token_layers as f32,
+    };
+    loads.iter().map(one).collect()
+}
+
+fn from_wire(loads: &[EndpointLoad]) -> LoadMap {
+    let one = |l: &EndpointLoad| {
+        let load = Load {
+            requests: f64::from(l.requests),
+            token_layers: f64::from(l.token_layers),
+        };
+        (Rc::from(l.endpoint.as_str()), load)
+    };
+    loads.iter().map(one).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/peers/serve.rs
@@ -0,0 +1,137 @@
+//! Answers the other hosts.
+
+use std::rc::Rc;
+
+use dragonflyrill_fleet::{choice::LoadMap, endpoints::Endpoint};
+use dragonflyrill_protocol::{
+    MAX_FRAME,
+    exchange::{Exchange, ListMark, ListNews, Listed, News, Offer},
+};
+use futures_util::StreamExt;
+use tarpc::{
+    context,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{add, from_wire, to_wire};
+use crate::gateway::Gateway;
+
+/// Serves the other hosts for as long as the process lives.
+pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                actix_rt::spawn(connection(io, gateway.clone()));
+            }
+            Err(e) => {
+                log::warn!(target: "peers", why:% = e; "A connection was not accepted.");
+                tokio::time::sleep(super::follow::PERIOD).await;
+            }
+        }
+    }
+}
+
+async fn connection(io: TcpStream, gateway: Rc<Gateway>) {
+    if let Err(e) = io.set_nodelay(true) {
+        log::debug!(target: "peers", why:% = e; "A connection can't be set up.");
+    }
+    let mut codec = LengthDelimitedCodec::builder();
+    let framed = codec.max_frame_length(MAX_FRAME).new_framed(io);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let answers = Answers { gateway };
+    let channel = BaseChannel::with_defaults(transport);
+    let mut requests = std::pin::pin!(channel.execute(answers.serve()));
+    // Answers need no waiting: one after the other is as good as side by side.
+    while let Some(request) = requests.next().await {
+        request.await;
+    }
+}
+
+#[derive(Clone)]
+struct Answers {
+    gateway: Rc<Gateway>,
+}
+
+impl Exchange for Answers {
+    async fn exchange(self, _: context::Context, offer: Offer) -> News {
+        answer(&self.gateway, &offer)
+    }
+}
+
+/// Takes an offer and gives what the other host lacks.
+pub fn answer(gateway: &Gateway, offer: &Offer) -> News {
+    let now = gateway.now();
+    let peers = &gateway.peers;
+    let near = &*gateway.settings.data_centre;
+    let same = offer.data_centre == near;
+    peers.hear(
+        &offer.host,
+        &offer.data_centre,
+        from_wire(&offer.loads),
+        now,
+    );
+    let loads = match same {
+        true => loads_but(gateway, &offer.host),
+        false => own_data_centre(gateway),
+    };
+    let catalogue = gateway.catalogue.borrow();
+    let newer = catalogue.as_ref().filter(|c| c.version > offer.catalogue);
+    let age = gateway.freshness.get().age(now);
+    News {
+        proof_age_us: age.map(|a| a.as_micros() as u64),
+        catalogue: newer.map(|c| (c.version, gateway.document.borrow().to_vec())),
+        list: offer.list.and_then(|mark| list_news(gateway, mark)),
+        fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
+        duty: peers.duty(),
+        loads: to_wire(&loads),
+    }
+}
+
+/// The loads of all hosts but one of this data centre.
+fn loads_but(gateway: &Gateway, host: &str) -> LoadMap {
+    let mut sum = gateway.peers.sum(gateway.now(), |h, _| h != host);
+    add(&mut sum, gateway.loads.borrow().own());
+    sum
+}
+
+/// The loads of the hosts of this data centre.
+pub(super) fn own_data_centre(gateway: &Gateway) -> LoadMap {
+    let near = &*gateway.settings.data_centre;
+    let mut sum = gateway.peers.sum(gateway.now(), |_, d| d == near);
+    add(&mut sum, gateway.loads.borrow().own());
+    sum
+}
+
+fn list_news(gateway: &Gateway, mark: ListMark) -> Option<ListNews> {
+    if !gateway.endpoints_known.get() {
+        return None;
+    }
+    let origin = gateway.peers.incarnation();
+    let known = (mark.origin == origin).then_some(mark.version);
+    let changes = gateway.directory.borrow().changes_since(known);
+    Some(ListNews {
+        mark: ListMark {
+            origin,
+            version: changes.version,
+        },
+        whole: changes.whole,
+        changed: changes.changed.iter().map(|e| listed(e)).collect(),
+        removed: changes.removed.iter().map(ToString::to_string).collect(),
+    })
+}
+
+fn listed(endpoint: &Endpoint) -> Listed {
+    Listed {
+        id: endpoint.id.to_string(),
+        service: endpoint.service.to_string(),
+        addr: endpoint.addr,
+        data_centre: endpoint.data_centre.to_string(),
+        slots: endpoint.slots,
+        leaving: endpoint.leaving,
+        accelerator: endpoint.accelerator.as_deref().map(str::to_owned),
+        layers: endpoint.layers.map(|l| (l.first, l.end)),
+    }
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ResponseHead, header::HeaderMap};
+use bytes::Bytes;
 use dragonflyrill_fleet::{catalogue::Catalogue, endpoints::Endpoint, layers::LayerRange};
 use futures_util::future::LocalBoxFuture;
 use http::header::HeaderValue;
@@ -55,8 +56,6 @@
     pub not_run: bool,
     /// Another incarnation has the address, or a part does not hold its layers.
     pub misdirected: bool,
-    /// Requests that it runs, and that wait at it.
-    pub load: Option<(u32, u32)>,
     /// The endpoint at fault, if it is not the one that answered.
     pub fault_at: Option<SocketAddr>,
     /// The body is not as the endpoint made it.
@@ -109,10 +108,19 @@
 /// A place in the store's history.
 pub type Mark = u64;
 
+/// A catalogue and the document that it was read from, which other hosts are given.
+#[derive(Clone)]
+pub struct ReadCatalogue {
+    /// The catalogue.
+    pub catalogue: Rc<Catalogue>,
+    /// Its document.
+    pub document: Bytes,
+}
+
 /// The newest catalogue, if it is newer than what is known.
 pub struct CatalogueNews {
     /// The catalogue.
-    pub catalogue: Option<Rc<Catalogue>>,
+    pub catalogue: Option<ReadCatalogue>,
     /// Where to go on.
     pub mark: Mark,
 }
@@ -151,6 +159,8 @@
 
 /// The platform's store.
 pub trait Store {
+    /// Reads a catalogue's document that came from another host.
+    fn decode(&self, document: Bytes) -> Result<ReadCatalogue, StoreError>;
     /// The catalogue, read anew if `after` is `None`, else what comes within `wait`.
     fn catalogue(
         &self,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -48,6 +48,8 @@
     pub readiness: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// Where other hosts call.
+    pub peers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// How long after a key was taken away it may still be honoured.
@@ -65,7 +67,10 @@
 /// The keys, by section; each must be there.
 const KEYS: &[(&str, &[&str])] = &[
     ("host", &["name", "address", "data_centre"]),
-    ("listen", &["callers", "readiness", "metrics_port"]),
+    (
+        "listen",
+        &["callers", "readiness", "metrics_port", "peers_port"],
+    ),
     ("store", &["address"]),
     (
         "bounds",
@@ -196,6 +201,7 @@
         let callers = r.address("listen", "callers");
         let readiness = r.address("listen", "readiness");
         let metrics_port: Option<u16> = r.value("listen", "metrics_port", "a port");
+        let peers_port: Option<u16> = r.value("listen", "peers_port", "a port");
         let store = r.address("store", "address");
         let key_revocation = r.millis("bounds", "key_revocation_ms");
         let endpoint_drain = r.millis("bounds", "endpoint_drain_ms");
@@ -210,6 +216,7 @@
             callers: callers?,
             readiness: readiness?,
             metrics: SocketAddr::new(ip?, metrics_port?),
+            peers: SocketAddr::new(ip?, peers_port?),
             store: store?,
             key_revocation: key_revocation?,
             endpoint_drain: endpoint_drain?,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -14,6 +14,7 @@
 callers = 10.1.0.40:8227
 readiness = 10.1.0.40:8220
 metrics_port = 7340
+peers_port = 7341
 
 [store]
 address = 10.200.1.7:8223
--- /dev/null
+++ b/crates/protocol/src/exchange.rs
@@ -0,0 +1,127 @@
+//! What entry hosts tell each other so that few of them need to ask the platform's store.
+//!
+//! A host calls another several times a second: it tells the load that it puts on endpoints, and
+//! gets what it lacks of the catalogue, of the list of endpoints and of the fleet. A lost or late
+//! call loses nothing: the next one says the same.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// The requests at one endpoint.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Requests that run there.
+    pub requests: f32,
+    /// Their tokens, each counted once for each layer that the endpoint runs.
+    pub token_layers: f32,
+}
+
+/// A place in the changes of one host's list of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ListMark {
+    /// The incarnation of the host whose list it is.
+    pub origin: u64,
+    /// How many changes are known.
+    pub version: u64,
+}
+
+/// What a host tells and what it knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// The host.
+    pub host: String,
+    /// Where it is.
+    pub data_centre: String,
+    /// The version of the catalogue that it knows; zero for none.
+    pub catalogue: u64,
+    /// Up to where it knows the list of the host that it calls; `None` if it wants none of it.
+    pub list: Option<ListMark>,
+    /// The hash of the fleet that it knows.
+    pub fleet: u64,
+    /// The load of the host, or of its whole data centre if it calls another one's.
+    pub loads: Vec<EndpointLoad>,
+}
+
+/// A host of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FleetHost {
+    /// Its name.
+    pub host: String,
+    /// Grows with each start.
+    pub incarnation: u64,
+    /// Where other hosts call it.
+    pub addr: SocketAddr,
+    /// Where it is.
+    pub data_centre: String,
+}
+
+/// An endpoint of a list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Where it is.
+    pub data_centre: String,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// It has said that it is leaving.
+    pub leaving: bool,
+    /// The kind of its accelerator.
+    pub accelerator: Option<String>,
+    /// The first layer that it holds, and the one after the last.
+    pub layers: Option<(u32, u32)>,
+}
+
+/// What has changed in a list of endpoints.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// Where to go on.
+    pub mark: ListMark,
+    /// These are all there are.
+    pub whole: bool,
+    /// New and changed ones.
+    pub changed: Vec<Listed>,
+    /// Ids of those that are gone.
+    pub removed: Vec<String>,
+}
+
+/// The row of the duty of placing layers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyRow {
+    /// Who holds it.
+    pub holder: String,
+    /// The row's version.
+    pub version: u64,
+}
+
+/// What a host gets for its offer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// How long ago the newest read was sent that showed the catalogue to be the newest, in
+    /// microseconds; `None` if there was none.
+    pub proof_age_us: Option<u64>,
+    /// A newer catalogue: its version and its document, as the store holds it.
+    pub catalogue: Option<(u64, Vec<u8>)>,
+    /// What has changed among the endpoints; `None` if the host knows no list, or none was wanted.
+    pub list: Option<ListNews>,
+    /// The fleet, if it is another than the one known.
+    pub fleet: Option<Vec<FleetHost>>,
+    /// The row of the duty, if it was read.
+    pub duty: Option<DutyRow>,
+    /// The loads of all hosts but the one that asks; of one data centre, if another one asks.
+    pub loads: Vec<EndpointLoad>,
+}
+
+/// What one entry host does for another.
+#[tarpc::service]
+pub trait Exchange {
+    /// Takes an offer and gives news.
+    async fn exchange(offer: Offer) -> News;
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,9 +6,12 @@
 //! [`Peer::claim`] and [`Peer::find`], and the list that a starting host lacks, [`Peer::listing`].
 //! The transport is tarpc over TCP.
 //!
+//! [`exchange`] is what hosts tell each other where engines drive chains themselves.
+//!
 //! [`membership`] and [`spread`] are the messages that keep the fleet together and the catalogue
 //! in force; [`rights`] those that move owners' rights; [`found`] the answers about requests.
 
+pub mod exchange;
 pub mod found;
 pub mod host;
 pub mod membership;
