--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -10,9 +10,9 @@
     ports::{CatalogueNews, Mark, StoreError},
 };
 
-/// The part of the time for which a proof holds that a read waits for news. Two reads in a row may
-/// be lost before the proof runs out.
-const WAIT_PART: f64 = 0.3;
+/// The part of the time for which a proof holds that a read waits for news: with it a proof is at
+/// most twice as old, and two reads in a row may be lost before it runs out.
+const WAIT_PART: f64 = 0.2;
 /// How much longer than it waits a read may take.
 const SLACK: Duration = Duration::from_millis(900);
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -21,7 +21,7 @@
 /// How long a host that failed is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// The part of the time for which a proof holds that a proof told by another host may be old.
-const OLD_PART: f64 = 0.55;
+const OLD_PART: f64 = 0.6;
 
 struct Follower {
     gateway: Rc<Gateway>,
