Avoid endpoints that can't be connected to; pass over a host whose store is silent before a change is late

Change: the endpoint is avoided, and only what was sent counts as an attempt. Change: hosts tell when the store last answered them; one that has heard nothing for a read's wait and a fifth of the bound is passed over.

--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -8,17 +8,21 @@
 use crate::{
     gateway::Gateway,
     ports::{CatalogueNews, Mark, StoreError},
+    settings::Settings,
 };
 
-/// The part of the time for which a proof holds that a read waits for news: with it a proof is at
-/// most twice as old, and two reads in a row may be lost before it runs out.
-const WAIT_PART: f64 = 0.2;
+/// The part of the time for which a proof holds that a read waits for news at most: with it a proof
+/// is at most twice as old, and two reads in a row may be lost before it runs out.
+const PROOF_PART: f64 = 0.2;
+/// The part of the time in which a change must be in force that a read waits for news at most: the
+/// other hosts must notice that this one no longer hears of changes, and still be in time.
+const APPLY_PART: f64 = 0.3;
 /// How much longer than it waits a read may take.
 const SLACK: Duration = Duration::from_millis(900);
 
 /// Follows the catalogue for as long as the process lives.
 pub async fn follow(gateway: Rc<Gateway>) {
-    let wait = gateway.settings.key_revocation.mul_f64(WAIT_PART);
+    let wait = wait(&gateway.settings);
     let mut mark = None;
     let mut backoff = Backoff::default();
     loop {
@@ -37,6 +41,7 @@
             Ok(news) => {
                 calls.with_label_values(&["ok"]).inc();
                 backoff.succeeded();
+                gateway.heard(gateway.now());
                 mark = Some(take(&gateway, news, sent_at, mark));
             }
             Err(StoreError::HistoryGone) => {
@@ -55,6 +60,12 @@
     }
 }
 
+/// How long a read waits for news.
+pub(crate) fn wait(settings: &Settings) -> Duration {
+    let by_proof = settings.key_revocation.mul_f64(PROOF_PART);
+    by_proof.min(settings.config_apply.mul_f64(APPLY_PART))
+}
+
 /// Takes what a read has brought; gives where to go on.
 fn take(gateway: &Gateway, news: CatalogueNews, sent_at: Duration, before: Option<Mark>) -> Mark {
     if let Some(new) = news.catalogue {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -20,6 +20,8 @@
 
 /// The largest answer of a plain call.
 const MOST_ANSWER: usize = 8 * 1024 * 1024;
+/// Tries beyond those that a route allows, for endpoints to which nothing could be sent.
+pub(super) const MORE_TRIES: u32 = 3;
 /// The part of the time left that a send may take while another one could follow.
 const FIRST_PART: f64 = 0.5;
 
@@ -61,21 +63,23 @@
     let mut last = Refusal::NoEndpoint("no endpoint of the service is known");
     let mut failure: Option<Whole> = None;
     let repeatable = admitted.route.kind == RouteKind::Idempotent;
-    for attempt in 0..admitted.route.max_attempts.max(1) {
-        if admitted.left().is_zero() {
+    let most = admitted.route.max_attempts.max(1);
+    let mut sent = 0;
+    for _ in 0..most + MORE_TRIES {
+        if admitted.left().is_zero() || sent >= most {
             break;
         }
         let Some(endpoint) = pick(gateway, admitted, &tried) else {
             break;
         };
-        if attempt > 0 && !gateway.may_repeat(&admitted.service.name) {
+        if sent > 0 && !gateway.may_repeat(&admitted.service.name) {
             break;
         }
-        if attempt > 0 {
+        if sent > 0 {
             gateway.metrics.repeats.inc();
         }
         tried.push(endpoint.id.clone());
-        let more = repeatable && attempt + 1 < admitted.route.max_attempts;
+        let more = repeatable && sent + 1 < most;
         let left = admitted.left();
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
         match attempt_at(gateway, admitted, &endpoint, limit).await {
@@ -83,6 +87,10 @@
                 return Ok(whole);
             }
             Ok(whole) => failure = Some(whole),
+            Err(Failed::NotSent(why)) => {
+                last = Refusal::NotRun(why);
+                continue;
+            }
             Err(Failed::NotRun(why)) => last = Refusal::NotRun(why),
             Err(Failed::MayHaveRun(why)) => {
                 last = Refusal::MayHaveRun(why);
@@ -91,6 +99,7 @@
                 }
             }
         }
+        sent += 1;
     }
     if let Some(whole) = failure {
         return Ok(whole);
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -24,6 +24,8 @@
 /// Why a send brought no answer that can be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Failed {
+    /// Nothing has left for the endpoint.
+    NotSent(String),
     /// The endpoint did not run it and will not.
     NotRun(String),
     /// It may have run, or may be running.
@@ -56,19 +58,17 @@
     gateway.metrics.sends.inc();
     let mut connection = match gateway.idle.take(target.addr) {
         Some(connection) => connection,
-        None => connection::open_within(target.addr, &gateway.codec, CONNECT.min(limit))
-            .await
-            .map_err(|e| Failed::NotRun(format!("connecting failed: {e}")))?,
+        None => connect(gateway, target, limit).await?,
     };
     // The last check before bytes leave: the key may have lapsed while the request waited.
     if !gateway.fresh() {
-        return Err(Failed::NotRun("the catalogue may be outdated".to_owned()));
+        return Err(Failed::NotSent("the catalogue may be outdated".to_owned()));
     }
     let head = outgoing_head(gateway, admitted, target);
     let sent = time::timeout(limit, connection.send(head, admitted.body.clone())).await;
     match sent {
         Ok(Ok(())) => {}
-        Ok(Err((0, e))) => return Err(Failed::NotRun(format!("nothing was sent: {e}"))),
+        Ok(Err((0, e))) => return Err(Failed::NotSent(format!("nothing was sent: {e}"))),
         Ok(Err((_, e))) => return Err(Failed::MayHaveRun(format!("sending failed: {e}"))),
         Err(_) => return Err(Failed::MayHaveRun("sending took too long".to_owned())),
     }
@@ -81,6 +81,19 @@
     check(gateway, admitted, target, head, facts, connection)
 }
 
+async fn connect(
+    gateway: &Gateway,
+    target: &Target<'_>,
+    limit: Duration,
+) -> Result<Connection, Failed> {
+    let opened = connection::open_within(target.addr, &gateway.codec, CONNECT.min(limit)).await;
+    opened.map_err(|e| {
+        let now = gateway.now();
+        gateway.directory.borrow_mut().failed(target.id, now);
+        Failed::NotSent(format!("connecting failed: {e}"))
+    })
+}
+
 fn check(
     gateway: &Gateway,
     admitted: &Admitted,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 
 use super::{
-    Admitted, Ended,
+    Admitted, Ended, call,
     events::{Events, Taken},
     refusal::Refusal,
     send::{self, Begun, Failed, Target},
@@ -97,14 +97,19 @@
         let resumable = self.admitted.route.kind == RouteKind::Stream { resumable: true };
         let mut last = Refusal::NoEndpoint("no chain covers all layers");
         let mut ran = false;
-        for attempt in 0..self.admitted.route.max_attempts.max(1) {
+        let most = self.admitted.route.max_attempts.max(1);
+        let mut sent = 0;
+        for _ in 0..most + call::MORE_TRIES {
+            if sent >= most {
+                break;
+            }
             let Some(chain) = self.choose(&engine) else {
                 break;
             };
-            if attempt > 0 && !self.gateway.may_repeat(&self.admitted.service.name) {
+            if sent > 0 && !self.gateway.may_repeat(&self.admitted.service.name) {
                 break;
             }
-            if attempt > 0 {
+            if sent > 0 {
                 self.gateway.metrics.repeats.inc();
                 self.events.resume();
             }
@@ -114,7 +119,10 @@
                 RunEnd::Failed(failed) => failed,
             };
             self.note(&chain, &failed, out.started());
+            sent += u32::from(!matches!(failed, Failed::NotSent(_)));
             match failed {
+                Failed::NotSent(why) if !ran => last = Refusal::NotRun(why),
+                Failed::NotSent(_) => {}
                 Failed::NotRun(why) if !ran => last = Refusal::NotRun(why),
                 Failed::NotRun(_) => {}
                 Failed::MayHaveRun(why) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -58,6 +58,8 @@
     pub platform: Platform,
     /// The codec's settings.
     pub codec: ServiceConfig,
+    /// When the store last answered.
+    heard_at: Cell<Option<Duration>>,
     /// The newest catalogue known.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
     /// The document that it was read from.
@@ -97,6 +99,7 @@
             settings,
             platform,
             codec,
+            heard_at: Cell::new(None),
             catalogue: RefCell::default(),
             document: RefCell::default(),
             freshness: Cell::new(freshness),
@@ -139,6 +142,16 @@
         self.freshness.set(freshness);
     }
 
+    /// The store has answered, this host or the one that it asks.
+    pub fn heard(&self, at: Duration) {
+        self.heard_at.set(self.heard_at.get().max(Some(at)));
+    }
+
+    /// How long ago the store last answered.
+    pub fn heard_age(&self) -> Option<Duration> {
+        Some(self.now().saturating_sub(self.heard_at.get()?))
+    }
+
     /// Whether this host takes new connections.
     pub fn ready(&self) -> bool {
         let knows = self.catalogue.borrow().is_some() && self.endpoints_known.get();
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -12,7 +12,7 @@
 use tokio::time;
 
 use super::{add, from_wire, serve::own_data_centre, to_wire};
-use crate::gateway::Gateway;
+use crate::{control::catalogue::wait, gateway::Gateway};
 
 /// How often news are asked for: changes are in force on all hosts within a few of these.
 pub const PERIOD: Duration = Duration::from_millis(250);
@@ -20,8 +20,9 @@
 const CALL: Duration = Duration::from_millis(350);
 /// How long a host that failed is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(2);
-/// The part of the time for which a proof holds that a proof told by another host may be old.
-const OLD_PART: f64 = 0.6;
+/// The part of the time in which a change must be in force that the store may be silent to another
+/// host beyond the wait of its reads before it is passed over.
+const SILENT_PART: f64 = 0.2;
 
 struct Follower {
     gateway: Rc<Gateway>,
@@ -78,10 +79,15 @@
             return;
         };
         let age = news.proof_age_us.map(Duration::from_micros);
-        let old = gateway.settings.key_revocation.mul_f64(OLD_PART);
-        if age.is_none_or(|age| age > old) {
+        let heard = news.heard_age_us.map(Duration::from_micros);
+        let settings = &gateway.settings;
+        let silent = wait(settings) + settings.config_apply.mul_f64(SILENT_PART);
+        if heard.is_none_or(|age| age > silent) {
             peers.pass_over(&host.host, gateway.now() + PASSED_OVER);
         }
+        if let Some(at) = heard.and_then(|age| sent_at.checked_sub(age)) {
+            gateway.heard(at);
+        }
         self.take(news, sent_at, age);
     }
 
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -82,6 +82,7 @@
     let age = gateway.freshness.get().age(now);
     News {
         proof_age_us: age.map(|a| a.as_micros() as u64),
+        heard_age_us: gateway.heard_age().map(|a| a.as_micros() as u64),
         catalogue: newer.map(|c| (c.version, gateway.document.borrow().to_vec())),
         list: offer.list.and_then(|mark| list_news(gateway, mark)),
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub store: SocketAddr,
     /// How long after a key was taken away it may still be honoured.
     pub key_revocation: Duration,
+    /// How long after a change of the catalogue the old version may still be used.
+    pub config_apply: Duration,
     /// How long after an endpoint said that it is leaving it may still get requests.
     pub endpoint_drain: Duration,
     /// How long after a termination signal the process is killed.
@@ -76,6 +78,7 @@
         "bounds",
         &[
             "key_revocation_ms",
+            "config_apply_ms",
             "endpoint_drain_ms",
             "grace_s",
             "engine_stall_ms",
@@ -204,6 +207,7 @@
         let peers_port: Option<u16> = r.value("listen", "peers_port", "a port");
         let store = r.address("store", "address");
         let key_revocation = r.millis("bounds", "key_revocation_ms");
+        let config_apply = r.millis("bounds", "config_apply_ms");
         let endpoint_drain = r.millis("bounds", "endpoint_drain_ms");
         let grace = r.seconds("bounds", "grace_s");
         let engine_stall = r.millis("bounds", "engine_stall_ms");
@@ -219,6 +223,7 @@
             peers: SocketAddr::new(ip?, peers_port?),
             store: store?,
             key_revocation: key_revocation?,
+            config_apply: config_apply?,
             endpoint_drain: endpoint_drain?,
             grace: grace?,
             engine_stall: engine_stall?,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -21,6 +21,7 @@
 
 [bounds]
 key_revocation_ms = 5000
+config_apply_ms = 2000
 endpoint_drain_ms = 2000
 grace_s = 8
 engine_stall_ms = 2500
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -107,6 +107,8 @@
     /// How long ago the newest read was sent that showed the catalogue to be the newest, in
     /// microseconds; `None` if there was none.
     pub proof_age_us: Option<u64>,
+    /// How long ago the store last answered, in microseconds; `None` if it never did.
+    pub heard_age_us: Option<u64>,
     /// A newer catalogue: its version and its document, as the store holds it.
     pub catalogue: Option<(u64, Vec<u8>)>,
     /// What has changed among the endpoints; `None` if the host knows no list, or none was wanted.
