peers: order lists of endpoints by the store's history; leaving stays

Change: a list carries the place in the store's history that it is known up to, and an older one is not taken; an endpoint that was leaving stays so; the list's silence counts as the catalogue's does.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -93,8 +93,11 @@
     }
 
     /// Takes a new or changed entry; true if anything but its place in time changed.
-    pub fn put(&mut self, endpoint: Endpoint) -> bool {
+    ///
+    /// An endpoint that was leaving stays so: one that starts again has another id.
+    pub fn put(&mut self, mut endpoint: Endpoint) -> bool {
         let known = self.endpoints.get(&endpoint.id);
+        endpoint.leaving |= known.is_some_and(|old| old.leaving);
         if known.is_some_and(|old| **old == endpoint) {
             return false;
         }
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -5,7 +5,7 @@
 use common::{endpoint, engine, ms, name};
 use dragonflyrill_fleet::{
     chains::{self, Chain},
-    choice::{self, Loads, Want},
+    choice::{self, Load, Loads, Want},
 };
 
 const WANT: Want = Want {
@@ -38,37 +38,65 @@
         .to_string()
 }
 
+fn load(requests: f64, token_layers: f64) -> Load {
+    Load {
+        requests,
+        token_layers,
+    }
+}
+
+/// Others' loads: the endpoint, requests and tokens times layers.
+fn told(id: &str, requests: f64, token_layers: f64) -> Loads {
+    let mut loads = Loads::default();
+    let others = [(name(id), load(requests, token_layers))];
+    loads.told(others.into_iter().collect(), ms(0));
+    loads
+}
+
 #[test]
 fn an_idle_fleet_uses_the_fastest_chain() {
     assert_eq!(first(&two_chains(), &Loads::default()), "f");
 }
 
 #[test]
-fn a_chain_whose_memory_is_taken_is_left_for_another() {
-    let chains = two_chains();
-    let mut loads = Loads::default();
-    loads.told(&name("f"), 60, 10, ms(0));
-    assert_eq!(first(&chains, &loads), "s");
+fn a_chain_with_a_part_whose_memory_is_taken_is_left_for_another() {
+    // Any part counts, not just the first; 16 layers leave the last one some 83,000 tokens.
+    let loads = told("h", 60.0, 16.0 * 80_000.0);
+    assert_eq!(first(&two_chains(), &loads), "s");
+    let loads = told("h", 20.0, 16.0 * 20_000.0);
+    assert_eq!(first(&two_chains(), &loads), "f");
 }
 
 #[test]
-fn what_this_host_sent_since_a_load_was_told_is_added_to_it() {
-    let mut loads = Loads::default();
-    loads.told(&name("f"), 10, 0, ms(0));
-    loads.begin(&name("f"));
-    loads.begin(&name("f"));
-    assert_eq!(loads.at("f", ms(100)), 12.0);
-    loads.end(&name("f"));
-    assert_eq!(loads.at("f", ms(100)), 11.0);
+fn if_all_chains_are_full_the_least_full_is_chosen() {
+    let mut loads = told("h", 60.0, 1e9);
+    loads.told(
+        [(name("h"), load(60.0, 1e9)), (name("s"), load(60.0, 1e8))]
+            .into_iter()
+            .collect(),
+        ms(0),
+    );
+    assert_eq!(first(&two_chains(), &loads), "s");
 }
 
 #[test]
-fn without_a_recent_load_the_other_hosts_are_taken_to_do_as_this_one() {
-    let mut loads = Loads::default();
+fn a_request_counts_on_each_part_of_its_chain_until_it_ends() {
+    let chains = two_chains();
+    let mut loads = told("g", 2.0, 100.0);
+    loads.begin(&chains[0], 10.0);
+    assert_eq!(loads.at("g", ms(100)), load(3.0, 100.0 + 10.0 * 32.0));
+    loads.end(&chains[0], 10.0);
+    assert_eq!(loads.at("g", ms(100)), load(2.0, 100.0));
+    assert!(loads.own().is_empty());
+}
+
+#[test]
+fn without_recent_word_the_other_hosts_are_taken_to_do_as_this_one() {
+    let chains = two_chains();
+    let mut loads = told("f", 100.0, 0.0);
     loads.hosts = 8;
-    loads.told(&name("f"), 100, 0, ms(0));
-    loads.begin(&name("f"));
-    assert_eq!(loads.at("f", ms(60_000)), 8.0);
+    loads.begin(&chains[0], 10.0);
+    assert_eq!(loads.at("f", ms(60_000)), load(8.0, 8.0 * 320.0));
 }
 
 #[test]
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -76,3 +76,43 @@
     directory.failed("x", ms(0));
     assert_eq!(pick(&directory, 10).as_deref(), Some("x"));
 }
+
+#[test]
+fn an_endpoint_that_was_leaving_does_not_come_back_by_an_older_entry() {
+    let mut directory = directory(&[("x", "a")]);
+    directory.put(Endpoint {
+        leaving: true,
+        ..service("x", "a")
+    });
+    assert!(!directory.put(service("x", "a")));
+    assert_eq!(pick(&directory, 0), None);
+}
+
+#[test]
+fn changes_are_told_one_by_one_and_as_a_whole_to_whoever_knows_nothing() {
+    let mut directory = directory(&[("x", "a"), ("y", "b")]);
+    let whole = directory.changes_since(None);
+    assert!(whole.whole && whole.changed.len() == 2);
+    directory.remove("x");
+    directory.put(service("z", "b"));
+    let news = directory.changes_since(Some(whole.version));
+    let changed: Vec<&str> = news.changed.iter().map(|e| &*e.id).collect();
+    let removed: Vec<&str> = news.removed.iter().map(|id| &**id).collect();
+    assert!(!news.whole);
+    assert_eq!((changed, removed), (vec!["z"], vec!["x"]));
+    let unknown = directory.changes_since(Some(news.version + 1));
+    assert!(unknown.whole, "a version that never was is not known");
+}
+
+#[test]
+fn what_went_too_long_ago_is_told_as_a_whole() {
+    let mut directory = Directory::default();
+    directory.put(service("first", "a"));
+    let version = directory.changes_since(None).version;
+    for i in 0..300 {
+        let id = format!("e{i}");
+        directory.put(service(&id, "a"));
+        directory.remove(&id);
+    }
+    assert!(directory.changes_since(Some(version)).whole);
+}
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -6,7 +6,7 @@
 
 use super::Backoff;
 use crate::{
-    gateway::Gateway,
+    gateway::{Gateway, On},
     ports::{CatalogueNews, Mark, StoreError},
     settings::Settings,
 };
@@ -41,7 +41,7 @@
             Ok(news) => {
                 calls.with_label_values(&["ok"]).inc();
                 backoff.succeeded();
-                gateway.heard(gateway.now());
+                gateway.heard(On::Catalogue, gateway.now());
                 mark = Some(take(&gateway, news, sent_at, mark));
             }
             Err(StoreError::HistoryGone) => {
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -7,7 +7,7 @@
 
 use super::Backoff;
 use crate::{
-    gateway::Gateway,
+    gateway::{Gateway, On},
     ports::{EndpointNews, Mark, StoreError},
 };
 
@@ -15,7 +15,7 @@
 /// reads at least. Entries change all the time, so that reads are paced and not held open.
 const PACE_PART: f64 = 0.25;
 /// The longest that a read waits for news.
-const WAIT: Duration = Duration::from_millis(800);
+const WAIT: Duration = Duration::from_millis(500);
 /// How much longer than it waits a read may take.
 const SLACK: Duration = Duration::from_millis(900);
 /// For how long after trouble with the store a removed entry may come back: entries lapse while
@@ -91,6 +91,9 @@
     fn take(&mut self, news: EndpointNews) {
         let now = self.gateway.now();
         self.mark = Some(news.mark);
+        self.gateway.heard(On::List, now);
+        let known = self.gateway.list_mark.get();
+        self.gateway.list_mark.set(known.max(news.mark));
         let mut removed = news.removed;
         if news.whole {
             let directory = self.gateway.directory.borrow();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
     http::pool::Idle,
     metrics::Metrics,
     peers::Peers,
-    ports::{Dialect, Engines, ReadCatalogue, Store},
+    ports::{Dialect, Engines, Mark, ReadCatalogue, Store},
     settings::Settings,
 };
 
@@ -43,6 +43,15 @@
     pub engines: Rc<dyn Engines>,
 }
 
+/// What the store is read for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum On {
+    /// The catalogue.
+    Catalogue,
+    /// The list of endpoints.
+    List,
+}
+
 /// The chains of one service, found for one state of the directory.
 struct FoundChains {
     generation: u64,
@@ -58,8 +67,10 @@
     pub platform: Platform,
     /// The codec's settings.
     pub codec: ServiceConfig,
-    /// When the store last answered.
-    heard_at: Cell<Option<Duration>>,
+    /// When the store last answered on the catalogue, and on the list of endpoints.
+    heard_at: Cell<[Option<Duration>; 2]>,
+    /// The place in the store's history up to which the list of endpoints is known.
+    pub list_mark: Cell<Mark>,
     /// The newest catalogue known.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
     /// The document that it was read from.
@@ -99,7 +110,8 @@
             settings,
             platform,
             codec,
-            heard_at: Cell::new(None),
+            heard_at: Cell::default(),
+            list_mark: Cell::new(0),
             catalogue: RefCell::default(),
             document: RefCell::default(),
             freshness: Cell::new(freshness),
@@ -142,14 +154,17 @@
         self.freshness.set(freshness);
     }
 
-    /// The store has answered, this host or the one that it asks.
-    pub fn heard(&self, at: Duration) {
-        self.heard_at.set(self.heard_at.get().max(Some(at)));
+    /// The store has answered on something, this host or the one that it asks.
+    pub fn heard(&self, on: On, at: Duration) {
+        let mut heard = self.heard_at.get();
+        heard[on as usize] = heard[on as usize].max(Some(at));
+        self.heard_at.set(heard);
     }
 
-    /// How long ago the store last answered.
+    /// How long ago the store last answered, on whichever is longer ago.
     pub fn heard_age(&self) -> Option<Duration> {
-        Some(self.now().saturating_sub(self.heard_at.get()?))
+        let [catalogue, list] = self.heard_at.get();
+        Some(self.now().saturating_sub(catalogue?.min(list?)))
     }
 
     /// Whether this host takes new connections.
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -12,7 +12,10 @@
 use tokio::time;
 
 use super::{add, from_wire, serve::own_data_centre, to_wire};
-use crate::{control::catalogue::wait, gateway::Gateway};
+use crate::{
+    control::catalogue::wait,
+    gateway::{Gateway, On},
+};
 
 /// How often news are asked for: changes are in force on all hosts within a few of these.
 pub const PERIOD: Duration = Duration::from_millis(250);
@@ -86,7 +89,8 @@
             peers.pass_over(&host.host, gateway.now() + PASSED_OVER);
         }
         if let Some(at) = heard.and_then(|age| sent_at.checked_sub(age)) {
-            gateway.heard(at);
+            gateway.heard(On::Catalogue, at);
+            gateway.heard(On::List, at);
         }
         self.take(news, sent_at, age);
     }
@@ -210,7 +214,14 @@
     }
 }
 
-fn take_list(gateway: &Gateway, list: ListNews) {
+/// Takes what another host told of its list, unless more of the store's history is known.
+pub fn take_list(gateway: &Gateway, list: ListNews) {
+    // The other host's list may be older than what this one knew before it asked that host.
+    if list.store_mark < gateway.list_mark.get() {
+        log::info!(target: "peers", told = list.store_mark, known = gateway.list_mark.get(); "An older list is not taken.");
+        return;
+    }
+    gateway.list_mark.set(list.store_mark);
     let removed: Vec<String> = match list.whole {
         false => list.removed,
         true => {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -118,6 +118,7 @@
             origin,
             version: changes.version,
         },
+        store_mark: gateway.list_mark.get(),
         whole: changes.whole,
         changed: changes.changed.iter().map(|e| listed(e)).collect(),
         removed: changes.removed.iter().map(ToString::to_string).collect(),
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -84,6 +84,9 @@
 pub struct ListNews {
     /// Where to go on.
     pub mark: ListMark,
+    /// The place in the store's history up to which the list is known: lists of all hosts are
+    /// ordered by it.
+    pub store_mark: u64,
     /// These are all there are.
     pub whole: bool,
     /// New and changed ones.
@@ -107,7 +110,8 @@
     /// How long ago the newest read was sent that showed the catalogue to be the newest, in
     /// microseconds; `None` if there was none.
     pub proof_age_us: Option<u64>,
-    /// How long ago the store last answered, in microseconds; `None` if it never did.
+    /// How long ago the store last answered, in microseconds, on the catalogue or on the list,
+    /// whichever is longer ago; `None` if it never did on one of them.
     pub heard_age_us: Option<u64>,
     /// A newer catalogue: its version and its document, as the store holds it.
     pub catalogue: Option<(u64, Vec<u8>)>,
