forward: patience for the first event follows what was expected of the chain

Cause: a chain that does not begin was left after 1.2 s whatever it promised; with 0.05 s expected another one can still be on time. Change: four times what was expected, at least 0.6 and at most 2.4 times the target.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -23,8 +23,13 @@
 };
 use crate::{gateway::Gateway, http::callers::Responder};
 
-/// How many times the target the first event may take before another chain is tried.
-const FIRST_EVENT_TARGETS: f64 = 2.4;
+/// How many times the target the first event may take at most before another chain is tried.
+const MOST_FIRST_EVENT_TARGETS: f64 = 2.4;
+/// The part of the target that the first event may take at least: another chain can still be on
+/// time then.
+const LEAST_FIRST_EVENT_TARGETS: f64 = 0.6;
+/// How many times as long as expected the first event may take before another chain is tried.
+const UNEXPECTED: u32 = 4;
 /// How many times the longest pause on time a pause may last before another chain is tried.
 const STALL_GAPS: f64 = 3.5;
 /// How long an engine's report is waited for when a stream stalls.
@@ -44,6 +49,7 @@
         events: Events::after(admitted.incoming.last_event),
         tried: Vec::new(),
         tokens: 0.0,
+        expected_first: Duration::ZERO,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     let label = admitted.kind_label();
@@ -79,6 +85,8 @@
     tried: Vec<Rc<str>>,
     /// Tokens that it needs memory for.
     tokens: f64,
+    /// Until the first event of the run, as expected when its chain was chosen.
+    expected_first: Duration,
 }
 
 /// How a run ended.
@@ -160,9 +168,19 @@
         loads.hosts = gateway.hosts.get();
         let usable = |chain: &Chain| !self.tried.contains(&chain.first().id);
         let chosen = choice::choose(&chains, &loads, &want, now, usable)?;
+        let expected = choice::expect(&chains[chosen], &want, |id| loads.at(id, now));
+        self.expected_first = Duration::from_secs_f64(expected.first_ms.max(0.0) / 1000.0);
         Some(chains[chosen].clone())
     }
 
+    /// How long the first event of a run may take.
+    fn first_patience(&self) -> Duration {
+        let target = self.admitted.route.target;
+        let least = target.mul_f64(LEAST_FIRST_EVENT_TARGETS);
+        let most = target.mul_f64(MOST_FIRST_EVENT_TARGETS);
+        (self.expected_first * UNEXPECTED).clamp(least, most)
+    }
+
     async fn run_on(&mut self, chain: &Chain, out: &mut Responder<'_>) -> Result<RunEnd, Ended> {
         let gateway = self.gateway;
         let _on = OnChain::new(gateway, chain, self.tokens);
@@ -174,7 +192,7 @@
             chain: &hops,
             after_event: self.events.last(),
         };
-        let patience = self.admitted.route.target.mul_f64(FIRST_EVENT_TARGETS);
+        let patience = self.first_patience();
         let begun = match send::send(gateway, self.admitted, &target, patience).await {
             Ok(begun) => begun,
             Err(failed) => {
