peers: ask two hosts at most; don't tell lapsed entries as listed; no log line for each call

Change: two are asked in a round, then the store is read; a host that failed is passed over longer each time. (3) tarpc wrote several lines a call at level info.

--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -107,13 +107,14 @@
             self.gateway.endpoints_known.set(true);
         }
         for endpoint in news.changed {
-            self.doubted.remove(&endpoint.id);
+            self.settle(&endpoint.id);
             self.gateway.list_endpoint(endpoint);
         }
         let troubled = self.trouble_at.is_some_and(|at| at + TROUBLE > now);
         for id in removed {
             match troubled {
                 true => {
+                    self.gateway.doubted.borrow_mut().insert(id.clone());
                     self.doubted.entry(id).or_insert(now + DOUBT);
                 }
                 false => self.forget(&id),
@@ -125,6 +126,13 @@
         self.gateway.forget_endpoint(id);
     }
 
+    /// Nothing is in doubt about the endpoint any more.
+    fn settle(&mut self, id: &str) {
+        if self.doubted.remove(id).is_some() {
+            self.gateway.doubted.borrow_mut().remove(id);
+        }
+    }
+
     fn drop_doubted(&mut self) {
         let now = self.gateway.now();
         let due: Vec<Rc<str>> = self
@@ -134,7 +142,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
-            self.doubted.remove(&id);
+            self.settle(&id);
             self.forget(&id);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
     endpoints::{Directory, Endpoint},
     freshness::Freshness,
 };
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -69,6 +69,8 @@
     pub codec: ServiceConfig,
     /// When the store last answered on the catalogue, and on the list of endpoints.
     heard_at: Cell<[Option<Duration>; 2]>,
+    /// Endpoints whose entries lapsed while the store was in trouble, and may come back.
+    pub doubted: RefCell<FxHashSet<Rc<str>>>,
     /// The place in the store's history up to which the list of endpoints is known.
     pub list_mark: Cell<Mark>,
     /// The newest catalogue known.
@@ -111,6 +113,7 @@
             platform,
             codec,
             heard_at: Cell::default(),
+            doubted: RefCell::default(),
             list_mark: Cell::new(0),
             catalogue: RefCell::default(),
             document: RefCell::default(),
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -19,12 +19,16 @@
     }
 }
 
-/// Sets up logging; `RUST_LOG` chooses what is logged, `info` if unset.
+/// What is logged if `RUST_LOG` is unset. The library of calls between hosts has lines for each
+/// call, several a second and host.
+const USUAL: &str = "info,tarpc=warn";
+
+/// Sets up logging; `RUST_LOG` chooses what is logged.
 ///
 /// A line has the time since the epoch in ms (`t`), the `level`, the `part` of the program, the
 /// message (`m`) and the fields of the event.
 pub fn init() {
-    let env = env_logger::Env::default().default_filter_or("info");
+    let env = env_logger::Env::default().default_filter_or(USUAL);
     env_logger::Builder::from_env(env)
         .target(env_logger::Target::Stdout)
         .format(|out, record| {
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -21,8 +21,9 @@
 pub const PERIOD: Duration = Duration::from_millis(250);
 /// How long a call may take: hosts are a fraction of a millisecond away, but may be busy.
 const CALL: Duration = Duration::from_millis(350);
-/// How long a host that failed is passed over.
-const PASSED_OVER: Duration = Duration::from_secs(2);
+/// Hosts that are asked in one round before the store is read instead: while the store turns one
+/// host away the next one reads it.
+const MOST_ASKED: usize = 2;
 /// The part of the time in which a change must be in force that the store may be silent to another
 /// host beyond the wait of its reads before it is passed over.
 const SILENT_PART: f64 = 0.2;
@@ -53,22 +54,33 @@
         let gateway = self.gateway.clone();
         let me = gateway.settings.host.clone();
         let near = gateway.settings.data_centre.clone();
-        let first = gateway.peers.first(&near, Some(&me), gateway.now());
-        gateway.set_reading(first.is_none());
-        match first {
-            Some(host) => self.ask_near(&host).await,
-            None => {
-                self.asked = None;
-                self.exchange_loads(&near).await;
-            }
+        let told = self.ask_first(&near, &me).await;
+        gateway.set_reading(!told);
+        if !told {
+            self.asked = None;
+            self.exchange_loads(&near).await;
         }
         let peers = &gateway.peers;
         let hosts = peers.fleet.borrow().len().max(1) as u32;
         gateway.hosts.set(hosts);
     }
 
-    /// Asks the host of this data centre that reads the store.
-    async fn ask_near(&mut self, host: &FleetHost) {
+    /// Asks the first hosts of this data centre that work; true if one had fresh news.
+    async fn ask_first(&mut self, near: &str, me: &str) -> bool {
+        let gateway = self.gateway.clone();
+        for _ in 0..MOST_ASKED {
+            let Some(host) = gateway.peers.first(near, Some(me), gateway.now()) else {
+                return false;
+            };
+            if self.ask_near(&host).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Asks a host of this data centre; true if its news are fresh.
+    async fn ask_near(&mut self, host: &FleetHost) -> bool {
         let gateway = self.gateway.clone();
         let peers = &gateway.peers;
         if self.asked.as_ref() != Some(&host.host) {
@@ -79,20 +91,23 @@
         let offer = self.offer(&loads, true);
         let sent_at = gateway.now();
         let Some(news) = self.call(host, offer).await else {
-            return;
+            return false;
         };
         let age = news.proof_age_us.map(Duration::from_micros);
         let heard = news.heard_age_us.map(Duration::from_micros);
         let settings = &gateway.settings;
         let silent = wait(settings) + settings.config_apply.mul_f64(SILENT_PART);
-        if heard.is_none_or(|age| age > silent) {
-            peers.pass_over(&host.host, gateway.now() + PASSED_OVER);
+        let fresh = heard.is_some_and(|age| age <= silent);
+        match fresh {
+            true => peers.works(&host.host),
+            false => peers.pass_over(&host.host, gateway.now()),
         }
         if let Some(at) = heard.and_then(|age| sent_at.checked_sub(age)) {
             gateway.heard(On::Catalogue, at);
             gateway.heard(On::List, at);
         }
         self.take(news, sent_at, age);
+        fresh
     }
 
     fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>) {
@@ -172,8 +187,7 @@
         }
         log::info!(target: "peers", host = &*host.host; "A host does not answer.");
         self.clients.remove(&host.addr);
-        let until = self.gateway.now() + PASSED_OVER;
-        self.gateway.peers.pass_over(&host.host, until);
+        self.gateway.peers.pass_over(&host.host, self.gateway.now());
         None
     }
 
@@ -226,7 +240,9 @@
         false => list.removed,
         true => {
             let directory = gateway.directory.borrow();
-            let listed = |id: &str| list.changed.iter().any(|l| l.id == *id);
+            let listed = |id: &str| {
+                list.changed.iter().any(|l| l.id == *id) || list.doubted.iter().any(|d| d == id)
+            };
             let ids = directory.iter().map(|e| e.id.to_string());
             ids.filter(|id| !listed(id)).collect()
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,6 +24,9 @@
 /// How long what another host told of its loads is counted.
 const LOADS_AGE: Duration = Duration::from_millis(1500);
 
+/// How long a host that failed is passed over the first time.
+const PASSED_OVER: Duration = Duration::from_secs(2);
+
 /// What another host told of its loads.
 struct Heard {
     data_centre: String,
@@ -37,8 +40,8 @@
     /// All hosts that are alive, this one included, in order.
     fleet: RefCell<Vec<FleetHost>>,
     fleet_hash: Cell<u64>,
-    /// Hosts that could not be used, until when they are passed over.
-    passed_over: RefCell<FxHashMap<String, Duration>>,
+    /// Hosts that could not be used: until when they are passed over, and how often in a row.
+    passed_over: RefCell<FxHashMap<String, (Duration, u32)>>,
     /// Hosts of this data centre, and the reading hosts of others, by name.
     heard: RefCell<FxHashMap<String, Heard>>,
     /// The loads of the others, as the host that this one asks told them.
@@ -94,7 +97,7 @@
         let mut ranked = fleet
             .iter()
             .filter(|h| h.data_centre == data_centre && me.is_none_or(|me| *h.host < *me));
-        let works = |h: &&FleetHost| passed_over.get(&h.host).is_none_or(|t| *t <= now);
+        let works = |h: &&FleetHost| passed_over.get(&h.host).is_none_or(|(t, _)| *t <= now);
         ranked.find(works).cloned()
     }
 
@@ -109,8 +112,18 @@
         others
     }
 
-    fn pass_over(&self, host: &str, until: Duration) {
-        self.passed_over.borrow_mut().insert(host.to_owned(), until);
+    /// A host could not be used: it is passed over for a while, longer each time.
+    fn pass_over(&self, host: &str, now: Duration) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        let (until, times) = passed_over.entry(host.to_owned()).or_default();
+        let pause = PASSED_OVER * 2u32.saturating_pow((*times).min(3));
+        *until = now + pause;
+        *times += 1;
+    }
+
+    /// A host had fresh news.
+    fn works(&self, host: &str) {
+        self.passed_over.borrow_mut().remove(host);
     }
 
     /// Another host told of its loads, or of those of its data centre.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -113,6 +113,8 @@
     let origin = gateway.peers.incarnation();
     let known = (mark.origin == origin).then_some(mark.version);
     let changes = gateway.directory.borrow().changes_since(known);
+    let doubted = gateway.doubted.borrow();
+    let certain = changes.changed.iter().filter(|e| !doubted.contains(&e.id));
     Some(ListNews {
         mark: ListMark {
             origin,
@@ -120,7 +122,8 @@
         },
         store_mark: gateway.list_mark.get(),
         whole: changes.whole,
-        changed: changes.changed.iter().map(|e| listed(e)).collect(),
+        changed: certain.map(|e| listed(e)).collect(),
+        doubted: doubted.iter().map(ToString::to_string).collect(),
         removed: changes.removed.iter().map(ToString::to_string).collect(),
     })
 }
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -93,6 +93,9 @@
     pub changed: Vec<Listed>,
     /// Ids of those that are gone.
     pub removed: Vec<String>,
+    /// Ids of those whose entries lapsed while the store was in trouble: who has them may keep
+    /// them for now, nobody else takes them.
+    pub doubted: Vec<String>,
 }
 
 /// The row of the duty of placing layers.
