placing: the first plan waits until all engines are listed; refuse what no chain has memory for

(1) On the grown deployments the first orders went out at -10 s with a third of the engines listed; the rest only filled gaps. Change: the list must stand still for 1.5 s, at most 5.5 s, or 1 s once requests have come. (2) A refusal at once from an engine with little load means that it is leaving or gives its layers up, one with much load that its memory is short: the first is avoided as failed, the second for 150 ms. (3) Chains whose fullest part is over 1.15 of what is planned with get nothing.

--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -4,6 +4,8 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::endpoints::Endpoint;
+
 /// One version of the catalogue, never changed after it was read.
 #[derive(Debug, Clone, Default)]
 pub struct Catalogue {
@@ -151,6 +153,13 @@
         self.accelerators.iter().find(|a| &*a.name == name)
     }
 
+    /// The memory that an endpoint has for requests, in tokens times layers.
+    pub fn capacity(&self, endpoint: &Endpoint) -> Option<f64> {
+        let accelerator = self.accelerator(endpoint.accelerator.as_deref()?)?;
+        let held_mb = f64::from(endpoint.layers?.count()) * self.layer_mb;
+        Some((accelerator.memory_mb - held_mb).max(0.0) / self.token_layer_mb)
+    }
+
     /// The most layers that the accelerator holds with nothing left for requests.
     pub fn most_layers(&self, accelerator: &Accelerator) -> u32 {
         ((accelerator.memory_mb / self.layer_mb) as u32).min(self.layers)
--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -13,6 +13,9 @@
 
 /// For how long what other hosts told is taken as it is; it comes several times a second.
 const TOLD_AGE: Duration = Duration::from_millis(1500);
+/// For how long an endpoint that refused for want of memory gets nothing: about the time in which
+/// some of its requests end.
+const FULL: Duration = Duration::from_millis(150);
 /// The part of an endpoint's memory that is planned with: answers differ widely in length.
 const MEMORY_USED: f64 = 0.9;
 
@@ -74,6 +77,8 @@
     own: LoadMap,
     others: LoadMap,
     others_at: Option<Duration>,
+    /// Endpoints that refused for want of memory, until when they count as full.
+    full: FxHashMap<Rc<str>, Duration>,
     /// Hosts that send requests, this one included.
     pub hosts: u32,
 }
@@ -112,8 +117,20 @@
         self.others_at = Some(now);
     }
 
+    /// An endpoint refused for want of memory.
+    pub fn refused(&mut self, id: &Rc<str>, now: Duration) {
+        self.full.insert(id.clone(), now + FULL);
+    }
+
+    /// Whether an endpoint of the chain has just refused for want of memory.
+    pub fn full(&self, chain: &Chain, now: Duration) -> bool {
+        let full = |id: &Rc<str>| self.full.get(id).is_some_and(|until| *until > now);
+        chain.parts.iter().any(|p| full(&p.id))
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, id: &str) {
+        self.full.remove(id);
         self.own.remove(id);
         self.others.remove(id);
     }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -21,10 +21,12 @@
     ports::{EngineReport, Ordered},
 };
 
-/// How long the list of engines must stand still before the first plan of a start.
-const SETTLE: Duration = Duration::from_millis(700);
-/// The longest that the first plan waits for that.
-const MOST_SETTLE: Duration = Duration::from_millis(3000);
+/// How long the list of engines must stand still before the first plan of a start: a little over the
+/// pause between two entries of one engine, so that all that have started are listed.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// The longest that the first plan waits for that, and while requests wait for it.
+const MOST_SETTLE: Duration = Duration::from_millis(5500);
+const MOST_SETTLE_ASKED: Duration = Duration::from_millis(1000);
 /// How long an order that got no answer may still be carried out.
 const LATE_ORDER: Duration = Duration::from_secs(12);
 /// How long an engine that was ordered to load may go without being listed with its layers.
@@ -85,7 +87,7 @@
                 continue;
             };
             let endpoints = self.endpoints(&service.name);
-            if !self.settled(endpoints.len()) {
+            if !self.settled(&endpoints) {
                 continue;
             }
             self.ask(&endpoints).await;
@@ -117,16 +119,25 @@
     }
 
     /// Whether the list has stood still for long enough to plan with.
-    fn settled(&mut self, listed: usize) -> bool {
+    fn settled(&mut self, endpoints: &[Rc<Endpoint>]) -> bool {
         let now = self.gateway.now();
+        let listed = endpoints.len();
         if listed == 0 {
             return false;
         }
+        // Later plans change little, and what is missing then is missed by requests.
+        if endpoints.iter().any(|e| e.layers.is_some()) {
+            return true;
+        }
         let first = *self.first_seen.get_or_insert(now);
         if listed != self.listed.0 {
             self.listed = (listed, now);
         }
-        self.listed.1 + SETTLE <= now || first + MOST_SETTLE <= now
+        let most = match self.gateway.asked.get() {
+            true => MOST_SETTLE_ASKED,
+            false => MOST_SETTLE,
+        };
+        self.listed.1 + SETTLE <= now || first + most <= now
     }
 
     /// Asks the engines that are listed as empty and of which nothing is known.
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -196,6 +196,7 @@
 
 impl<'a> OpenRequest<'a> {
     fn new(gateway: &'a Gateway) -> Self {
+        gateway.asked.set(true);
         gateway.open.set(gateway.open.get() + 1);
         Self(gateway)
     }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ResponseHead};
-use dragonflyrill_fleet::layers::LayerRange;
+use dragonflyrill_fleet::{endpoints::Directory, layers::LayerRange};
 use http::StatusCode;
 use tokio::time;
 
@@ -21,6 +21,13 @@
 /// away; one that needs longer does not answer.
 const CONNECT: Duration = Duration::from_millis(300);
 
+/// A refusal that comes within this time was not waited for anything that does not answer.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+/// An endpoint with less of its memory taken refuses for another reason: it is leaving, or gives
+/// its layers up.
+const MAY_BE_FULL: f64 = 0.6;
+
 /// Why a send brought no answer that can be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Failed {
@@ -64,6 +71,7 @@
     if !gateway.fresh() {
         return Err(Failed::NotSent("the catalogue may be outdated".to_owned()));
     }
+    let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
     let sent = time::timeout(limit, connection.send(head, admitted.body.clone())).await;
     match sent {
@@ -78,7 +86,8 @@
         Err(_) => return Err(Failed::MayHaveRun("no answer in time".to_owned())),
     };
     let facts = gateway.platform.dialect.answer(&head);
-    check(gateway, admitted, target, head, facts, connection)
+    let answer = Begun { connection, head };
+    check(gateway, admitted, target, answer, &facts, sent_at.elapsed())
 }
 
 async fn connect(
@@ -98,13 +107,14 @@
     gateway: &Gateway,
     admitted: &Admitted,
     target: &Target<'_>,
-    head: ResponseHead,
-    facts: AnswerFacts,
-    connection: Connection,
+    answer: Begun,
+    facts: &AnswerFacts,
+    after: Duration,
 ) -> Result<Begun, Failed> {
+    let head = &answer.head;
     if facts.not_run || (facts.misdirected && head.status == StatusCode::MISDIRECTED_REQUEST) {
         let at = facts.fault_at.unwrap_or(target.addr);
-        note_refusal(gateway, at, head.status);
+        note_refusal(gateway, at, head.status, after);
         return Err(Failed::NotRun(format!("{} by {at}", head.status.as_u16())));
     }
     if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
@@ -114,24 +124,38 @@
         let why = format!("{} is not the endpoint's answer", head.status.as_u16());
         return Err(Failed::MayHaveRun(why));
     }
-    Ok(Begun { connection, head })
+    Ok(answer)
 }
 
-/// An endpoint that refuses for more than a full queue is left alone for a moment.
-fn note_refusal(gateway: &Gateway, at: SocketAddr, status: StatusCode) {
-    if status == StatusCode::TOO_MANY_REQUESTS {
-        return;
-    }
+/// An endpoint that refuses is left alone for a moment: longer if it is not what it was taken for
+/// or does not answer, briefly if it is only full.
+fn note_refusal(gateway: &Gateway, at: SocketAddr, status: StatusCode, after: Duration) {
     let mut directory = gateway.directory.borrow_mut();
-    let id = directory
-        .iter()
-        .find(|e| e.addr == at)
-        .map(|e| e.id.clone());
-    if let Some(id) = id {
-        directory.failed(&id, gateway.now());
+    let found = directory.iter().find(|e| e.addr == at);
+    let Some(id) = found.map(|e| e.id.clone()) else {
+        return;
+    };
+    let now = gateway.now();
+    let at_once = status != StatusCode::MISDIRECTED_REQUEST && after < AT_ONCE;
+    let full = at_once && fill(gateway, &directory, &id, now) > MAY_BE_FULL;
+    match full {
+        true => gateway.loads.borrow_mut().refused(&id, now),
+        false => directory.failed(&id, now),
     }
 }
 
+/// The part of an endpoint's memory that is taken, as far as is known; none for a plain service.
+fn fill(gateway: &Gateway, directory: &Directory, id: &str, now: Duration) -> f64 {
+    let catalogue = gateway.catalogue.borrow();
+    let capacity = || {
+        let endpoint = directory.get(id)?;
+        let service = catalogue.as_ref()?.service(&endpoint.service)?;
+        service.engine.as_ref()?.capacity(endpoint)
+    };
+    let taken = gateway.loads.borrow().at(id, now).token_layers;
+    capacity().map_or(0.0, |capacity| taken / capacity.max(1.0))
+}
+
 fn outgoing_head(gateway: &Gateway, admitted: &Admitted, target: &Target<'_>) -> RequestHead {
     let out = Outgoing {
         deadline: admitted.left(),
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -32,6 +32,9 @@
 const UNEXPECTED: u32 = 4;
 /// How many times the longest pause on time a pause may last before another chain is tried.
 const STALL_GAPS: f64 = 3.5;
+/// From this fill of its fullest part on a chain gets nothing more: what is planned with leaves a
+/// tenth of the memory free, and engines refuse once it is taken.
+const MOST_FILL: f64 = 1.15;
 /// How long an engine's report is waited for when a stream stalls.
 const REPORT: Duration = Duration::from_millis(100);
 /// The largest answer passed on whole because it is not a success.
@@ -50,6 +53,7 @@
         tried: Vec::new(),
         tokens: 0.0,
         expected_first: Duration::ZERO,
+        short: false,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     let label = admitted.kind_label();
@@ -87,6 +91,8 @@
     tokens: f64,
     /// Until the first event of the run, as expected when its chain was chosen.
     expected_first: Duration,
+    /// All chains were full when one was to be chosen.
+    short: bool,
 }
 
 /// How a run ended.
@@ -112,6 +118,9 @@
                 break;
             }
             let Some(chain) = self.choose(&engine) else {
+                if self.short && sent == 0 {
+                    last = Refusal::NoEndpoint("memory is short everywhere");
+                }
                 break;
             };
             if sent > 0 && !self.gateway.may_repeat(&self.admitted.service.name) {
@@ -166,9 +175,15 @@
         self.tokens = want.prompt + want.answer;
         let mut loads = gateway.loads.borrow_mut();
         loads.hosts = gateway.hosts.get();
-        let usable = |chain: &Chain| !self.tried.contains(&chain.first().id);
-        let chosen = choice::choose(&chains, &loads, &want, now, usable)?;
+        let untried = |chain: &Chain| !self.tried.contains(&chain.first().id);
+        let with_room = |chain: &Chain| untried(chain) && !loads.full(chain, now);
+        let chosen = choice::choose(&chains, &loads, &want, now, with_room)
+            .or_else(|| choice::choose(&chains, &loads, &want, now, untried))?;
         let expected = choice::expect(&chains[chosen], &want, |id| loads.at(id, now));
+        if expected.fill > MOST_FILL {
+            self.short = true;
+            return None;
+        }
         self.expected_first = Duration::from_secs_f64(expected.first_ms.max(0.0) / 1000.0);
         Some(chains[chosen].clone())
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,6 +100,8 @@
     reading: watch::Sender<bool>,
     /// The other hosts.
     pub peers: Peers,
+    /// Whether any request has come.
+    pub asked: Cell<bool>,
     /// Requests that are being answered.
     pub open: Cell<u32>,
 }
@@ -131,6 +133,7 @@
             closing: watch::Sender::new(false),
             reading: watch::Sender::new(true),
             peers: Peers::default(),
+            asked: Cell::new(false),
             open: Cell::new(0),
         })
     }
