forward: an engine's own errors are tried elsewhere; two in a row and it is avoided

Servers that answered 500 at once took most requests, as they were never busy; their 500 was passed on although the stream may be resumed, and counted as a good answer. Change: a stream that may be repeated goes on elsewhere, the last failure is passed on; two errors of an endpoint's own in a row count as a failure.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -35,11 +35,16 @@
 /// Endpoints that went which are remembered one by one.
 const MOST_REMOVED: usize = 256;
 
+/// Errors in a row from which on an endpoint is avoided.
+const ERRORS_IN_A_ROW: u32 = 2;
+
 /// What this host has seen of an endpoint itself.
 #[derive(Debug, Clone, Default)]
 struct Seen {
     /// Failures in a row.
     failures: u32,
+    /// Answers of its own that were errors, in a row.
+    errors: u32,
     /// No new work before then, if others can take it.
     avoid_until: Duration,
     /// Requests of this host that are at it.
@@ -165,8 +170,24 @@
         self.generation += 1;
     }
 
+    /// An endpoint answered with an error of its own. One may lie in the request; several in a row
+    /// count as a failure, as an endpoint that fails fast draws the more requests for it.
+    pub fn erred(&mut self, id: &str, now: Duration) {
+        if !self.endpoints.contains_key(id) {
+            return;
+        }
+        let seen = self.seen.entry(Rc::from(id)).or_default();
+        seen.errors += 1;
+        if seen.errors >= ERRORS_IN_A_ROW {
+            self.failed(id, now);
+        }
+    }
+
     /// An endpoint answered well.
     pub fn succeeded(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.errors = 0;
+        }
         if let Some(seen) = self.seen.get_mut(id).filter(|s| s.failures > 0) {
             seen.failures = 0;
             seen.avoid_until = Duration::ZERO;
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -116,3 +116,15 @@
     }
     assert!(directory.changes_since(Some(version)).whole);
 }
+
+#[test]
+fn errors_in_a_row_count_as_a_failure_and_one_alone_does_not() {
+    let mut directory = directory(&[("x", "a"), ("y", "b")]);
+    directory.erred("x", ms(0));
+    assert_eq!(pick(&directory, 1).as_deref(), Some("x"));
+    directory.succeeded("x");
+    directory.erred("x", ms(2));
+    assert_eq!(pick(&directory, 3).as_deref(), Some("x"));
+    directory.erred("x", ms(4));
+    assert_eq!(pick(&directory, 5).as_deref(), Some("y"));
+}
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{catalogue::RouteKind, endpoints::Endpoint};
-use http::StatusCode;
 use tokio::time;
 
 use super::{
@@ -148,9 +147,10 @@
     .await;
     let mut directory = gateway.directory.borrow_mut();
     match &result {
-        Ok(whole) if whole.begun.head.status != StatusCode::SERVICE_UNAVAILABLE => {
-            directory.succeeded(&endpoint.id);
+        Ok(whole) if whole.begun.head.status.is_server_error() => {
+            directory.erred(&endpoint.id, gateway.now());
         }
+        Ok(_) => directory.succeeded(&endpoint.id),
         Err(Failed::MayHaveRun(_)) => directory.failed(&endpoint.id, gateway.now()),
         _ => {}
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -51,6 +51,7 @@
         admitted,
         events: Events::after(admitted.incoming.last_event),
         tried: Vec::new(),
+        sent: 0,
         tokens: 0.0,
         expected_first: Duration::ZERO,
         short: false,
@@ -87,6 +88,8 @@
     events: Events,
     /// First stages that it was sent to.
     tried: Vec<Rc<str>>,
+    /// Runs that have been sent.
+    sent: u32,
     /// Tokens that it needs memory for.
     tokens: f64,
     /// Until the first event of the run, as expected when its chain was chosen.
@@ -104,6 +107,12 @@
 }
 
 impl Stream<'_> {
+    /// Whether another run may follow one that may have run.
+    fn may_go_on(&self) -> bool {
+        let most = self.admitted.route.max_attempts.max(1);
+        self.admitted.route.kind.repeatable() && self.sent + 1 < most
+    }
+
     async fn run(&mut self, out: &mut Responder<'_>) -> Result<http::StatusCode, Ended> {
         let Some(engine) = self.admitted.service.engine.clone() else {
             return Err(Refusal::NoEndpoint("the service has no engines").into());
@@ -112,21 +121,20 @@
         let mut last = Refusal::NoEndpoint("no chain covers all layers");
         let mut ran = false;
         let most = self.admitted.route.max_attempts.max(1);
-        let mut sent = 0;
         for _ in 0..most + call::MORE_TRIES {
-            if sent >= most {
+            if self.sent >= most {
                 break;
             }
             let Some(chain) = self.choose(&engine) else {
-                if self.short && sent == 0 {
+                if self.short && self.sent == 0 {
                     last = Refusal::NoEndpoint("memory is short everywhere");
                 }
                 break;
             };
-            if sent > 0 && !self.gateway.may_repeat(&self.admitted.service.name) {
+            if self.sent > 0 && !self.gateway.may_repeat(&self.admitted.service.name) {
                 break;
             }
-            if sent > 0 {
+            if self.sent > 0 {
                 self.gateway.metrics.repeats.inc();
                 self.events.resume();
             }
@@ -136,7 +144,7 @@
                 RunEnd::Failed(failed) => failed,
             };
             self.note(&chain, &failed, out.started());
-            sent += u32::from(!matches!(failed, Failed::NotSent(_)));
+            self.sent += u32::from(!matches!(failed, Failed::NotSent(_)));
             match failed {
                 Failed::NotSent(why) if !ran => last = Refusal::NotRun(why),
                 Failed::NotSent(_) => {}
@@ -217,6 +225,14 @@
                 return Ok(RunEnd::Failed(failed));
             }
         };
+        if begun.head.status.is_server_error() {
+            let now = gateway.now();
+            gateway.directory.borrow_mut().erred(target.id, now);
+            if self.may_go_on() {
+                let why = format!("{} of its own", begun.head.status.as_u16());
+                return Ok(RunEnd::Failed(Failed::MayHaveRun(why)));
+            }
+        }
         if !success(begun.head.status) {
             return self.pass_failure(begun, out).await;
         }
