Hosts that read the store for nobody pause longer while it is away

Change: all but the first two hosts of a data centre pause up to 1.8 s between tries; the first success forgives the hosts that were passed over.

--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -40,7 +40,7 @@
         match read {
             Ok(news) => {
                 calls.with_label_values(&["ok"]).inc();
-                backoff.succeeded();
+                backoff.succeeded(&gateway);
                 gateway.heard(On::Catalogue, gateway.now());
                 mark = Some(take(&gateway, news, sent_at, mark));
             }
@@ -54,7 +54,7 @@
                 if matches!(e, StoreError::Unusable(_)) {
                     mark = None;
                 }
-                backoff.failed().await;
+                backoff.failed(&gateway).await;
             }
         }
     }
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -50,10 +50,10 @@
         }
         let began = time::Instant::now();
         match follower.read().await {
-            Ok(()) => backoff.succeeded(),
+            Ok(()) => backoff.succeeded(&follower.gateway),
             Err(e) => {
                 log::warn!(target: "fleet", why:% = e; "No news of the endpoints.");
-                backoff.failed().await;
+                backoff.failed(&follower.gateway).await;
             }
         }
         follower.drop_doubted();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,10 +10,15 @@
 
 use rand::Rng;
 
+use crate::gateway::Gateway;
+
 /// The first pause after the store could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// The longest pause between tries: a store that is back is noticed within it.
+/// The longest pause between tries of the hosts that read for others: a store that is back is
+/// noticed within it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// The longest pause of the others, who read for themselves only while nobody has news.
+const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(1800);
 
 /// Pauses between tries at a store that is away: longer each time, and spread.
 #[derive(Debug, Default)]
@@ -22,14 +27,22 @@
 }
 
 impl Backoff {
-    fn succeeded(&mut self) {
+    /// The store has answered. After trouble the other hosts may have it back as well.
+    fn succeeded(&mut self, gateway: &Gateway) {
+        if self.failures > 0 {
+            gateway.peers.forgive();
+        }
         self.failures = 0;
     }
 
-    async fn failed(&mut self) {
-        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
+    async fn failed(&mut self, gateway: &Gateway) {
+        let longest = match gateway.peers.reads_for_others(&gateway.settings) {
+            true => LONGEST_PAUSE,
+            false => LONGEST_PAUSE_OF_OTHERS,
+        };
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(5));
         self.failures += 1;
         let spread = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(pause.min(LONGEST_PAUSE).mul_f64(spread)).await;
+        tokio::time::sleep(pause.min(longest).mul_f64(spread)).await;
     }
 }
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -8,7 +8,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time;
 
-use super::placing::Placing;
+use super::{Backoff, placing::Placing};
 use crate::{
     gateway::Gateway,
     ports::{Row, StoreError, Written},
@@ -60,10 +60,14 @@
         beat_at: None,
     };
     let mut placing = Placing::new(gateway.clone());
+    let mut backoff = Backoff::default();
     loop {
-        if let Err(e) = roster.round().await {
-            log::warn!(target: "roster", why:% = e; "The hosts' rows can't be kept.");
-            time::sleep(TICK * 3).await;
+        match roster.round().await {
+            Ok(()) => backoff.succeeded(&gateway),
+            Err(e) => {
+                log::warn!(target: "roster", why:% = e; "The hosts' rows can't be kept.");
+                backoff.failed(&gateway).await;
+            }
         }
         let now = gateway.now();
         match roster.duty.held(now) && !gateway.leaving() {
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -11,7 +11,7 @@
 use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
 use tokio::time;
 
-use super::{add, from_wire, serve::own_data_centre, to_wire};
+use super::{FIRST_HOSTS, add, from_wire, serve::own_data_centre, to_wire};
 use crate::{
     control::catalogue::wait,
     gateway::{Gateway, On},
@@ -21,9 +21,6 @@
 pub const PERIOD: Duration = Duration::from_millis(250);
 /// How long a call may take: hosts are a fraction of a millisecond away, but may be busy.
 const CALL: Duration = Duration::from_millis(350);
-/// Hosts that are asked in one round before the store is read instead: while the store turns one
-/// host away the next one reads it.
-const MOST_ASKED: usize = 2;
 /// The part of the time in which a change must be in force that the store may be silent to another
 /// host beyond the wait of its reads before it is passed over.
 const SILENT_PART: f64 = 0.2;
@@ -68,7 +65,7 @@
     /// Asks the first hosts of this data centre that work; true if one had fresh news.
     async fn ask_first(&mut self, near: &str, me: &str) -> bool {
         let gateway = self.gateway.clone();
-        for _ in 0..MOST_ASKED {
+        for _ in 0..FIRST_HOSTS {
             let Some(host) = gateway.peers.first(near, Some(me), gateway.now()) else {
                 return false;
             };
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,9 +21,14 @@
 use dragonflyrill_protocol::exchange::{DutyRow, EndpointLoad, FleetHost, ListMark};
 use rustc_hash::{FxHashMap, FxHasher};
 
+use crate::settings::Settings;
+
 /// How long what another host told of its loads is counted.
 const LOADS_AGE: Duration = Duration::from_millis(1500);
 
+/// Hosts of a data centre that are asked by others, one after the other.
+pub const FIRST_HOSTS: usize = 2;
+
 /// How long a host that failed is passed over the first time.
 const PASSED_OVER: Duration = Duration::from_secs(2);
 
@@ -121,6 +126,21 @@
         *times += 1;
     }
 
+    /// Whether this host is among the first of its data centre, which others ask.
+    pub fn reads_for_others(&self, settings: &Settings) -> bool {
+        let fleet = self.fleet.borrow();
+        let near = fleet
+            .iter()
+            .filter(|h| *h.data_centre == *settings.data_centre);
+        let before = near.filter(|h| h.host < settings.host).count();
+        before < FIRST_HOSTS
+    }
+
+    /// The store has answered after trouble: hosts that were passed over may be asked again.
+    pub fn forgive(&self) {
+        self.passed_over.borrow_mut().clear();
+    }
+
     /// A host had fresh news.
     fn works(&self, host: &str) {
         self.passed_over.borrow_mut().remove(host);
