endpoints: a removed entry is kept only within two seconds of the store's return

Change: what the platform promises: entries that lapsed are back within two seconds of the return, so a removed entry is kept until then and no longer.

--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -18,17 +18,17 @@
 const WAIT: Duration = Duration::from_millis(500);
 /// How much longer than it waits a read may take.
 const SLACK: Duration = Duration::from_millis(900);
-/// For how long after trouble with the store a removed entry may come back: entries lapse while
-/// endpoints can't reach the store, and are written anew when they can.
-const TROUBLE: Duration = Duration::from_secs(3);
-/// How long an entry that was removed in that time is kept.
+/// For how long after the store's return an entry that was removed may come back: entries lapse
+/// while endpoints can't reach the store, and are written anew within this time when they can.
 const DOUBT: Duration = Duration::from_secs(2);
 
 struct Follower {
     gateway: Rc<Gateway>,
     mark: Option<Mark>,
-    /// When a read last failed.
-    trouble_at: Option<Duration>,
+    /// A read has failed and none has succeeded since.
+    troubled: bool,
+    /// When the store last answered again after trouble.
+    returned_at: Option<Duration>,
     /// Entries that were removed and may come back, until when.
     doubted: FxHashMap<Rc<str>, Duration>,
 }
@@ -39,7 +39,8 @@
     let mut follower = Follower {
         gateway,
         mark: None,
-        trouble_at: None,
+        troubled: false,
+        returned_at: None,
         doubted: FxHashMap::default(),
     };
     let mut backoff = Backoff::default();
@@ -82,7 +83,7 @@
             }
             Err(e) => {
                 calls.with_label_values(&["failed"]).inc();
-                self.trouble_at = Some(self.gateway.now());
+                self.troubled = true;
                 Err(e)
             }
         }
@@ -90,6 +91,9 @@
 
     fn take(&mut self, news: EndpointNews) {
         let now = self.gateway.now();
+        if std::mem::take(&mut self.troubled) {
+            self.returned_at = Some(now);
+        }
         self.mark = Some(news.mark);
         self.gateway.heard(On::List, now);
         let known = self.gateway.list_mark.get();
@@ -110,14 +114,14 @@
             self.settle(&endpoint.id);
             self.gateway.list_endpoint(endpoint);
         }
-        let troubled = self.trouble_at.is_some_and(|at| at + TROUBLE > now);
+        let until = self.returned_at.map(|at| at + DOUBT).filter(|t| *t > now);
         for id in removed {
-            match troubled {
-                true => {
+            match until {
+                Some(until) => {
                     self.gateway.doubted.borrow_mut().insert(id.clone());
-                    self.doubted.entry(id).or_insert(now + DOUBT);
+                    self.doubted.entry(id).or_insert(until);
                 }
-                false => self.forget(&id),
+                None => self.forget(&id),
             }
         }
     }
