--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -43,7 +43,7 @@
     } = whole.begun;
     if connection.reusable() {
         let addr = connection.peer();
-        gateway.idle.put(addr, connection);
+        gateway.keep(addr, connection, &admitted.service);
     }
     gateway.platform.dialect.strip(&mut head.headers);
     let kind = admitted.kind_label();
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -298,7 +298,9 @@
         }
         out.end().await?;
         if begun.connection.reusable() {
-            self.gateway.idle.put(chain.first().addr, begun.connection);
+            let addr = chain.first().addr;
+            self.gateway
+                .keep(addr, begun.connection, &self.admitted.service);
         }
         Ok(RunEnd::Complete(status))
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -12,7 +13,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     budget::RetryBudget,
-    catalogue::{Catalogue, Engine},
+    catalogue::{Catalogue, Engine, Service},
     chains::{self, Chain},
     choice::Loads,
     endpoints::{Directory, Endpoint},
@@ -22,7 +23,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    http::pool::Idle,
+    http::{connection::Connection, pool::Idle},
     metrics::Metrics,
     peers::Peers,
     ports::{Dialect, Engines, Mark, ReadCatalogue, Store},
@@ -256,6 +257,13 @@
         let _ = reading.wait_for(|r| *r).await;
     }
 
+    /// Keeps an idle connection to an endpoint of a service, so that all hosts together keep at most
+    /// half of what the endpoint accepts.
+    pub fn keep(&self, addr: SocketAddr, connection: Connection, service: &Service) {
+        let most = service.max_connections / (2 * self.hosts.get().max(1));
+        self.idle.put(addr, connection, most.max(1) as usize);
+    }
+
     /// A request for a service came in.
     pub fn count_request(&self, service: &Rc<str>) {
         let now = self.now();
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -91,7 +91,7 @@
         let head = connection.head().await.map_err(unknown)?;
         let body = connection.whole_body(MOST_ANSWER).await.map_err(unknown)?;
         if connection.reusable() {
-            self.idle.put(addr, connection);
+            self.idle.put(addr, connection, usize::MAX);
         }
         Ok(Answer {
             status: head.status,
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -35,11 +35,11 @@
         None
     }
 
-    /// Keeps a connection that can be used again.
-    pub fn put(&self, addr: SocketAddr, connection: Connection) {
+    /// Keeps a connection that can be used again, if fewer than `most` are kept to its address.
+    pub fn put(&self, addr: SocketAddr, connection: Connection, most: usize) {
         let mut by_addr = self.by_addr.borrow_mut();
         let kept = by_addr.entry(addr).or_default();
-        if kept.len() < MOST_KEPT {
+        if kept.len() < most.min(MOST_KEPT) {
             kept.push((Instant::now(), connection));
         }
     }
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -1,10 +1,81 @@
-//! Structured logs: one JSON object a line on standard output.
+//! Structured logs: one JSON object a line.
+//!
+//! Lines go through a bounded queue to a thread that writes them, so that a reader that stalls never
+//! holds a request. What does not fit is dropped, counted and told.
 
-use std::io::Write;
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, SyncSender, TrySendError},
+    },
+    thread,
+};
 
 use log::kv::{Key, Value, VisitSource};
 use serde_json::{Map, json};
 
+/// What is logged if `RUST_LOG` is unset. The library of calls between hosts has lines for each
+/// call, several a second and host.
+const USUAL: &str = "info,tarpc=warn";
+/// Lines that wait to be written: some seconds of a host in the worst trouble, below 1 MB.
+const QUEUE: usize = 2048;
+
+/// Takes lines, each in one call, and never waits.
+pub struct Lines {
+    tx: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Lines {
+    /// Lines for an output, written by a thread of its own.
+    pub fn to(output: impl Write + Send + 'static) -> io::Result<Self> {
+        let (tx, rx) = mpsc::sync_channel(QUEUE);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = dropped.clone();
+        thread::Builder::new()
+            .name("logs".to_owned())
+            .spawn(move || write_all(&rx, &counted, output))?;
+        Ok(Self { tx, dropped })
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        match self.tx.try_send(line.to_vec()) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until nobody can send any more, or the output is gone.
+fn write_all(rx: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
+    for line in rx {
+        if output.write_all(&line).is_err() {
+            return;
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let told = json!({
+                "t": now_ms(), "level": "WARN", "part": "logs", "m": "Lines were dropped.",
+                "dropped": lost,
+            });
+            if output.write_all(format!("{told}\n").as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
 struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields<'_> {
@@ -19,25 +90,23 @@
     }
 }
 
-/// What is logged if `RUST_LOG` is unset. The library of calls between hosts has lines for each
-/// call, several a second and host.
-const USUAL: &str = "info,tarpc=warn";
+fn now_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
 
-/// Sets up logging; `RUST_LOG` chooses what is logged.
+/// Sets up logging on standard output; `RUST_LOG` chooses what is logged.
 ///
 /// A line has the time since the epoch in ms (`t`), the `level`, the `part` of the program, the
 /// message (`m`) and the fields of the event.
-pub fn init() {
+pub fn init() -> io::Result<()> {
+    let lines = Lines::to(io::stdout())?;
     let env = env_logger::Env::default().default_filter_or(USUAL);
     env_logger::Builder::from_env(env)
-        .target(env_logger::Target::Stdout)
+        .target(env_logger::Target::Pipe(Box::new(lines)))
         .format(|out, record| {
             let mut line = Map::new();
-            let now = std::time::SystemTime::now();
-            let since = now
-                .duration_since(std::time::UNIX_EPOCH)
-                .unwrap_or_default();
-            line.insert("t".to_owned(), json!(since.as_millis() as u64));
+            line.insert("t".to_owned(), json!(now_ms()));
             line.insert("level".to_owned(), json!(record.level().as_str()));
             line.insert("part".to_owned(), json!(record.target()));
             line.insert("m".to_owned(), json!(record.args().to_string()));
@@ -46,4 +115,5 @@
             writeln!(out, "{}", serde_json::Value::Object(line))
         })
         .init();
+    Ok(())
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -60,8 +60,6 @@
     pub endpoint_drain: Duration,
     /// How long after a termination signal the process is killed.
     pub grace: Duration,
-    /// How long an engine waits for a part of its chain that is gone.
-    pub engine_stall: Duration,
     /// The budget of repeats of one service.
     pub retries: BudgetTerms,
 }
@@ -81,7 +79,6 @@
             "config_apply_ms",
             "endpoint_drain_ms",
             "grace_s",
-            "engine_stall_ms",
         ],
     ),
     ("retries", &["ratio", "burst", "window_s"]),
@@ -210,7 +207,6 @@
         let config_apply = r.millis("bounds", "config_apply_ms");
         let endpoint_drain = r.millis("bounds", "endpoint_drain_ms");
         let grace = r.seconds("bounds", "grace_s");
-        let engine_stall = r.millis("bounds", "engine_stall_ms");
         let ratio = r.number("retries", "ratio");
         let burst = r.number("retries", "burst");
         let window = r.seconds("retries", "window_s");
@@ -226,7 +222,6 @@
             config_apply: config_apply?,
             endpoint_drain: endpoint_drain?,
             grace: grace?,
-            engine_stall: engine_stall?,
             retries: BudgetTerms {
                 ratio: ratio?,
                 burst: burst?,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -24,7 +24,6 @@
 config_apply_ms = 2000
 endpoint_drain_ms = 2000
 grace_s = 8
-engine_stall_ms = 2500
 
 [retries]
 ratio = 0.2
