settings: one parser and one error type for both entry programs

The gateway's and the entry host's settings had a parser and a SettingError each. They share crates/settings now; the gateway's messages are the entry host's, which name what would be right. The test expects these, as strictly as before.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,31 +1,11 @@
 //! The host's settings: an INI file, parsed once into checked types.
 
-use std::{fmt, net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use dragonflyrill_catalogue::{DataCentre, Name};
+use dragonflyrill_settings::{Parser, address, addresses, millis, number};
 
-/// A setting that can't be used; names the place and what would be right.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SettingError {
-    /// The file.
-    pub file: String,
-    /// The section.
-    pub section: String,
-    /// The key; empty if the section itself is wrong.
-    pub key: String,
-    /// What is wrong, and what would be right.
-    pub problem: String,
-}
-
-impl fmt::Display for SettingError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: [{}]", self.file, self.section)?;
-        if !self.key.is_empty() {
-            write!(f, " {}", self.key)?;
-        }
-        write!(f, ": {}", self.problem)
-    }
-}
+pub use dragonflyrill_settings::SettingError;
 
 /// All settings of an entry host.
 #[derive(Debug, Clone, PartialEq)]
@@ -74,7 +54,7 @@
 }
 
 /// The sections and keys that may appear.
-const KNOWN: &[(&str, &[&str])] = &[
+const KNOWN: dragonflyrill_settings::Known = &[
     ("host", &["id", "data_centre"]),
     ("listen", &["callers", "peers", "seeds"]),
     (
@@ -97,24 +77,14 @@
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Self, Vec<SettingError>> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| {
-            let problem = format!("can't be read: {e}");
-            let (section, key) = (String::new(), String::new());
-            vec![SettingError {
-                file: file.clone(),
-                section,
-                key,
-                problem,
-            }]
-        })?;
-        Self::parse(&file, &text)
+        let text = dragonflyrill_settings::read(path)?;
+        Self::parse(&path.display().to_string(), &text)
     }
 
     /// Checks `text`, which came from `file`; answers everything that is wrong.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<SettingError>> {
         let mut p = Parser::new(file, text)?;
-        p.refuse_unknown();
+        p.refuse_unknown(KNOWN);
         let host = p.required("host", "id", |v| {
             Name::try_from(v).map_err(|e| e.to_string())
         });
@@ -164,141 +134,10 @@
                 spans: spans?,
             })
         };
-        match checked() {
-            Some(settings) if p.errors.is_empty() => Ok(settings),
-            _ => Err(p.errors),
-        }
+        p.finish(checked())
     }
 }
 
-/// Reads values out of one file and collects what is wrong with them.
-struct Parser<'a> {
-    file: &'a str,
-    ini: ini::Ini,
-    errors: Vec<SettingError>,
-}
-
-impl<'a> Parser<'a> {
-    fn new(file: &'a str, text: &str) -> Result<Self, Vec<SettingError>> {
-        let ini = ini::Ini::load_from_str(text).map_err(|e| {
-            vec![SettingError {
-                file: file.to_owned(),
-                section: String::new(),
-                key: String::new(),
-                problem: format!("line {}: {}", e.line + 1, e.msg),
-            }]
-        })?;
-        Ok(Self {
-            file,
-            ini,
-            errors: Vec::new(),
-        })
-    }
-
-    fn error(&mut self, section: &str, key: &str, problem: String) {
-        let (file, section, key) = (self.file.to_owned(), section.to_owned(), key.to_owned());
-        self.errors.push(SettingError {
-            file,
-            section,
-            key,
-            problem,
-        });
-    }
-
-    fn refuse_unknown(&mut self) {
-        let mut unknown = Vec::new();
-        for (section, properties) in &self.ini {
-            let name = section.unwrap_or_default();
-            let known = KNOWN.iter().find(|(s, _)| *s == name);
-            let Some((_, keys)) = known else {
-                if section.is_some() || !properties.is_empty() {
-                    unknown.push((name.to_owned(), String::new(), sections()));
-                }
-                continue;
-            };
-            for (key, _) in properties {
-                if !keys.contains(&key) {
-                    unknown.push((name.to_owned(), key.to_owned(), keys.join(", ")));
-                }
-            }
-        }
-        for (section, key, known) in unknown {
-            self.error(&section, &key, format!("is not known; known are: {known}"));
-        }
-    }
-
-    fn required<T>(
-        &mut self,
-        section: &str,
-        key: &str,
-        check: impl Fn(&str) -> Result<T, String>,
-    ) -> Option<T> {
-        let Some(value) = self.ini.get_from(Some(section), key).map(str::to_owned) else {
-            self.error(section, key, "is missing".into());
-            return None;
-        };
-        self.check(section, key, &value, check)
-    }
-
-    fn optional<T>(
-        &mut self,
-        section: &str,
-        key: &str,
-        default: &str,
-        check: impl Fn(&str) -> Result<T, String>,
-    ) -> Option<T> {
-        let value = self
-            .ini
-            .get_from(Some(section), key)
-            .unwrap_or(default)
-            .to_owned();
-        self.check(section, key, &value, check)
-    }
-
-    fn check<T>(
-        &mut self,
-        section: &str,
-        key: &str,
-        value: &str,
-        check: impl Fn(&str) -> Result<T, String>,
-    ) -> Option<T> {
-        match check(value) {
-            Ok(checked) => Some(checked),
-            Err(right) => {
-                self.error(section, key, format!("{value:?} can't be used: {right}"));
-                None
-            }
-        }
-    }
-}
-
-fn sections() -> String {
-    let names: Vec<_> = KNOWN.iter().map(|(s, _)| *s).collect();
-    names.join(", ")
-}
-
-fn address(value: &str) -> Result<SocketAddr, String> {
-    let right = "an IP number and a port are needed, such as 10.0.0.7:8080";
-    value.parse().map_err(|_| right.to_owned())
-}
-
-fn addresses(value: &str) -> Result<Vec<SocketAddr>, String> {
-    let parts = value.split(',').map(str::trim);
-    parts.filter(|p| !p.is_empty()).map(address).collect()
-}
-
-fn number(value: &str, min: u64, max: u64) -> Result<u64, String> {
-    let right = format!("a whole number from {min} to {max} is needed");
-    match value.parse::<u64>() {
-        Ok(n) if (min..=max).contains(&n) => Ok(n),
-        _ => Err(right),
-    }
-}
-
-fn millis(value: &str, min: u64, max: u64) -> Result<Duration, String> {
-    number(value, min, max).map(Duration::from_millis)
-}
-
 fn spans(value: &str) -> Result<Spans, String> {
     if value == "off" {
         return Ok(Spans::Off);
