--- a/crates/limits/src/host.rs
+++ b/crates/limits/src/host.rs
@@ -1,5 +1,8 @@
 //! The limiter of one host: dispatches events to the session and to the keys.
 
+mod messages;
+mod work;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -12,7 +15,7 @@
 use dragonflyrill_platform::{error::PlatformError, table::TxnOutcome};
 use dragonflyrill_protocol::{
     HostRef,
-    rights::{Demand, Grant, KeyId, Message, SHARDS, ShardMap},
+    rights::{KeyId, SHARDS},
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -23,8 +26,7 @@
     Action, Ask, Refusal, Ticket, TxnId,
     config::{Config, Declaration, Peer},
     key::{Key, Out},
-    lender::Lending,
-    session::{Held, Known, Session},
+    session::{Known, Session},
     split::Fraction,
     status::{KeyStatus, Status},
 };
@@ -211,184 +213,6 @@
         }
     }
 
-    /// Takes a peer's message in.
-    pub fn receive(
-        &mut self,
-        now: Duration,
-        from: &HostRef,
-        message: Message,
-        actions: &mut Vec<Action>,
-    ) {
-        match message {
-            Message::Beat { seq, revision } => self.receive_beat(now, from, seq, revision, actions),
-            Message::BeatAck { seq, revision } => {
-                self.session.promised(from, seq);
-                self.tell_newer(from, revision, actions);
-            }
-            Message::Map { revision, map } => {
-                self.receive_map(now, from, Known { revision, map }, actions);
-            }
-            Message::Demand(demands) => {
-                for demand in &demands {
-                    self.receive_demand(now, from, demand, actions);
-                }
-            }
-            Message::Grant(grants) => {
-                for grant in &grants {
-                    self.receive_grant(now, from, grant, actions);
-                }
-            }
-        }
-        self.flush(actions);
-    }
-
-    fn receive_beat(
-        &mut self,
-        now: Duration,
-        from: &HostRef,
-        seq: u32,
-        revision: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        if self.session.promise(now, from) {
-            let message = Message::BeatAck {
-                seq,
-                revision: self.map_revision(),
-            };
-            actions.push(Action::Send {
-                to: from.clone(),
-                message,
-            });
-        }
-        self.tell_newer(from, revision, actions);
-    }
-
-    fn map_revision(&self) -> u64 {
-        self.session.known().map_or(0, |k| k.revision)
-    }
-
-    fn tell_newer(&mut self, to: &HostRef, revision: u64, actions: &mut Vec<Action>) {
-        if self.map_revision() > revision {
-            self.send_map(to, actions);
-        }
-    }
-
-    fn send_map(&self, to: &HostRef, actions: &mut Vec<Action>) {
-        let Some(known) = self.session.known().filter(|k| k.revision > 0) else {
-            return;
-        };
-        actions.push(Action::Send {
-            to: to.clone(),
-            message: Message::Map {
-                revision: known.revision,
-                map: known.map.clone(),
-            },
-        });
-    }
-
-    fn receive_map(
-        &mut self,
-        now: Duration,
-        from: &HostRef,
-        found: Known,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(peer) = self.peers.iter().find(|p| p.host == *from) else {
-            return;
-        };
-        if found.map.main.len() != SHARDS || found.map.floor.len() != SHARDS {
-            log::warn!("limits: {} sent a shard map of another size", from.id);
-            return;
-        }
-        if peer.data_centre == self.cfg.data_centre {
-            let old = self.session.known().cloned();
-            if self.session.adopt(now, found) {
-                self.map_changed(now, old, false, actions);
-            }
-            return;
-        }
-        let known = self.maps.entry(peer.data_centre.clone()).or_default();
-        if known.revision < found.revision {
-            *known = found;
-            self.find_lenders();
-        }
-    }
-
-    /// The map of this data centre is another than `old`.
-    fn map_changed(
-        &mut self,
-        now: Duration,
-        old: Option<Known>,
-        wrote: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let old = old.unwrap_or_default();
-        let Some(new) = self.session.known().cloned() else {
-            return;
-        };
-        let until = now + self.cfg.terms.giver(self.cfg.terms.loan);
-        for i in 0..SHARDS {
-            let me = &self.cfg.me;
-            let gained = |holders: fn(&ShardMap) -> &[Option<HostRef>]| {
-                let before = holders(&old.map).get(i).cloned().flatten();
-                let mine = holders(&new.map).get(i) == Some(&Some(me.clone()));
-                // What was taken from another, or from nobody as the first, had lapsed before.
-                let lapsed = wrote && (before.is_some() || old.revision == 0);
-                mine && before.as_ref() != Some(me) && !lapsed
-            };
-            let blind = &mut self.blind[i];
-            if gained(|m| &m.main) {
-                blind.main = until;
-            }
-            if gained(|m| &m.floor) {
-                blind.floor = until;
-            }
-        }
-        self.find_lenders();
-        if wrote && (old.map.main != new.map.main || old.map.members.len() != new.map.members.len())
-        {
-            let peers: Vec<HostRef> = self.peers.iter().map(|p| p.host.clone()).collect();
-            for peer in peers {
-                self.send_map(&peer, actions);
-            }
-        }
-        self.work_all(now, actions);
-    }
-
-    fn receive_demand(
-        &mut self,
-        now: Duration,
-        from: &HostRef,
-        demand: &Demand,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(i) = self.ids.get(&demand.key).copied() else {
-            return;
-        };
-        self.hold(now, i);
-        let peer = self.peers.iter().find(|p| p.host == *from);
-        let local = peer.is_some_and(|p| p.data_centre == self.cfg.data_centre);
-        match &mut self.keys[i].lender {
-            Some(lender) => lender.demand(now, from, local, demand),
-            None => self.send_map(from, actions),
-        }
-        self.work(now, i, actions);
-    }
-
-    fn receive_grant(
-        &mut self,
-        now: Duration,
-        from: &HostRef,
-        grant: &Grant,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(i) = self.ids.get(&grant.key).copied() else {
-            return;
-        };
-        self.keys[i].holder.grant(now, from, grant, &self.cfg.terms);
-        self.work(now, i, actions);
-    }
-
     /// Takes the answer to [`Action::Txn`] in.
     pub fn table(
         &mut self,
@@ -451,133 +275,6 @@
             keys,
         }
     }
-
-    fn work_session(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if let Some((to, seq)) = self.session.beat(now) {
-            let revision = self.map_revision();
-            let message = Message::Beat { seq, revision };
-            actions.push(Action::Send { to, message });
-        }
-        let live = self.live();
-        if let Some((id, txn)) = self.session.txn(now, &live) {
-            actions.push(Action::Txn { id, txn });
-        }
-    }
-
-    fn work_all(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for i in 0..self.keys.len() {
-            self.work(now, i, actions);
-        }
-        self.flush(actions);
-    }
-
-    /// Lends what this host holds of key `i`'s shard now.
-    fn hold(&mut self, now: Duration, i: usize) {
-        let key = &mut self.keys[i];
-        let shard = key.id.shard();
-        let held = self.session.held(now, shard);
-        let blind = &mut self.blind[shard];
-        let usable = Held {
-            main: held.main && now >= blind.main,
-            floor: held.floor && now >= blind.floor,
-        };
-        if key.hold(now, usable, &self.cfg.terms) && held == Held::default() {
-            // Should it hold the shard again, its loans of now may still last.
-            let until = now + self.cfg.terms.giver(self.cfg.terms.loan);
-            (blind.main, blind.floor) = (until, until);
-        }
-    }
-
-    fn work(&mut self, now: Duration, i: usize, actions: &mut Vec<Action>) {
-        self.hold(now, i);
-        let lending = Lending {
-            until: self.session.until(now),
-            terms: self.cfg.terms,
-        };
-        let from = actions.len();
-        let key = &mut self.keys[i];
-        if let Some(at) = key.due.take() {
-            self.timers.remove(&(at, i));
-        }
-        key.work(now, &self.cfg.me, &lending, actions, &mut self.out);
-        if let Some(at) = key.due {
-            // Work that could not be done now is not tried again in the same instant.
-            let at = at.max(now + Duration::from_millis(1));
-            key.due = Some(at);
-            self.timers.insert((at, i));
-        }
-        for action in &mut actions[from..] {
-            if let Action::Refuse {
-                ticket,
-                retry_after,
-                ..
-            } = action
-            {
-                self.tickets.remove(ticket);
-                let wait = *retry_after;
-                *retry_after = spread(&mut self.rng, wait);
-            }
-        }
-    }
-
-    fn spread(&mut self, wait: Duration) -> Duration {
-        spread(&mut self.rng, wait)
-    }
-
-    /// Gathers the messages about keys by receiver.
-    fn flush(&mut self, actions: &mut Vec<Action>) {
-        let mut gathered: BTreeMap<HostRef, (Vec<Demand>, Vec<Grant>)> = BTreeMap::new();
-        for out in self.out.drain(..) {
-            match out {
-                Out::Demand(to, demand) => gathered.entry(to).or_default().0.push(demand),
-                Out::Grant(to, grant) => gathered.entry(to).or_default().1.push(grant),
-            }
-        }
-        for (to, (demands, grants)) in gathered {
-            for message in [Message::Demand(demands), Message::Grant(grants)] {
-                let empty = matches!(&message, Message::Demand(d) if d.is_empty())
-                    || matches!(&message, Message::Grant(g) if g.is_empty());
-                if !empty {
-                    let to = to.clone();
-                    actions.push(Action::Send { to, message });
-                }
-            }
-        }
-    }
-
-    fn find_lenders(&mut self) {
-        for i in 0..self.keys.len() {
-            self.keys[i].lenders = self.lenders(i);
-        }
-    }
-
-    /// Who may lend rights of key `i`: this data centre's holders first, then the others' in an
-    /// order that differs from host to host.
-    fn lenders(&self, i: usize) -> Vec<HostRef> {
-        let key = &self.keys[i];
-        let shard = key.id.shard();
-        let Some(limit) = &key.limit else {
-            return Vec::new();
-        };
-        let mut lenders = Vec::new();
-        let own = self.session.known().map(|k| (&self.cfg.data_centre, k));
-        let seed = xxh3::xxh3_64(self.cfg.me.id.to_string().as_bytes());
-        let mut others: Vec<_> = self.maps.iter().collect();
-        others.sort_by_key(|(dc, _)| xxh3::xxh3_64_with_seed(dc.as_str().as_bytes(), seed));
-        for (dc, known) in own.into_iter().chain(others) {
-            if Fraction::of(limit, key.id, &key.data_centres, dc) == Fraction::None {
-                continue;
-            }
-            for holders in [&known.map.main, &known.map.floor] {
-                if let Some(Some(host)) = holders.get(shard)
-                    && !lenders.contains(host)
-                {
-                    lenders.push(host.clone());
-                }
-            }
-        }
-        lenders
-    }
 }
 
 /// The hash of a key.
