forward: callers that no endpoint can take come back after a second or more

Cause: a request that no chain has layers or memory for was asked back within half a second, while loads and answers take seconds; the caller's one retry met the same refusal (priced as refused again).

--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -11,6 +11,10 @@
 
 /// When a refused caller may come back, at least; spread, so that callers don't return together.
 const COME_BACK: Duration = Duration::from_millis(150);
+/// When a caller may come back that no endpoint can take, at least, and the spread: loads of layers and
+/// answers take seconds. Callers with less time come back after a third of it.
+const LATER: Duration = Duration::from_millis(900);
+const LATER_SPREAD: Duration = Duration::from_millis(1600);
 /// When a caller may come back to another host, at most.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 /// The spread of that.
@@ -61,6 +65,8 @@
         match self {
             // Another host takes it at once.
             Self::Leaving => Some(ELSEWHERE.mul_f64(draw)),
+            // Layers have to be loaded first, or requests to end.
+            Self::NoEndpoint(_) => Some(LATER + LATER_SPREAD.mul_f64(draw)),
             _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => {
                 Some(COME_BACK + COME_BACK_SPREAD.mul_f64(draw))
             }
