forward: nothing takes back that a request may have run

Found by reading the code. (1) A call or stream that may be repeated and whose first send may have run was answered 503, not run, if the second was refused. (2) A late refusal that belongs to another request was taken for this one's: the attempt id was checked after the refusal. Change: one record of a request's failed sends, used by calls and streams, in which a refusal never replaces a send that may have run; the attempt id is checked first.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -14,6 +14,7 @@
     refusal::Refusal,
     send::{self, Begun, Failed, Target},
     success,
+    tries::Tries,
 };
 use crate::{gateway::Gateway, http::callers::Responder};
 
@@ -59,53 +60,47 @@
 
 async fn answer(gateway: &Gateway, admitted: &Admitted) -> Result<Whole, Refusal> {
     let mut tried: Vec<Rc<str>> = Vec::new();
-    let mut last = Refusal::NoEndpoint("no endpoint of the service is known");
+    let mut tries = Tries::new(Refusal::NoEndpoint("no endpoint of the service is known"));
     let mut failure: Option<Whole> = None;
     let repeatable = admitted.route.kind == RouteKind::Idempotent;
     let most = admitted.route.max_attempts.max(1);
-    let mut sent = 0;
     for _ in 0..most + MORE_TRIES {
-        if admitted.left().is_zero() || sent >= most {
+        if admitted.left().is_zero() || tries.sent() >= most {
+            break;
+        }
+        if tries.may_have_run() && !repeatable {
             break;
         }
         let Some(endpoint) = pick(gateway, admitted, &tried) else {
             break;
         };
-        if sent > 0 && !gateway.may_repeat(&admitted.service.name) {
-            break;
-        }
-        if sent > 0 {
+        if tries.sent() > 0 {
+            if !gateway.may_repeat(&admitted.service.name) {
+                break;
+            }
             gateway.metrics.repeats.inc();
         }
         tried.push(endpoint.id.clone());
-        let more = repeatable && sent + 1 < most;
+        let more = repeatable && tries.sent() + 1 < most;
         let left = admitted.left();
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
         match attempt_at(gateway, admitted, &endpoint, limit).await {
             Ok(whole) if success(whole.begun.head.status) || !may_improve(&whole, more) => {
                 return Ok(whole);
             }
-            Ok(whole) => failure = Some(whole),
-            Err(Failed::NotSent(why)) => {
-                last = Refusal::NotRun(why);
-                continue;
-            }
-            Err(Failed::NotRun(why)) => last = Refusal::NotRun(why),
-            Err(Failed::MayHaveRun(why)) => {
-                last = Refusal::MayHaveRun(why);
-                if !repeatable {
-                    break;
-                }
+            Ok(whole) => {
+                failure = Some(whole);
+                tries.answered();
             }
+            Err(failed) => tries.failed(failed),
         }
-        sent += 1;
     }
     if let Some(whole) = failure {
         return Ok(whole);
     }
-    match (&last, admitted.left().is_zero()) {
-        (Refusal::MayHaveRun(_), true) => Err(Refusal::OutOfTime),
-        _ => Err(last),
+    match tries.may_have_run() && admitted.left().is_zero() {
+        true => Err(Refusal::OutOfTime),
+        false => Err(tries.refusal()),
     }
 }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod refusal;
 mod send;
 mod stream;
+mod tries;
 
 use std::{io, rc::Rc, time::Duration};
 
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -112,14 +112,15 @@
     after: Duration,
 ) -> Result<Begun, Failed> {
     let head = &answer.head;
+    // Before anything else: what belongs to another request says nothing of this one.
+    if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
+        return Err(Failed::MayHaveRun("the answer is another's".to_owned()));
+    }
     if facts.not_run || (facts.misdirected && head.status == StatusCode::MISDIRECTED_REQUEST) {
         let at = facts.fault_at.unwrap_or(target.addr);
         note_refusal(gateway, at, head.status, after);
         return Err(Failed::NotRun(format!("{} by {at}", head.status.as_u16())));
     }
-    if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
-        return Err(Failed::MayHaveRun("the answer is another's".to_owned()));
-    }
     if facts.encoded || !facts.sealed {
         let why = format!("{} is not the endpoint's answer", head.status.as_u16());
         return Err(Failed::MayHaveRun(why));
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    catalogue::{Engine, RouteKind},
+    catalogue::Engine,
     chains::{Chain, Part},
     choice::{self, Want},
     layers::LayerRange,
@@ -20,6 +20,7 @@
     refusal::Refusal,
     send::{self, Begun, Failed, Target},
     success,
+    tries::Tries,
 };
 use crate::{gateway::Gateway, http::callers::Responder};
 
@@ -51,10 +52,9 @@
         admitted,
         events: Events::after(admitted.incoming.last_event),
         tried: Vec::new(),
-        sent: 0,
+        tries: Tries::new(Refusal::NoEndpoint("no chain covers all layers")),
         tokens: 0.0,
         expected_first: Duration::ZERO,
-        short: false,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     let label = admitted.kind_label();
@@ -88,14 +88,12 @@
     events: Events,
     /// First stages that it was sent to.
     tried: Vec<Rc<str>>,
-    /// Runs that have been sent.
-    sent: u32,
+    /// Runs that failed.
+    tries: Tries,
     /// Tokens that it needs memory for.
     tokens: f64,
     /// Until the first event of the run, as expected when its chain was chosen.
     expected_first: Duration,
-    /// All chains were full when one was to be chosen.
-    short: bool,
 }
 
 /// How a run ended.
@@ -110,56 +108,39 @@
     /// Whether another run may follow one that may have run.
     fn may_go_on(&self) -> bool {
         let most = self.admitted.route.max_attempts.max(1);
-        self.admitted.route.kind.repeatable() && self.sent + 1 < most
+        self.admitted.route.kind.repeatable() && self.tries.sent() + 1 < most
     }
 
     async fn run(&mut self, out: &mut Responder<'_>) -> Result<http::StatusCode, Ended> {
         let Some(engine) = self.admitted.service.engine.clone() else {
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
-        let resumable = self.admitted.route.kind == RouteKind::Stream { resumable: true };
-        let mut last = Refusal::NoEndpoint("no chain covers all layers");
-        let mut ran = false;
+        let resumable = self.admitted.route.kind.repeatable();
         let most = self.admitted.route.max_attempts.max(1);
         for _ in 0..most + call::MORE_TRIES {
-            if self.sent >= most {
+            if self.tries.sent() >= most || (self.tries.may_have_run() && !resumable) {
                 break;
             }
             let Some(chain) = self.choose(&engine) else {
-                if self.short && self.sent == 0 {
-                    last = Refusal::NoEndpoint("memory is short everywhere");
-                }
                 break;
             };
-            if self.sent > 0 && !self.gateway.may_repeat(&self.admitted.service.name) {
-                break;
-            }
-            if self.sent > 0 {
+            if self.tries.sent() > 0 {
+                if !self.gateway.may_repeat(&self.admitted.service.name) {
+                    break;
+                }
                 self.gateway.metrics.repeats.inc();
                 self.events.resume();
             }
             self.tried.push(chain.first().id.clone());
-            let failed = match self.run_on(&chain, out).await? {
+            match self.run_on(&chain, out).await? {
                 RunEnd::Complete(status) => return Ok(status),
-                RunEnd::Failed(failed) => failed,
-            };
-            self.note(&chain, &failed, out.started());
-            self.sent += u32::from(!matches!(failed, Failed::NotSent(_)));
-            match failed {
-                Failed::NotSent(why) if !ran => last = Refusal::NotRun(why),
-                Failed::NotSent(_) => {}
-                Failed::NotRun(why) if !ran => last = Refusal::NotRun(why),
-                Failed::NotRun(_) => {}
-                Failed::MayHaveRun(why) => {
-                    ran = true;
-                    last = Refusal::MayHaveRun(why);
-                    if !resumable {
-                        break;
-                    }
+                RunEnd::Failed(failed) => {
+                    self.note(&chain, &failed, out.started());
+                    self.tries.failed(failed);
                 }
             }
         }
-        Err(last.into())
+        Err(self.tries.refusal().into())
     }
 
     fn note(&self, chain: &Chain, failed: &Failed, started: bool) {
@@ -189,7 +170,8 @@
             .or_else(|| choice::choose(&chains, &loads, &want, now, untried))?;
         let expected = choice::expect(&chains[chosen], &want, |id| loads.at(id, now));
         if expected.fill > MOST_FILL {
-            self.short = true;
+            let short = Refusal::NoEndpoint("memory is short everywhere");
+            self.tries.not_sent(short);
             return None;
         }
         self.expected_first = Duration::from_secs_f64(expected.first_ms.max(0.0) / 1000.0);
