--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -141,8 +141,6 @@
     pub usual_answer: f64,
     /// Tokens in one event of a stream.
     pub tokens_per_event: f64,
-    /// How long a load of all layers takes.
-    pub load: Duration,
     /// The kinds of accelerators.
     pub accelerators: Vec<Accelerator>,
 }
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -41,8 +41,6 @@
     /// The rows of hosts: the version, when it was first seen, and what it says.
     hosts: FxHashMap<String, (u64, Duration, FleetHost)>,
     read_at: Option<Duration>,
-    /// The row of the duty that was last told by another host.
-    told: Option<DutyRow>,
     beat_at: Option<Duration>,
 }
 
@@ -56,7 +54,6 @@
         gateway: gateway.clone(),
         hosts: FxHashMap::default(),
         read_at: None,
-        told: None,
         beat_at: None,
     };
     let mut placing = Placing::new(gateway.clone());
@@ -112,7 +109,6 @@
         let told = self.gateway.peers.duty();
         if told.is_some() && !self.duty.held(now) {
             self.duty.read(now, told.as_ref().map(told_row));
-            self.told = told;
         }
     }
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -135,7 +135,6 @@
             peers.set_duty(news.duty);
         }
         let loads = from_wire(&news.loads);
-        *peers.told.borrow_mut() = Some((loads.clone(), now));
         gateway.loads.borrow_mut().told(loads, now);
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -49,8 +49,6 @@
     passed_over: RefCell<FxHashMap<String, (Duration, u32)>>,
     /// Hosts of this data centre, and the reading hosts of others, by name.
     heard: RefCell<FxHashMap<String, Heard>>,
-    /// The loads of the others, as the host that this one asks told them.
-    told: RefCell<Option<(LoadMap, Duration)>>,
     /// Up to where the list of the host that this one asks is known.
     list: Cell<ListMark>,
     /// The row of the duty as it was last read or told.
