placing: check the duty again between asking engines and ordering

Found by reading: asking engines may take 0.7 s, more than what the holder keeps back of its term, so that an order could leave when another host had taken over. Orders are absolute and carry the count of orders that the engine must be at, so nothing broke; the holder's promise to stop in time is now kept. Change: the duty is looked at again before the orders.

--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -77,8 +77,9 @@
         self.known.clear();
     }
 
-    /// Orders what is missing.
-    pub(super) async fn round(&mut self) {
+    /// Orders what is missing, if `held` still says so when the engines have been asked: that takes
+    /// a good part of what the holder keeps back of its term.
+    pub(super) async fn round(&mut self, held: impl Fn() -> bool) {
         let Some(catalogue) = self.gateway.catalogue.borrow().clone() else {
             return;
         };
@@ -101,6 +102,9 @@
                 Some(Known::Loading(..) | Known::Unsure(_)) => false,
             });
             self.planned_for = placements.is_empty().then_some(candidates);
+            if !held() {
+                return;
+            }
             self.order(&endpoints, placements).await;
         }
         let directory = self.gateway.directory.borrow();
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -68,7 +68,10 @@
         }
         let now = gateway.now();
         match roster.duty.held(now) && !gateway.leaving() {
-            true => placing.round().await,
+            true => {
+                let duty = &roster.duty;
+                placing.round(|| duty.held(gateway.now())).await;
+            }
             false => placing.pause(),
         }
         time::sleep(TICK).await;
