--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -9,16 +9,16 @@
 use super::Admitted;
 use crate::{gateway::Gateway, http::callers::Responder, ports::Incoming};
 
-/// When a refused caller may come back, at least; spread, so that callers don't return together.
+/// When a refused caller may come back, at least, and the spread, so that callers don't return
+/// together. An engine that refused has room again in a few hundred ms.
 const COME_BACK: Duration = Duration::from_millis(150);
-/// When a caller may come back that no endpoint can take, at least, and the spread: loads of layers and
-/// answers take seconds. Callers with less time come back after a third of it.
+const COME_BACK_SPREAD: Duration = Duration::from_millis(350);
+/// When a caller may come back that no endpoint can take, at least, and the spread: loads of layers
+/// and answers take seconds. Callers with less time come back after a third of it.
 const LATER: Duration = Duration::from_millis(900);
 const LATER_SPREAD: Duration = Duration::from_millis(1600);
 /// When a caller may come back to another host, at most.
 const ELSEWHERE: Duration = Duration::from_millis(50);
-/// The spread of that.
-const COME_BACK_SPREAD: Duration = Duration::from_millis(350);
 
 /// Why the gateway answers itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
