Read once more: count resumed streams once, take the loads' sum and the rooms in one place

Found by reading the whole change. dragonflyrill_resumed_streams_total grew with each batch of events after a resume and not with each resume; it is counted where a run goes on, as its help says. The sum of all hosts' loads was taken in two halves and added. The number of hosts was written into the loads for each request; it is written when it is learned. The amounts of room that the planner tries stood twice. The planner's doc said that only empty endpoints are ordered.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -68,7 +68,7 @@
     accelerator: &'a Accelerator,
 }
 
-/// What the endpoints that hold nothing should load.
+/// What endpoints should load: all that hold nothing, and loaded ones that are worth moving.
 pub fn plan(engine: &Engine, candidates: &[Candidate]) -> Vec<Placement> {
     let mut centres: Vec<&Rc<str>> = candidates.iter().map(|c| &c.data_centre).collect();
     centres.sort();
@@ -134,8 +134,9 @@
 /// Places covers on endpoints of which none holds anything.
 fn cover_anew(engine: &Engine, slots: &[Slot<'_>], out: &mut Vec<Placement>) {
     let free: Vec<usize> = (0..slots.len()).collect();
-    let steps = (0..ROOM_STEPS).map(|step| FEWEST_REQUESTS + f64::from(step) * ROOM_STEP);
-    let mut plans: Vec<Vec<Cover>> = steps.map(|most| many_covers(engine, slots, most)).collect();
+    let mut plans: Vec<Vec<Cover>> = rooms()
+        .map(|most| many_covers(engine, slots, most))
+        .collect();
     plans.push(best_covers(engine, slots, &free, MOST_COVERS));
     let worth = |covers: &Vec<Cover>| worth(covers, slots.len());
     let best = plans
@@ -151,6 +152,11 @@
     fill_gaps(engine, slots, out);
 }
 
+/// The amounts of room that are tried, in requests, the least first.
+fn rooms() -> impl Iterator<Item = f64> {
+    (0..ROOM_STEPS).map(|step| FEWEST_REQUESTS + f64::from(step) * ROOM_STEP)
+}
+
 /// As many covers as there are, with room for `most` requests while that lasts, and then with less
 /// and less.
 fn many_covers(engine: &Engine, slots: &[Slot<'_>], most: f64) -> Vec<Cover> {
@@ -183,8 +189,7 @@
     }
     let mut best: (f64, Vec<Cover>) = (0.0, Vec::new());
     let mut seen: Vec<Vec<(usize, LayerRange)>> = Vec::new();
-    for step in 0..ROOM_STEPS {
-        let requests = FEWEST_REQUESTS + f64::from(step) * ROOM_STEP;
+    for requests in rooms() {
         let sizes = sizes(engine, slots, requests);
         let Some(members) = cover(engine.layers, &sizes, free) else {
             // Endpoints hold less and less from here on.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -129,6 +129,10 @@
                     break;
                 }
                 self.gateway.metrics.repeats.inc();
+                self.gateway
+                    .metrics
+                    .resumed
+                    .inc_by(u64::from(out.started()));
                 self.events.resume();
             }
             self.tried.push(chain.first().id.clone());
@@ -162,8 +166,7 @@
         let now = gateway.now();
         let want = want(self.admitted, engine);
         self.tokens = want.prompt + want.answer;
-        let mut loads = gateway.loads.borrow_mut();
-        loads.hosts = gateway.hosts.get();
+        let loads = gateway.loads.borrow();
         let untried = |chain: &Chain| !self.tried.contains(&chain.first().id);
         let with_room = |chain: &Chain| untried(chain) && !loads.full(chain, now);
         let chosen = choice::choose(&chains, &loads, &want, now, with_room)
@@ -297,8 +300,6 @@
             let mut headers = std::mem::take(&mut begun.head.headers);
             self.gateway.platform.dialect.strip(&mut headers);
             out.begin(begun.head.status, headers)?;
-        } else if self.tried.len() > 1 && self.events.last().is_some() {
-            self.gateway.metrics.resumed.inc();
         }
         self.gateway.metrics.relayed.inc_by(events.len() as u64);
         out.piece(events).await?;
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -11,7 +11,7 @@
 use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
 use tokio::time;
 
-use super::{FIRST_HOSTS, add, from_wire, serve::own_data_centre, to_wire};
+use super::{FIRST_HOSTS, from_wire, serve::own_data_centre, to_wire};
 use crate::{
     control::catalogue::wait,
     gateway::{Gateway, On},
@@ -60,6 +60,7 @@
         let peers = &gateway.peers;
         let hosts = peers.fleet.borrow().len().max(1) as u32;
         gateway.hosts.set(hosts);
+        gateway.loads.borrow_mut().hosts = hosts;
     }
 
     /// Asks the first hosts of this data centre that work; true if one had fresh news.
@@ -153,8 +154,7 @@
             }
         }
         let now = gateway.now();
-        let mut others = peers.sum(now, |_, d| d == near);
-        add(&mut others, &peers.sum(now, |_, d| d != near));
+        let others = peers.sum(now, |_, _| true);
         gateway.loads.borrow_mut().told(others, now);
     }
 
