--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -9,11 +9,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use dragonflyrill_adapter::store::Table;
 use dragonflyrill_catalogue::state::{ChangeId, Revision};
-use dragonflyrill_platform::{
-    catalogue_store::{CatalogueStore, Commit, Loaded, Proposal},
-    table::Table,
-};
+use dragonflyrill_store::catalogue_store::{CatalogueStore, Commit, Loaded, Proposal};
 use serde::Serialize;
 
 use super::{status::Lagging, wanted};
--- a/crates/ctl/src/commands/apply/conflict.rs
+++ b/crates/ctl/src/commands/apply/conflict.rs
@@ -7,7 +7,7 @@
     render,
     state::{Catalogue, Change, Revision},
 };
-use dragonflyrill_platform::catalogue_store::{Head, Proposal};
+use dragonflyrill_store::catalogue_store::{Head, Proposal};
 use serde::Serialize;
 
 /// The most entries listed that only others changed; `watch` shows them all.
--- a/crates/ctl/src/commands/apply/restore.rs
+++ b/crates/ctl/src/commands/apply/restore.rs
@@ -1,7 +1,7 @@
 //! `apply --restore-above`: brings a store that went back forward again.
 
 use dragonflyrill_catalogue::{diff, state::Revision, validate};
-use dragonflyrill_platform::catalogue_store::{Commit, Restoration};
+use dragonflyrill_store::catalogue_store::{Commit, Restoration};
 
 use super::{Applied, Conflict, accepted, author, change_id, now_ms, refuse_hosts_above};
 use crate::{args, context::Context, error::CtlError, files};
--- a/crates/ctl/src/commands/watch.rs
+++ b/crates/ctl/src/commands/watch.rs
@@ -3,14 +3,12 @@
 use std::{fmt, time::Duration};
 
 use actix_rt::time;
+use dragonflyrill_adapter::store::Table;
 use dragonflyrill_catalogue::{
     render,
     state::{Change, Revision},
 };
-use dragonflyrill_platform::{
-    catalogue_store::{CatalogueStore, StoreError},
-    table::Table,
-};
+use dragonflyrill_store::catalogue_store::{CatalogueStore, StoreError};
 use serde::Serialize;
 
 use crate::{
--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -2,21 +2,14 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dragonflyrill_platform::{
+use dragonflyrill_adapter::store::{Objects, Table};
+use dragonflyrill_store::{
     catalogue_store::CatalogueStore,
-    host_list::Hosts,
-    objects::Objects,
-    table::{
-        Table,
-        retry::{Retry, RetryPolicy},
-    },
+    table::retry::{Retry, RetryPolicy},
 };
 
 use crate::{args::Args, error::CtlError};
 
-/// The bucket of the object store that the system uses.
-pub const BUCKET: &str = "dragonflyrill";
-
 /// Clients with the time limits of one run.
 pub struct Context {
     platform: Result<SocketAddr, String>,
@@ -38,8 +31,7 @@
     /// # Errors
     /// [`CtlError::Usage`] without a platform.
     pub fn store(&self) -> Result<CatalogueStore<Table>, CtlError> {
-        let table = Table::new(self.platform()?, self.call_limit);
-        Ok(CatalogueStore::new(table, retry()))
+        Ok(CatalogueStore::new(self.table()?, retry()))
     }
 
     /// The object store.
@@ -47,15 +39,15 @@
     /// # Errors
     /// [`CtlError::Usage`] without a platform.
     pub fn objects(&self) -> Result<Objects, CtlError> {
-        Ok(Objects::new(self.platform()?, BUCKET, self.call_limit))
+        Ok(Objects::new(self.platform()?, self.call_limit))
     }
 
-    /// The host list.
+    /// The table.
     ///
     /// # Errors
     /// [`CtlError::Usage`] without a platform.
-    pub fn hosts(&self) -> Result<Hosts, CtlError> {
-        Ok(Hosts::new(self.platform()?, self.call_limit))
+    pub fn table(&self) -> Result<Table, CtlError> {
+        Ok(Table::new(self.platform()?, self.call_limit))
     }
 
     fn platform(&self) -> Result<SocketAddr, CtlError> {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -6,7 +6,7 @@
     fault::{Fault, Faults},
     state::{ChangeId, Revision},
 };
-use dragonflyrill_platform::{PlatformError, catalogue_store::StoreError};
+use dragonflyrill_store::{PlatformError, catalogue_store::StoreError};
 use serde::{Serialize, Serializer, ser::SerializeStruct};
 
 use crate::report::{Exit, Report};
--- a/crates/ctl/src/host_status.rs
+++ b/crates/ctl/src/host_status.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::time;
 use dragonflyrill_catalogue::state::Revision;
-use dragonflyrill_platform::host_list::{HostRecord, Role};
+use dragonflyrill_store::entry_hosts;
 use serde::{Deserialize, Serialize};
 
 use crate::{context::Context, error::CtlError};
@@ -124,13 +124,12 @@
 /// # Errors
 /// [`CtlError`] when the list can't be read; a host that does not answer is not an error.
 pub async fn listed(cx: &Context) -> Result<Vec<EntryHost>, CtlError> {
-    let list = cx.hosts()?.list().await?;
-    let entries = list.records.into_iter().filter(is_entry);
-    let asked = entries.map(|record| EntryHost {
-        id: record.id.to_string(),
-        data_centre: record.data_centre.to_string(),
-        addr: record.addr,
-        leaving: record.leaving,
+    let listed = entry_hosts::list(&cx.table()?).await?;
+    let asked = listed.into_iter().map(|host| EntryHost {
+        id: host.id.to_string(),
+        data_centre: host.data_centre.to_string(),
+        addr: host.callers,
+        leaving: host.leaving,
         in_force: InForce::Unreachable(String::new()),
     });
     Ok(ask(cx, asked.collect()).await)
@@ -148,10 +147,6 @@
     ask(cx, asked.collect()).await
 }
 
-fn is_entry(record: &HostRecord) -> bool {
-    matches!(record.role, Role::Entry { .. })
-}
-
 /// Asks all hosts at once; the answers are in the order of `hosts`.
 async fn ask(cx: &Context, hosts: Vec<EntryHost>) -> Vec<EntryHost> {
     let client = awc::Client::builder().disable_redirects().finish();
--- a/crates/delivery/src/record/batch.rs
+++ b/crates/delivery/src/record/batch.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-use dragonflyrill_platform::table::{Condition, KeyRange, Op, Row, Rows, Txn};
+use dragonflyrill_store::table::{Condition, Op, Row, Txn};
 
 use super::{
     Config, RecordTicket,
     row::{Bucket, Record, Seen},
 };
 
-/// Reads and conditions of one insert.
-pub(super) const OPS_PER_WRITE: usize = 3;
+/// Conditions of one insert, one for each of [`Bucket::checked`].
+pub(super) const CONDITIONS_PER_WRITE: usize = 3;
+/// Conditions and operations of one insert at most: it writes a row and may remove another.
+pub(super) const ENTRIES_PER_WRITE: usize = CONDITIONS_PER_WRITE + 2;
 
 /// One insert on its way.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,19 +48,17 @@
 }
 
 impl Batch {
-    /// The transaction. A failure's reads are [`OPS_PER_WRITE`] for each write, in order.
+    /// The transaction. It has [`CONDITIONS_PER_WRITE`] conditions for each write, in order.
     pub(super) fn txn(&self, cfg: &Config) -> Txn {
         let mut txn = Txn::default();
         for write in &self.writes {
             insert(cfg, write, &mut txn);
         }
         for ending in &self.endings {
-            let put = Op::Put {
+            txn.ops.push(Op::Put {
                 key: ending.key.clone(),
                 value: ending.record.encode(),
-            };
-            txn.success.push(put.clone());
-            txn.failure.push(put);
+            });
         }
         txn
     }
@@ -74,15 +74,15 @@
         txn,
     );
     if let Some(old) = write.takes_over.as_ref().filter(|old| old.key != own) {
-        txn.success.push(Op::Delete(KeyRange::one(&old.key)));
+        txn.ops.push(Op::Remove(old.key.clone()));
     }
-    txn.success.push(Op::Put {
+    txn.ops.push(Op::Put {
         key: own,
         value: write.record.encode(),
     });
 }
 
-/// Adds the conditions that `key` is in no bucket but as `seen`, and the reads that tell why not.
+/// Adds the conditions that `key` is in no bucket but as `seen`.
 pub(super) fn absent_or_seen(
     cfg: &Config,
     bucket: Bucket,
@@ -92,7 +92,6 @@
 ) {
     for bucket in bucket.checked() {
         let key = bucket.key(cfg, key);
-        txn.failure.push(Op::Read(KeyRange::one(&key)));
         txn.conditions.push(match seen {
             Some(seen) if seen.key == key => Condition::Unchanged {
                 key,
@@ -103,8 +102,7 @@
     }
 }
 
-/// The newest row among the reads of one key.
-pub(super) fn newest(reads: &[Rows]) -> Option<&Row> {
-    let rows = reads.iter().flat_map(|read| &read.rows);
-    rows.max_by_key(|row| row.mod_revision)
+/// The newest row among those of one key's conditions.
+pub(super) fn newest(rows: &[Option<Row>]) -> Option<&Row> {
+    rows.iter().flatten().max_by_key(|row| row.mod_revision)
 }
--- a/crates/delivery/src/record/doubt.rs
+++ b/crates/delivery/src/record/doubt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_platform::{
+use dragonflyrill_store::{
     PlatformError,
     table::{Op, Txn, TxnOutcome},
 };
@@ -62,7 +62,7 @@
         let own = self.bucket.key(cfg, &self.key);
         let seen = self.seen.as_ref();
         batch::absent_or_seen(cfg, self.bucket, &self.key, seen, &mut txn);
-        txn.success.push(Op::Put {
+        txn.ops.push(Op::Put {
             key: seen.map_or(own, |seen| seen.key.clone()),
             value: self.record.encode(),
         });
@@ -91,7 +91,7 @@
             return None;
         }
         self.due = now;
-        let Some(row) = batch::newest(&outcome.reads) else {
+        let Some(row) = batch::newest(&outcome.rows) else {
             self.seen = None;
             return Some(self);
         };
--- a/crates/delivery/src/record/mod.rs
+++ b/crates/delivery/src/record/mod.rs
@@ -32,8 +32,8 @@
 
 use std::time::Duration;
 
-use dragonflyrill_platform::table::Txn;
 use dragonflyrill_protocol::{HostRef, found::CallAnswer};
+use dragonflyrill_store::table::{MAX_ENTRIES, TableCall};
 
 pub use recorder::Recorder;
 pub use row::{Record, RecordState};
@@ -57,8 +57,8 @@
     pub interval: Duration,
     /// How long a transaction may take, and an insert wait to be sent.
     pub answer_within: Duration,
-    /// The most conditions or operations in one transaction.
-    pub max_ops: usize,
+    /// The most conditions and operations of one transaction together.
+    pub max_entries: usize,
     /// The most transactions of inserts under way.
     pub max_in_flight: usize,
     /// The most inserts that wait; further ones are refused.
@@ -84,7 +84,7 @@
             term: Duration::from_secs(2),
             interval: Duration::from_millis(10),
             answer_within: Duration::from_millis(500),
-            max_ops: 128,
+            max_entries: MAX_ENTRIES,
             max_in_flight: 2,
             max_waiting: 1024,
             tries: 3,
@@ -99,7 +99,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RecordTicket(pub(crate) u64);
 
-/// Names one transaction.
+/// Names one call to the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TxnId(pub(crate) u64);
 
@@ -148,12 +148,12 @@
 /// What the host is to do.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Run a transaction, and answer by [`Recorder::table`].
-    Txn {
-        /// The transaction's name.
+    /// Call the table, and answer by [`Recorder::table`].
+    Table {
+        /// The call's name.
         id: TxnId,
-        /// The transaction.
-        txn: Txn,
+        /// The call.
+        call: TableCall,
     },
     /// The call is recorded as ours: it may be dispatched.
     Recorded {
--- a/crates/delivery/src/record/recorder.rs
+++ b/crates/delivery/src/record/recorder.rs
@@ -5,14 +5,14 @@
     time::Duration,
 };
 
-use dragonflyrill_platform::{
+use dragonflyrill_store::{
     PlatformError,
-    table::{KeyRange, Op, Txn, TxnOutcome},
+    table::{KeyRange, TableCall, TxnOutcome},
 };
 
 use super::{
     Action, Config, Expired, Outcome, RecordTicket, TxnId,
-    batch::{Batch, Ending, OPS_PER_WRITE, Write},
+    batch::{Batch, ENTRIES_PER_WRITE, Ending, Write},
     doubt::Doubt,
     row::{Bucket, Record, RecordState},
     verdict::{answer_known, unavailable},
@@ -23,7 +23,7 @@
 /// The most keys that wait to be marked as abandoned; the oldest go first.
 const MAX_DOUBTS: usize = 4096;
 
-/// A transaction under way.
+/// A call to the table under way.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Pending {
     Batch(Batch),
@@ -164,14 +164,11 @@
         let Bucket(bucket) = Bucket::at(&self.cfg, now);
         let oldest = Bucket(0).key(&self.cfg, "");
         let kept = Bucket(bucket.saturating_sub(2)).key(&self.cfg, "");
-        let txn = Txn {
-            success: vec![Op::Delete(KeyRange::between(&oldest, &kept))],
-            ..Txn::default()
-        };
-        self.send(now, Pending::Trim, txn, actions);
+        let call = TableCall::RemoveAll(KeyRange::between(&oldest, &kept));
+        self.send(now, Pending::Trim, call, actions);
     }
 
-    /// How the transaction `id` ended.
+    /// How the call `id` ended.
     pub fn table(
         &mut self,
         now: Duration,
@@ -245,8 +242,8 @@
     /// Sends what waits if it has waited long enough, or fills a transaction.
     fn flush(&mut self, now: Duration, actions: &mut Vec<Action>) {
         while let Some(since) = self.waiting_since {
-            let ops = self.waiting.len() * OPS_PER_WRITE + self.endings.len();
-            let due = now >= since + self.cfg.interval || ops >= self.cfg.max_ops;
+            let entries = self.waiting.len() * ENTRIES_PER_WRITE + self.endings.len();
+            let due = now >= since + self.cfg.interval || entries >= self.cfg.max_entries;
             if !due || !self.has_slot() || now < self.down_until {
                 return;
             }
@@ -255,22 +252,22 @@
                 true => None,
                 false => Some(since),
             };
-            let txn = batch.txn(&self.cfg);
-            self.send(now, Pending::Batch(batch), txn, actions);
+            let call = TableCall::Write(batch.txn(&self.cfg));
+            self.send(now, Pending::Batch(batch), call, actions);
         }
     }
 
     fn next_batch(&mut self) -> Batch {
         let mut batch = Batch::default();
-        let writes = (self.cfg.max_ops / OPS_PER_WRITE).max(1);
+        let writes = (self.cfg.max_entries / ENTRIES_PER_WRITE).max(1);
         for mut write in self.waiting.drain(..self.waiting.len().min(writes)) {
             write.sent += 1;
             batch.writes.push(write);
         }
         let room = self
             .cfg
-            .max_ops
-            .saturating_sub(batch.writes.len() * OPS_PER_WRITE);
+            .max_entries
+            .saturating_sub(batch.writes.len() * ENTRIES_PER_WRITE);
         for mut ending in self.endings.drain(..self.endings.len().min(room)) {
             ending.sent += 1;
             batch.endings.push(ending);
@@ -278,11 +275,17 @@
         batch
     }
 
-    fn send(&mut self, now: Duration, pending: Pending, txn: Txn, actions: &mut Vec<Action>) {
+    fn send(
+        &mut self,
+        now: Duration,
+        pending: Pending,
+        call: TableCall,
+        actions: &mut Vec<Action>,
+    ) {
         let id = TxnId(self.next_txn);
         self.next_txn += 1;
         self.in_flight.insert(id, InFlight { sent: now, pending });
-        actions.push(Action::Txn { id, txn });
+        actions.push(Action::Table { id, call });
     }
 
     pub(super) fn doubt(&mut self, now: Duration, write: Write) {
@@ -319,8 +322,8 @@
         }
         let due = self.doubts.iter().position(|doubt| doubt.due <= now);
         if let Some(doubt) = due.and_then(|i| self.doubts.remove(i)) {
-            let txn = doubt.txn(&self.cfg);
-            self.send(now, Pending::Doubt(doubt), txn, actions);
+            let call = TableCall::Write(doubt.txn(&self.cfg));
+            self.send(now, Pending::Doubt(doubt), call, actions);
         }
     }
 }
--- a/crates/delivery/src/record/row.rs
+++ b/crates/delivery/src/record/row.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dragonflyrill_platform::table::Row;
 use dragonflyrill_protocol::{HostRef, found::CallAnswer};
+use dragonflyrill_store::table::Row;
 use serde::{Deserialize, Serialize};
 
 use super::Config;
--- a/crates/delivery/src/record/verdict.rs
+++ b/crates/delivery/src/record/verdict.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use dragonflyrill_platform::{
+use dragonflyrill_store::{
     PlatformError,
-    table::{Row, Rows, TxnOutcome},
+    table::{Row, TxnOutcome},
 };
 
 use super::{
     Action, Permit, RecordTicket, Recorder,
-    batch::{self, Batch, OPS_PER_WRITE, Write},
+    batch::{self, Batch, CONDITIONS_PER_WRITE, Ending, Write},
     doubt::Doubt,
     row::{Record, RecordState, Seen},
 };
@@ -33,11 +33,22 @@
             }
             return;
         }
-        let mut reads = outcome.reads.chunks(OPS_PER_WRITE);
+        let mut rows = outcome.rows.chunks(CONDITIONS_PER_WRITE);
         for write in batch.writes {
-            let found: &[Rows] = reads.next().unwrap_or_default();
+            let found: &[Option<Row>] = rows.next().unwrap_or_default();
             self.not_inserted(now, write, batch::newest(found), actions);
         }
+        self.end_again(now, batch.endings);
+    }
+
+    /// Sends ends once more whose transaction was not done because of an insert's condition. That
+    /// does not count as a try: each time it happens, the insert is settled.
+    fn end_again(&mut self, now: Duration, endings: Vec<Ending>) {
+        for mut ending in endings.into_iter().rev() {
+            ending.sent -= 1;
+            self.endings.push_front(ending);
+            self.waiting_since.get_or_insert(now);
+        }
     }
 
     /// The write's row is in the table.
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -9,11 +9,12 @@
     time::Duration,
 };
 
+use dragonflyrill_adapter::store::Table;
 use dragonflyrill_catalogue::{Catalogue, DataCentre, Entry, entry::LimitEntry};
 use dragonflyrill_delivery::NotRunKind;
 use dragonflyrill_limits as limits;
-use dragonflyrill_platform::table::{Table, TableApi, Txn};
 use dragonflyrill_protocol::{HostRef, Message, rights};
+use dragonflyrill_store::table::{TableApi, TableCall};
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, oneshot};
 
@@ -274,8 +275,8 @@
                     // Closed means that the host is stopping.
                     let _ = self.control.send(Event::Send(to, Message::Rights(message)));
                 }
-                limits::Action::Txn { id, txn } => {
-                    actix_rt::spawn(self.clone().run_txn(id, txn));
+                limits::Action::Table { id, call } => {
+                    actix_rt::spawn(self.clone().call_table(id, call));
                 }
             }
         }
@@ -285,8 +286,8 @@
         }
     }
 
-    async fn run_txn(self: Rc<Self>, id: limits::TxnId, txn: Txn) {
-        let result = self.table.txn(&txn).await;
+    async fn call_table(self: Rc<Self>, id: limits::TxnId, call: TableCall) {
+        let result = self.table.call(&call).await;
         self.with(|limiter, now, actions| limiter.table(now, id, result, actions));
     }
 
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -61,6 +61,8 @@
 pub struct Parts {
     /// The catalogue in the platform.
     pub store: Store,
+    /// What this host says of itself on the list.
+    pub leaving: hosts::Leaving,
     /// Asks peers for the list.
     pub borrower: Borrower,
     /// The engines of the data centre.
@@ -76,6 +78,7 @@
     members: Members,
     spread: Spread,
     store: Store,
+    leaving: hosts::Leaving,
     borrower: Borrower,
     engines: Engines,
     orders: orders::Feed,
@@ -115,6 +118,7 @@
             members,
             spread,
             store: parts.store,
+            leaving: parts.leaving,
             borrower: parts.borrower,
             engines: parts.engines,
             orders: parts.orders,
@@ -175,6 +179,7 @@
             Event::RoundOver => self.engines.round_over(),
             Event::Send(to, message) => self.send(to, message),
             Event::Leave => {
+                self.leaving.set();
                 let mut actions = Vec::new();
                 self.members.leave(self.clock.now(), &mut actions);
                 self.members_did(actions);
--- a/crates/entry/src/control/hosts.rs
+++ b/crates/entry/src/control/hosts.rs
@@ -1,18 +1,24 @@
-//! Asking the platform for the host list, and a peer while the platform's can't be read.
+//! Asking the platform for hosts and endpoints, and a peer while the platform's can't be read.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_adapter::store::{EndpointList, Table};
+use dragonflyrill_catalogue::{DataCentre, EndpointId, TargetName, name::NameError};
 use dragonflyrill_engines::wire;
+use dragonflyrill_fleet::endpoints::Endpoint;
 use dragonflyrill_membership::members::Listed;
-use dragonflyrill_platform::host_list::{HostList, HostRecord, Hosts, Role};
 use dragonflyrill_protocol::{self as protocol, EndpointRole, HostId, ListedEndpoint, ListedHost};
 use dragonflyrill_routing as routing;
+use dragonflyrill_store::{
+    PlatformError,
+    entry_hosts::{self, EntryHost},
+};
 use rand::seq::IndexedRandom;
 use tokio::sync::mpsc;
 
-use crate::control::{actor::Event, peers, store::CALL_LIMIT};
+use crate::control::{Identity, actor::Event, peers, store::CALL_LIMIT};
 
-/// The host list as read at one time.
+/// The hosts and endpoints as read at one time.
 #[derive(Debug)]
 pub struct Listing {
     /// The entry hosts.
@@ -21,20 +27,74 @@
     pub endpoints: Vec<routing::Endpoint>,
 }
 
-/// Reads the list again and again, every `poll`, and sends it to `tx`, until nobody listens.
-pub async fn run(platform: SocketAddr, poll: Duration, tx: mpsc::UnboundedSender<Event>) {
-    let hosts = Hosts::new(platform, CALL_LIMIT);
-    while !tx.is_closed() {
-        match hosts.list().await {
-            Ok(list) => {
-                let _ = tx.send(Event::Listed(listing(list)));
-            }
-            Err(e) => {
-                log::warn!("hosts: Not refreshed: {e}.");
-                let _ = tx.send(Event::Unlisted);
+/// Whether this host says of itself that it is leaving.
+#[derive(Debug, Clone, Default)]
+pub struct Leaving(Rc<Cell<bool>>);
+
+impl Leaving {
+    /// From the next look at the list on, this host is listed as leaving.
+    pub fn set(&self) {
+        self.0.set(true);
+    }
+}
+
+/// Reads the lists and keeps this host's own entry in them.
+pub struct Lists {
+    me: Identity,
+    table: Table,
+    endpoints: EndpointList,
+    leaving: Leaving,
+}
+
+impl Lists {
+    /// The lists in the platform's store.
+    pub fn new(platform: SocketAddr, me: Identity, leaving: Leaving) -> Self {
+        Self {
+            me,
+            table: Table::new(platform, CALL_LIMIT),
+            endpoints: EndpointList::new(platform, CALL_LIMIT),
+            leaving,
+        }
+    }
+
+    /// Reads the lists again and again, every `poll`, and sends them to `tx`, until nobody listens.
+    pub async fn follow(self, poll: Duration, tx: mpsc::UnboundedSender<Event>) {
+        while !tx.is_closed() {
+            match self.read().await {
+                Ok(listing) => {
+                    let _ = tx.send(Event::Listed(listing));
+                }
+                Err(e) => {
+                    log::warn!("hosts: Not refreshed: {e}.");
+                    let _ = tx.send(Event::Unlisted);
+                }
             }
+            actix_rt::time::sleep(poll).await;
+        }
+    }
+
+    async fn read(&self) -> Result<Listing, PlatformError> {
+        let endpoints = self.endpoints.read().await?;
+        let hosts = entry_hosts::list(&self.table).await?;
+        let mine = self.mine();
+        if !hosts.contains(&mine) {
+            entry_hosts::announce(&self.table, &mine).await?;
+        }
+        Ok(Listing {
+            hosts: hosts.into_iter().map(listed).collect(),
+            endpoints: endpoints.iter().filter_map(endpoint).collect(),
+        })
+    }
+
+    /// The entry that this host is to have.
+    fn mine(&self) -> EntryHost {
+        EntryHost {
+            id: EndpointId(self.me.host.id.0.clone()),
+            callers: self.me.callers,
+            peers: self.me.peers,
+            data_centre: self.me.data_centre.clone(),
+            leaving: self.leaving.0.get(),
         }
-        actix_rt::time::sleep(poll).await;
     }
 }
 
@@ -146,56 +206,44 @@
     }
 }
 
-fn listing(list: HostList) -> Listing {
-    Listing {
-        hosts: list.records.iter().filter_map(listed).collect(),
-        endpoints: list.records.into_iter().filter_map(endpoint).collect(),
+/// A listed entry host as the membership knows it.
+fn listed(host: EntryHost) -> Listed {
+    Listed {
+        id: HostId(host.id.0),
+        addr: host.peers,
+        data_centre: host.data_centre,
+        leaving: host.leaving,
     }
 }
 
-/// A listed entry host as the membership knows it; `None` for endpoints.
-fn listed(record: &HostRecord) -> Option<Listed> {
-    let Role::Entry { peer: Some(addr) } = record.role else {
-        return None;
-    };
-    Some(Listed {
-        id: HostId(record.id.0.clone()),
-        addr,
-        data_centre: record.data_centre.clone(),
-        leaving: record.leaving,
-    })
+/// A listed endpoint as the router knows it; `None`, with a line in the log, if its names can't be
+/// used.
+fn endpoint(listed: &Endpoint) -> Option<routing::Endpoint> {
+    routed(listed)
+        .inspect_err(|e| log::warn!("hosts: Endpoint {} can't be used: {e}.", listed.id))
+        .ok()
 }
 
-/// A listed endpoint as the router knows it; `None` for entry hosts.
-fn endpoint(record: HostRecord) -> Option<routing::Endpoint> {
-    let none = wire::Layers { first: 0, end: 0 };
-    let (role, target, layers, accelerator, layer_us) = match record.role {
-        Role::Entry { .. } => return None,
-        Role::Engine {
-            target,
-            layers,
-            accelerator,
-            layer_us,
-        } => {
-            let layers = wire::Layers {
-                first: layers.start,
-                end: layers.end,
-            };
-            let layer_us = f64::from(layer_us.unwrap_or_default());
-            (routing::Role::Engine, target, layers, accelerator, layer_us)
-        }
-        Role::Service { target } => (routing::Role::Service, target, none, String::new(), 0.0),
-    };
-    Some(routing::Endpoint {
-        id: record.id,
-        addr: record.addr,
-        role,
-        data_centre: record.data_centre,
-        target,
-        layers,
-        accelerator,
-        layer_us,
-        leaving: record.leaving,
+fn routed(listed: &Endpoint) -> Result<routing::Endpoint, NameError> {
+    let is_engine = listed.accelerator.is_some() || listed.layers.is_some();
+    let accelerator = listed.accelerator.as_deref().unwrap_or_default();
+    Ok(routing::Endpoint {
+        id: EndpointId::try_from(&*listed.id)?,
+        addr: listed.addr,
+        role: match is_engine {
+            true => routing::Role::Engine,
+            false => routing::Role::Service,
+        },
+        data_centre: DataCentre::try_from(&*listed.data_centre)?,
+        target: TargetName::try_from(&*listed.service)?,
+        layers: wire::Layers {
+            first: listed.layers.map_or(0, |l| l.first),
+            end: listed.layers.map_or(0, |l| l.end),
+        },
+        accelerator: accelerator.to_owned(),
+        // The list says nothing of it: the router learns it from the endpoint's loads.
+        layer_us: 0.0,
+        leaving: listed.leaving,
         in_flight: 0,
         health: routing::Health::Up,
     })
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -55,6 +55,8 @@
     pub data_centre: DataCentre,
     /// Where it takes peers.
     pub peers: SocketAddr,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
 }
 
 /// The request arbiter's way to the control task.
@@ -96,15 +98,18 @@
     let borrower = hosts::Borrower::new(start.seeds, tx.clone());
     let engines = engines::Engines::new(start.me.clone(), tx.clone());
     let orders = orders::start(orders::Config::new(&start.me, start.platform), start.clock);
+    let leaving = hosts::Leaving::default();
+    let lists = hosts::Lists::new(start.platform, start.me.clone(), leaving.clone());
     let parts = actor::Parts {
         store,
+        leaving,
         orders,
         borrower,
         engines,
     };
     let actor = actor::Actor::new(start.clock, start.me, budget, parts, news);
     actix_rt::spawn(actor.run(rx));
-    actix_rt::spawn(hosts::run(start.platform, start.poll_hosts, tx.clone()));
+    actix_rt::spawn(lists.follow(start.poll_hosts, tx.clone()));
     actix_rt::spawn(serve_peers(start.listener, tx));
 }
 
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -21,9 +21,9 @@
 };
 use dragonflyrill_engines::wire::EngineState;
 use dragonflyrill_orders::{group, lease};
-use dragonflyrill_platform::{error::PlatformError, table::TxnOutcome};
 use dragonflyrill_protocol::{HostId, HostRef};
 use dragonflyrill_routing as routing;
+use dragonflyrill_store::{error::PlatformError, table::TxnOutcome};
 use tokio::sync::mpsc;
 
 use crate::{clock::Clock, control::Identity, host::PeerInfo};
--- a/crates/entry/src/control/orders/calls.rs
+++ b/crates/entry/src/control/orders/calls.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_adapter::store::Table;
 use dragonflyrill_engines::{
     CallError, EngineClient,
     wire::{EngineState, Order},
@@ -10,7 +11,7 @@
     group,
     lease::{Fence, Leases, TxnId},
 };
-use dragonflyrill_platform::table::{Table, TableApi, Txn};
+use dragonflyrill_store::table::{TableApi, TableCall};
 use tokio::sync::mpsc;
 
 use super::{CallRef, Config, Event};
@@ -57,11 +58,11 @@
         }
     }
 
-    /// Sends a transaction.
-    pub(super) fn txn(&self, id: TxnId, txn: Txn) {
+    /// Calls the table.
+    pub(super) fn table(&self, id: TxnId, call: TableCall) {
         let (table, tx) = (self.table.clone(), self.tx.clone());
         actix_rt::spawn(async move {
-            let result = table.txn(&txn).await;
+            let result = table.call(&call).await;
             report(&tx, Event::Table(id, result));
         });
     }
--- a/crates/entry/src/control/orders/driver.rs
+++ b/crates/entry/src/control/orders/driver.rs
@@ -217,7 +217,7 @@
         let now = self.clock.now();
         for action in actions {
             match action {
-                lease::Action::Txn { id, txn } => self.calls.txn(id, txn),
+                lease::Action::Table { id, call } => self.calls.table(id, call),
                 lease::Action::Held(name, fence) => {
                     self.run_group(&name, |group, actions| {
                         group.lease_held(now, fence, actions);
--- a/crates/entry/src/control/store.rs
+++ b/crates/entry/src/control/store.rs
@@ -2,15 +2,12 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_adapter::store::{Objects, Table};
 use dragonflyrill_catalogue::Revision;
 use dragonflyrill_membership::spread::FromStore;
-use dragonflyrill_platform::{
+use dragonflyrill_store::{
     catalogue_store::{CatalogueStore, Head, StoreError},
-    objects::Objects,
-    table::{
-        Table,
-        retry::{Retry, RetryPolicy},
-    },
+    table::retry::{Retry, RetryPolicy},
 };
 use tokio::sync::mpsc;
 
@@ -18,8 +15,6 @@
 
 /// How long one call to the platform may take.
 pub(super) const CALL_LIMIT: Duration = Duration::from_secs(5);
-/// Where snapshots of the catalogue are kept.
-const BUCKET: &str = "dragonflyrill";
 
 /// What reading the catalogue gave.
 #[derive(Debug)]
@@ -50,7 +45,7 @@
         let retry = Retry::new(policy, rand::random());
         Self {
             store: Rc::new(CatalogueStore::new(Table::new(addr, CALL_LIMIT), retry)),
-            objects: Objects::new(addr, BUCKET, CALL_LIMIT),
+            objects: Objects::new(addr, CALL_LIMIT),
             tx,
         }
     }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -8,13 +8,13 @@
     time::Duration,
 };
 
+use dragonflyrill_adapter::store::Table;
 use dragonflyrill_catalogue::{
     Catalogue, DataCentre, EndpointId, Entry, EntryKey, TargetName,
     entry::{LimitEntry, LimitKey, ModelEntry, ServiceEntry},
 };
 use dragonflyrill_delivery::generation::StepTimes;
 use dragonflyrill_engines::wire;
-use dragonflyrill_platform::table::Table;
 use dragonflyrill_protocol::{
     HostId, HostRef,
     found::{Claim, Claimed},
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -34,6 +34,7 @@
                 host: host.me.clone(),
                 data_centre: settings.data_centre.clone(),
                 peers: addrs.1,
+                callers: addrs.0,
             },
             clock: host.clock,
             listener: peers,
--- a/crates/entry/src/recording.rs
+++ b/crates/entry/src/recording.rs
@@ -9,11 +9,12 @@
     time::Duration,
 };
 
+use dragonflyrill_adapter::store::Table;
 use dragonflyrill_delivery::record::{
     Action, Config, Expired, Outcome, Permit, Record, RecordTicket, Recorder, TxnId,
 };
-use dragonflyrill_platform::table::{Table, TableApi, Txn};
 use dragonflyrill_protocol::HostRef;
+use dragonflyrill_store::table::{TableApi, TableCall};
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
@@ -110,8 +111,8 @@
     fn carry_out(self: &Rc<Self>, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Txn { id, txn } => {
-                    actix_rt::spawn(self.clone().run_txn(id, txn));
+                Action::Table { id, call } => {
+                    actix_rt::spawn(self.clone().call_table(id, call));
                 }
                 Action::Recorded { ticket, permit } => {
                     self.answer(ticket, Recorded::Ours(permit));
@@ -147,8 +148,8 @@
         }
     }
 
-    async fn run_txn(self: Rc<Self>, id: TxnId, txn: Txn) {
-        let result = self.table.txn(&txn).await;
+    async fn call_table(self: Rc<Self>, id: TxnId, call: TableCall) {
+        let result = self.table.call(&call).await;
         let mut actions = Vec::new();
         self.recorder
             .borrow_mut()
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -2,12 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_store::PlatformError;
 use tokio::time;
 
 use super::Backoff;
 use crate::{
     gateway::{Gateway, On},
-    ports::{CatalogueNews, Mark, StoreError},
+    ports::{CatalogueNews, Mark},
     settings::Settings,
 };
 
@@ -34,7 +35,7 @@
         let read = gateway.platform.store.catalogue(mark, wait);
         let read = match time::timeout(wait + SLACK, read).await {
             Ok(read) => read,
-            Err(_) => Err(StoreError::Away("no answer in time".to_owned())),
+            Err(_) => Err(PlatformError::Unavailable("no answer in time".to_owned())),
         };
         let calls = &gateway.metrics.store_calls;
         match read {
@@ -44,14 +45,14 @@
                 gateway.heard(On::Catalogue, gateway.now());
                 mark = Some(take(&gateway, news, sent_at, mark));
             }
-            Err(StoreError::HistoryGone) => {
+            Err(PlatformError::HistoryGone) => {
                 log::info!(target: "catalogue", "History is gone; the catalogue is read anew.");
                 mark = None;
             }
             Err(e) => {
                 calls.with_label_values(&["failed"]).inc();
                 log::warn!(target: "catalogue", why:% = e, fresh = gateway.fresh(); "No news of the catalogue.");
-                if matches!(e, StoreError::Unusable(_)) {
+                if matches!(e, PlatformError::Malformed(_)) {
                     mark = None;
                 }
                 backoff.failed(&gateway).await;
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -2,13 +2,14 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_store::PlatformError;
 use rustc_hash::FxHashMap;
 use tokio::time;
 
 use super::Backoff;
 use crate::{
     gateway::{Gateway, On},
-    ports::{EndpointNews, Mark, StoreError},
+    ports::{EndpointNews, Mark},
 };
 
 /// The part of the time after which a leaving endpoint may get nothing more that lies between two
@@ -64,11 +65,11 @@
 }
 
 impl Follower {
-    async fn read(&mut self) -> Result<(), StoreError> {
+    async fn read(&mut self) -> Result<(), PlatformError> {
         let read = self.gateway.platform.store.endpoints(self.mark, WAIT);
         let read = match time::timeout(WAIT + SLACK, read).await {
             Ok(read) => read,
-            Err(_) => Err(StoreError::Away("no answer in time".to_owned())),
+            Err(_) => Err(PlatformError::Unavailable("no answer in time".to_owned())),
         };
         let calls = &self.gateway.metrics.store_calls;
         match read {
@@ -77,7 +78,7 @@
                 self.take(news);
                 Ok(())
             }
-            Err(StoreError::HistoryGone) => {
+            Err(PlatformError::HistoryGone) => {
                 self.mark = None;
                 Ok(())
             }
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -5,13 +5,14 @@
 
 use dragonflyrill_fleet::duty::{Duty, Seen, Step, Wrote};
 use dragonflyrill_protocol::exchange::{DutyRow, FleetHost};
+use dragonflyrill_store::PlatformError;
 use rustc_hash::FxHashMap;
 use tokio::time;
 
 use super::{Backoff, placing::Placing};
 use crate::{
     gateway::Gateway,
-    ports::{Row, StoreError, Written},
+    ports::{Row, Written},
 };
 
 /// The row of the duty of placing layers.
@@ -79,7 +80,7 @@
 }
 
 impl Roster {
-    async fn round(&mut self) -> Result<(), StoreError> {
+    async fn round(&mut self) -> Result<(), PlatformError> {
         let now = self.gateway.now();
         self.hear(now);
         let step = match self.gateway.leaving() {
@@ -122,7 +123,7 @@
         self.read_at.is_none() || (self.gateway.reads_store() && self.read_at.is_some_and(due))
     }
 
-    async fn read(&mut self) -> Result<(), StoreError> {
+    async fn read(&mut self) -> Result<(), PlatformError> {
         let rows = within(self.gateway.platform.store.rows()).await;
         count(&self.gateway, rows.is_ok());
         let rows = rows?;
@@ -174,7 +175,7 @@
         }
     }
 
-    async fn renew(&mut self, expected: u64) -> Result<(), StoreError> {
+    async fn renew(&mut self, expected: u64) -> Result<(), PlatformError> {
         let sent_at = self.gateway.now();
         let store = &self.gateway.platform.store;
         let written = within(store.write(DUTY_ROW, &self.me, Some(expected))).await;
@@ -189,11 +190,11 @@
         result
     }
 
-    async fn beat(&mut self) -> Result<(), StoreError> {
+    async fn beat(&mut self) -> Result<(), PlatformError> {
         self.beat_at = Some(self.gateway.now());
         let key = format!("{HOST_ROW}{}", self.gateway.settings.host);
         let row = serde_json::to_string(&self.myself());
-        let row = row.map_err(|e| StoreError::Unusable(e.to_string()))?;
+        let row = row.map_err(|e| PlatformError::Malformed(e.to_string()))?;
         let written = within(self.gateway.platform.store.write(&key, &row, None)).await;
         count(&self.gateway, written.is_ok());
         written.map(|_| ())
@@ -227,9 +228,11 @@
     calls.with_label_values(&[outcome]).inc();
 }
 
-async fn within<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+async fn within<T>(
+    call: impl Future<Output = Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
     match time::timeout(CALL, call).await {
         Ok(result) => result,
-        Err(_) => Err(StoreError::Unknown("no answer in time".to_owned())),
+        Err(_) => Err(PlatformError::Unknown("no answer in time".to_owned())),
     }
 }
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -27,6 +27,57 @@
     Unknown(String),
 }
 
+/// A call.
+#[derive(Debug)]
+pub struct Call {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// JSON or an object's bytes; may be empty.
+    pub body: Bytes,
+    /// It is to be done only if there is nothing of that name yet.
+    pub if_absent: bool,
+}
+
+impl Call {
+    /// A call that reads.
+    pub fn get(uri: Uri) -> Self {
+        Self {
+            method: Method::GET,
+            uri,
+            body: Bytes::new(),
+            if_absent: false,
+        }
+    }
+
+    /// A call that posts JSON.
+    pub fn post(uri: Uri, body: Bytes) -> Self {
+        Self {
+            method: Method::POST,
+            uri,
+            body,
+            if_absent: false,
+        }
+    }
+
+    fn head(&self, addr: SocketAddr) -> RequestHead {
+        let mut headers = HeaderMap::with_capacity(3);
+        if let Ok(host) = addr.to_string().parse() {
+            headers.insert(header::HOST, host);
+        }
+        if !self.body.is_empty() {
+            let json = header::HeaderValue::from_static("application/json");
+            headers.insert(header::CONTENT_TYPE, json);
+        }
+        if self.if_absent {
+            let any = header::HeaderValue::from_static("*");
+            headers.insert(header::IF_NONE_MATCH, any);
+        }
+        request_head(self.method.clone(), self.uri.clone(), headers)
+    }
+}
+
 /// An answer.
 #[derive(Debug)]
 pub struct Answer {
@@ -51,42 +102,36 @@
         }
     }
 
-    /// Makes a call; `body` is JSON, or empty.
+    /// Makes a call, which ends within `limit`.
     pub async fn call(
         &self,
         addr: SocketAddr,
-        method: Method,
-        uri: Uri,
-        body: Bytes,
+        call: Call,
         limit: Duration,
     ) -> Result<Answer, CallError> {
-        match time::timeout(limit, self.exchange(addr, method, uri, body)).await {
+        match time::timeout(limit, self.exchange(addr, call)).await {
             Ok(result) => result,
             Err(_) => Err(CallError::Unknown(format!("none within {limit:?}"))),
         }
     }
 
-    async fn exchange(
-        &self,
-        addr: SocketAddr,
-        method: Method,
-        uri: Uri,
-        body: Bytes,
-    ) -> Result<Answer, CallError> {
+    async fn exchange(&self, addr: SocketAddr, call: Call) -> Result<Answer, CallError> {
         let mut connection = match self.idle.take(addr) {
             Some(connection) => connection,
             None => Connection::open(addr, &self.config)
                 .await
                 .map_err(|e| CallError::NotSent(e.to_string()))?,
         };
-        let head = small_head(addr, method, uri, !body.is_empty());
-        connection.send(head, body).await.map_err(|(sent, e)| {
-            let why = e.to_string();
-            match sent {
-                0 => CallError::NotSent(why),
-                _ => CallError::Unknown(why),
-            }
-        })?;
+        connection
+            .send(call.head(addr), call.body)
+            .await
+            .map_err(|(sent, e)| {
+                let why = e.to_string();
+                match sent {
+                    0 => CallError::NotSent(why),
+                    _ => CallError::Unknown(why),
+                }
+            })?;
         let unknown = |e: Broken| CallError::Unknown(e.to_string());
         let head = connection.head().await.map_err(unknown)?;
         let body = connection.whole_body(MOST_ANSWER).await.map_err(unknown)?;
@@ -99,15 +144,3 @@
         })
     }
 }
-
-fn small_head(addr: SocketAddr, method: Method, uri: Uri, has_body: bool) -> RequestHead {
-    let mut headers = HeaderMap::with_capacity(2);
-    if let Ok(host) = addr.to_string().parse() {
-        headers.insert(header::HOST, host);
-    }
-    if has_body {
-        let json = header::HeaderValue::from_static("application/json");
-        headers.insert(header::CONTENT_TYPE, json);
-    }
-    request_head(method, uri, headers)
-}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use actix_http::{RequestHead, ResponseHead, header::HeaderMap};
 use bytes::Bytes;
 use dragonflyrill_fleet::{catalogue::Catalogue, endpoints::Endpoint, layers::LayerRange};
+use dragonflyrill_store::PlatformError;
 use futures_util::future::LocalBoxFuture;
 use http::header::HeaderValue;
 
@@ -88,23 +89,6 @@
     fn asks_ready(&self, path: &str) -> bool;
 }
 
-/// Why the store gave nothing.
-#[derive(Debug, thiserror::Error)]
-pub enum StoreError {
-    /// It can't be reached, or turned the call away: nothing was done.
-    #[error("store is away: {0}")]
-    Away(String),
-    /// A write may have been done, or may be later.
-    #[error("outcome is not known: {0}")]
-    Unknown(String),
-    /// Its history does not reach back to the mark.
-    #[error("history is gone")]
-    HistoryGone,
-    /// Something it holds can't be used; names the place.
-    #[error("{0}")]
-    Unusable(String),
-}
-
 /// A place in the store's history.
 pub type Mark = u64;
 
@@ -160,28 +144,28 @@
 /// The platform's store.
 pub trait Store {
     /// Reads a catalogue's document that came from another host.
-    fn decode(&self, document: Bytes) -> Result<ReadCatalogue, StoreError>;
+    fn decode(&self, document: Bytes) -> Result<ReadCatalogue, PlatformError>;
     /// The catalogue, read anew if `after` is `None`, else what comes within `wait`.
     fn catalogue(
         &self,
         after: Option<Mark>,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<CatalogueNews, StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<CatalogueNews, PlatformError>>;
     /// The endpoints, read anew if `after` is `None`, else what changes within `wait`.
     fn endpoints(
         &self,
         after: Option<Mark>,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<EndpointNews, StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<EndpointNews, PlatformError>>;
     /// All rows of the hosts' own.
-    fn rows(&self) -> LocalBoxFuture<'_, Result<Vec<Row>, StoreError>>;
+    fn rows(&self) -> LocalBoxFuture<'_, Result<Vec<Row>, PlatformError>>;
     /// Writes a row if it has that version, 0 if there is none; `None` writes in any case.
     fn write(
         &self,
         key: &str,
         value: &str,
         expected: Option<u64>,
-    ) -> LocalBoxFuture<'_, Result<Written, StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<Written, PlatformError>>;
 }
 
 /// How an order ended.
--- a/crates/limits/benches/compare.rs
+++ b/crates/limits/benches/compare.rs
@@ -12,8 +12,8 @@
     Action, Ask, Config, Declaration, HostLimiter, Peer, Ticket, TxnId,
     baseline::{Leased, StaticSplit},
 };
-use dragonflyrill_platform::{error::PlatformError, table::TxnOutcome};
 use dragonflyrill_protocol::{HostRef, rights::Message};
+use dragonflyrill_store::{error::PlatformError, table::TxnOutcome};
 use rand::Rng;
 use support::{
     data_centre,
--- a/crates/limits/src/baseline.rs
+++ b/crates/limits/src/baseline.rs
@@ -10,8 +10,8 @@
 };
 
 use dragonflyrill_catalogue::entry::{LimitEntry, LimitKey};
-use dragonflyrill_platform::{error::PlatformError, table::TxnOutcome};
 use dragonflyrill_protocol::{HostRef, rights::Message};
+use dragonflyrill_store::{error::PlatformError, table::TxnOutcome};
 
 use crate::{
     Action, Ask, HostLimiter, Refusal, Ticket, TxnId,
--- a/crates/limits/src/host.rs
+++ b/crates/limits/src/host.rs
@@ -12,11 +12,11 @@
     DataCentre,
     entry::{LimitEntry, LimitKey},
 };
-use dragonflyrill_platform::{error::PlatformError, table::TxnOutcome};
 use dragonflyrill_protocol::{
     HostRef,
     rights::{KeyId, SHARDS},
 };
+use dragonflyrill_store::{error::PlatformError, table::TxnOutcome};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Takes the answer to [`Action::Txn`] in.
+    /// Takes the answer to [`Action::Table`] in.
     pub fn table(
         &mut self,
         now: Duration,
--- a/crates/limits/src/host/work.rs
+++ b/crates/limits/src/host/work.rs
@@ -20,8 +20,8 @@
             actions.push(Action::Send { to, message });
         }
         let live = self.live();
-        if let Some((id, txn)) = self.session.txn(now, &live) {
-            actions.push(Action::Txn { id, txn });
+        if let Some((id, call)) = self.session.call(now, &live) {
+            actions.push(Action::Table { id, call });
         }
     }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -34,8 +34,8 @@
 use std::time::Duration;
 
 use dragonflyrill_catalogue::entry::LimitKey;
-use dragonflyrill_platform::table::Txn;
 use dragonflyrill_protocol::{HostRef, rights::Message};
+use dragonflyrill_store::table::TableCall;
 
 /// Names one ask until it is settled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -93,11 +93,11 @@
         /// The message.
         message: Message,
     },
-    /// Run a transaction on the table, once, and hand the answer to [`HostLimiter::table`].
-    Txn {
-        /// Names the transaction.
+    /// Call the table, once, and hand the answer to [`HostLimiter::table`].
+    Table {
+        /// Names the call.
         id: TxnId,
-        /// The transaction.
-        txn: Txn,
+        /// The call.
+        call: TableCall,
     },
 }
--- a/crates/limits/src/session.rs
+++ b/crates/limits/src/session.rs
@@ -12,14 +12,14 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dragonflyrill_platform::{
-    error::PlatformError,
-    table::{Condition, KeyRange, Op, Row, Txn, TxnOutcome},
-};
 use dragonflyrill_protocol::{
     HostRef,
     rights::{Member, SHARDS, ShardMap},
 };
+use dragonflyrill_store::{
+    error::PlatformError,
+    table::{Condition, Op, Row, TableCall, Txn, TxnOutcome},
+};
 
 use crate::{
     TxnId,
@@ -241,8 +241,8 @@
         self.leaving && self.known.is_some() && self.entry().is_none()
     }
 
-    /// The transaction that is due. `live` are the live hosts of the data centre.
-    pub(crate) fn txn(&mut self, now: Duration, live: &[HostRef]) -> Option<(TxnId, Txn)> {
+    /// The call that is due. `live` are the live hosts of the data centre.
+    pub(crate) fn call(&mut self, now: Duration, live: &[HostRef]) -> Option<(TxnId, TableCall)> {
         if self.pending.is_some() || now < self.retry_at {
             return None;
         }
@@ -253,9 +253,9 @@
         self.next_id += 1;
         let id = TxnId(self.next_id);
         let base = self.known.as_ref().map_or(0, |k| k.revision);
-        let txn = match &map {
-            None => self.read(),
-            Some(map) => self.write(base, map),
+        let call = match &map {
+            None => TableCall::Read(vec![self.row.clone()]),
+            Some(map) => TableCall::Write(self.write(base, map)),
         };
         self.pending = Some(Write {
             id,
@@ -263,7 +263,7 @@
             base,
             map,
         });
-        Some((id, txn))
+        Some((id, call))
     }
 
     fn plan(&self, now: Duration, known: &Known, live: &[HostRef]) -> Option<ShardMap> {
@@ -303,13 +303,6 @@
         }
     }
 
-    fn read(&self) -> Txn {
-        Txn {
-            success: vec![Op::Read(KeyRange::one(&self.row))],
-            ..Txn::default()
-        }
-    }
-
     fn write(&self, base: u64, map: &ShardMap) -> Txn {
         let key = self.row.clone();
         let condition = match base {
@@ -319,16 +312,14 @@
                 mod_revision,
             },
         };
-        let read = Op::Read(KeyRange::one(&self.row));
         let value = serde_json::to_vec(map).unwrap_or_default();
         Txn {
             conditions: vec![condition],
-            success: vec![Op::Put { key, value }, read.clone()],
-            failure: vec![read],
+            ops: vec![Op::Put { key, value }],
         }
     }
 
-    /// Takes a transaction's answer in; the revision when a map was changed by this host.
+    /// Takes a call's answer in; true when a map was changed by this host.
     pub(crate) fn answer(
         &mut self,
         now: Duration,
@@ -351,8 +342,16 @@
             }
         };
         self.failures = 0;
-        let reads = outcome.reads.into_iter().flat_map(|rows| rows.rows);
-        let found = match reads.last() {
+        if let Some(map) = write.map.as_ref().filter(|_| outcome.succeeded) {
+            let written = Known {
+                revision: outcome.table_revision,
+                map: map.clone(),
+            };
+            self.adopt(now, written);
+            self.renew(write.sent_at);
+            return true;
+        }
+        let found = match outcome.rows.into_iter().flatten().next() {
             None if write.base > 0 => {
                 log::error!("limits: the row {} is gone", self.row);
                 self.retry_at = now + self.terms.session;
@@ -367,12 +366,8 @@
                 }
             },
         };
-        let wrote = write.map.is_some() && outcome.succeeded;
         self.adopt(now, found);
-        if wrote {
-            self.renew(write.sent_at);
-        }
-        wrote
+        false
     }
 
     /// This host's entry was written by a transaction sent at `sent_at`.
--- a/crates/membership/src/spread/incoming.rs
+++ b/crates/membership/src/spread/incoming.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use dragonflyrill_catalogue::{Catalogue, Change, state::Folded};
-use dragonflyrill_platform::catalogue_store::{Head, Loaded};
 use dragonflyrill_protocol::{
     HostId, HostRef,
     spread::{Digest, Message, Part},
 };
+use dragonflyrill_store::catalogue_store::{Head, Loaded};
 
 use super::{
     Action, Alarm, FromStore, Source, Spread,
--- a/crates/membership/src/spread/mod.rs
+++ b/crates/membership/src/spread/mod.rs
@@ -21,12 +21,12 @@
 };
 
 use dragonflyrill_catalogue::{Catalogue, Change, Revision};
-use dragonflyrill_platform::catalogue_store::{Head, Loaded};
 use dragonflyrill_protocol::{
     HostId,
     membership::State,
     spread::{Digest, Message},
 };
+use dragonflyrill_store::catalogue_store::{Head, Loaded};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -160,7 +160,7 @@
         &self.catalogue
     }
 
-    /// The head in force, for [`dragonflyrill_platform::catalogue_store::CatalogueStore::note_seen`].
+    /// The head in force, for [`dragonflyrill_store::catalogue_store::CatalogueStore::note_seen`].
     pub fn head(&self) -> Head {
         Head {
             revision: self.catalogue.revision(),
--- a/crates/membership/tests/fleet/store.rs
+++ b/crates/membership/tests/fleet/store.rs
@@ -1,7 +1,7 @@
 //! The catalogue in a store that can be away or wound back.
 
 use dragonflyrill_catalogue::{Change, Entry, Revision, entry::WorkspaceEntry};
-use dragonflyrill_platform::catalogue_store::Head;
+use dragonflyrill_store::catalogue_store::Head;
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
--- a/crates/membership/tests/restoration.rs
+++ b/crates/membership/tests/restoration.rs
@@ -4,8 +4,8 @@
 
 use dragonflyrill_catalogue::{Catalogue, Change, DataCentre, Name, Revision};
 use dragonflyrill_membership::spread::{Action, Alarm, Budget, Config, FromStore, Spread};
-use dragonflyrill_platform::catalogue_store::{Head, Loaded};
 use dragonflyrill_protocol::{HostId, HostRef};
+use dragonflyrill_store::catalogue_store::{Head, Loaded};
 
 const NOW: Duration = Duration::from_secs(60);
 
--- a/crates/orders/src/lease/batch.rs
+++ b/crates/orders/src/lease/batch.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_platform::table::{Condition, KeyRange, Op, Row, Txn, TxnOutcome};
+use dragonflyrill_store::table::{Condition, Op, Row, TableCall, Txn, TxnOutcome};
 
 use super::{
     LeaseName, LeaseRow,
@@ -34,19 +34,15 @@
 }
 
 impl Batch {
-    pub(super) fn txn(&self) -> Txn {
-        let read = |part: &Part| Op::Read(KeyRange::one(&part.name.key()));
+    pub(super) fn call(&self) -> TableCall {
         if self.intent == Intent::Read {
-            return Txn {
-                success: self.parts.iter().map(read).collect(),
-                ..Txn::default()
-            };
+            let keys = self.parts.iter().map(|part| part.name.key());
+            return TableCall::Read(keys.collect());
         }
-        Txn {
+        TableCall::Write(Txn {
             conditions: self.parts.iter().map(condition).collect(),
-            success: self.parts.iter().filter_map(put).collect(),
-            failure: self.parts.iter().map(read).collect(),
-        }
+            ops: self.parts.iter().filter_map(put).collect(),
+        })
     }
 
     /// What each part's row is after the transaction.
@@ -55,9 +51,9 @@
             let written = |part: &Part| written(part, outcome.table_revision);
             return self.parts.iter().map(written).collect();
         }
-        let mut reads = outcome.reads.iter();
-        let mut found = |part: &Part| match reads.next() {
-            Some(rows) => known(part, rows.rows.first()),
+        let mut rows = outcome.rows.iter();
+        let mut found = |part: &Part| match rows.next() {
+            Some(row) => known(part, row.as_ref()),
             None => part.base.clone(),
         };
         self.parts.iter().map(&mut found).collect()
--- a/crates/orders/src/lease/leases.rs
+++ b/crates/orders/src/lease/leases.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dragonflyrill_platform::{
+use dragonflyrill_store::{
     error::PlatformError,
-    table::{Txn, TxnOutcome},
+    table::{TableCall, TxnOutcome},
 };
 
 use super::{
@@ -24,12 +24,12 @@
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Send a transaction once, without retries, and report to [`Leases::table`].
-    Txn {
+    /// Call the table once, without retries, and report to [`Leases::table`].
+    Table {
         /// To be given back with the answer.
         id: TxnId,
-        /// The transaction.
-        txn: Txn,
+        /// The call.
+        call: TableCall,
     },
     /// This host holds the lease, or goes on under another fence.
     Held(LeaseName, Fence),
@@ -286,9 +286,9 @@
             revision: self.table_revision,
             parts,
         };
-        let txn = batch.txn();
+        let call = batch.call();
         self.batches.insert(id, batch);
-        actions.push(Action::Txn { id, txn });
+        actions.push(Action::Table { id, call });
     }
 
     fn next_write_id(&mut self, intent: Intent) -> Option<String> {
--- a/crates/orders/src/lease/mod.rs
+++ b/crates/orders/src/lease/mod.rs
@@ -49,7 +49,7 @@
     pub retry_max: Duration,
     /// After how long a call without an answer counts as [`PlatformError::Unknown`].
     ///
-    /// [`PlatformError::Unknown`]: dragonflyrill_platform::error::PlatformError::Unknown
+    /// [`PlatformError::Unknown`]: dragonflyrill_store::error::PlatformError::Unknown
     pub answer_limit: Duration,
     /// How much waits vary, in percent; 0 to 100.
     pub jitter_percent: u32,
--- a/crates/platform/src/wire/mod.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! The platform's interfaces, as they stand on the wire.
-
-pub mod etcd;
-pub mod hosts;
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -10,7 +10,7 @@
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use dragonflyrill_engines::wire;
-use dragonflyrill_platform::wire::hosts;
+use dragonflyrill_fleet::{endpoints::Endpoint, layers::LayerRange};
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -99,16 +99,15 @@
         .boxed_local()
     }
 
-    fn target_group(&self, addr: SocketAddr) -> Option<hosts::TargetGroup> {
+    fn listing(&self, addr: SocketAddr) -> Option<Endpoint> {
         let state = self.lock();
         let now = state.engine.state(clock::epoch_ms());
-        let mut group = state.engine.config().target_group(addr);
-        group.labels.target = now.model;
-        group.labels.layers = now.layers.to_string();
-        if now.leaving {
-            group.labels.state = hosts::State::Leaving;
-        }
-        Some(group)
+        Some(Endpoint {
+            service: now.model.into(),
+            layers: LayerRange::new(now.layers.first, now.layers.end),
+            leaving: now.leaving,
+            ..state.engine.config().listing(addr)
+        })
     }
 }
 
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -16,7 +16,7 @@
 };
 use actix_server::{Server, ServerHandle};
 use bytes::{Bytes, BytesMut};
-use dragonflyrill_platform::wire::hosts;
+use dragonflyrill_fleet::endpoints::Endpoint;
 use futures_util::{Stream, StreamExt, future::LocalBoxFuture};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::task::JoinHandle;
@@ -47,11 +47,11 @@
         &self.addrs
     }
 
-    /// The entries of the host list for what it serves now; none for a platform.
-    pub fn target_groups(&self) -> Vec<hosts::TargetGroup> {
+    /// The entries of what it serves now.
+    pub fn listings(&self) -> Vec<Endpoint> {
         let parts = self.handlers.iter().zip(&self.addrs);
         parts
-            .filter_map(|(handler, &addr)| handler.target_group(addr))
+            .filter_map(|(handler, &addr)| handler.listing(addr))
             .collect()
     }
 
@@ -207,8 +207,8 @@
     /// Answers one call.
     fn answer(self: Arc<Self>, call: Call) -> LocalBoxFuture<'static, Answer>;
 
-    /// The entry of the host list for what it is now, if it belongs there.
-    fn target_group(&self, _addr: SocketAddr) -> Option<hosts::TargetGroup> {
+    /// The entry for what it is now, if it is an endpoint.
+    fn listing(&self, _addr: SocketAddr) -> Option<Endpoint> {
         None
     }
 }
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -9,7 +9,7 @@
 };
 
 use actix_http::{Method, StatusCode};
-use dragonflyrill_platform::wire::hosts;
+use dragonflyrill_fleet::endpoints::Endpoint;
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -65,12 +65,11 @@
         .boxed_local()
     }
 
-    fn target_group(&self, addr: SocketAddr) -> Option<hosts::TargetGroup> {
-        let mut group = self.cfg.target_group(addr);
-        if self.lock().leaving {
-            group.labels.state = hosts::State::Leaving;
-        }
-        Some(group)
+    fn listing(&self, addr: SocketAddr) -> Option<Endpoint> {
+        Some(Endpoint {
+            leaving: self.lock().leaving,
+            ..self.cfg.listing(addr)
+        })
     }
 }
 
--- a/crates/platform/src/catalogue_store/commit.rs
+++ b/crates/store/src/catalogue_store/commit.rs
@@ -5,7 +5,10 @@
     state::{Change, ChangeId, Revision},
 };
 
-use super::{CatalogueStore, HEAD_KEY, Head, StoreError, change_key, encode, find, read::HeadRow};
+use super::{
+    CatalogueStore, HEAD_KEY, Head, LogNumber, StoreError, encode, find,
+    read::{HeadRow, StoredHead},
+};
 use crate::{
     error::PlatformError,
     table::{Condition, Op, TableApi, Txn},
@@ -183,19 +186,20 @@
     }
 }
 
-/// The operations that write `change` and make it the newest.
-pub(super) fn change_ops(change: &Change) -> Result<Vec<Op>, PlatformError> {
+/// The operations that write `change` to a log and make it the newest.
+pub(super) fn change_ops(change: &Change, log: LogNumber) -> Result<Vec<Op>, PlatformError> {
     let head = Head {
         revision: change.revision,
         change_id: change.change_id.clone(),
     };
+    let head = StoredHead { head, log };
     Ok(vec![
         Op::Put {
             key: HEAD_KEY.to_owned(),
             value: encode(&head)?,
         },
         Op::Put {
-            key: change_key(change.revision),
+            key: log.change_key(change.revision),
             value: encode(change)?,
         },
     ])
@@ -213,7 +217,6 @@
     };
     Ok(Txn {
         conditions: vec![row.unchanged()],
-        success: change_ops(&change)?,
-        failure: Vec::new(),
+        ops: change_ops(&change, row.log)?,
     })
 }
--- a/crates/platform/src/catalogue_store/mod.rs
+++ b/crates/store/src/catalogue_store/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! | place | contents |
 //! |---|---|
-//! | table `catalogue/head` | [`Head`]: the newest revision and the id of its change |
-//! | table `catalogue/changes/REVISION` | one [`Change`]; the number has 20 digits |
+//! | table `catalogue/head` | [`Head`]: the newest revision, the id of its change, and the log it is in |
+//! | table `catalogue/changes/LOG/REVISION` | one [`Change`]; the numbers have 8 and 20 digits |
 //! | table `catalogue/snapshot` | the [`Head`] of the newest snapshot |
-//! | objects `catalogue/snapshot-REVISION-CHANGE` | all entries in force at that revision |
+//! | objects `catalogue-snapshot-REVISION-CHANGE` | all entries in force at that revision |
+//!
+//! A log is a run of changes without gaps. A restoration begins a new one, so that the changes
+//! before it are out of sight at the moment at which it takes effect, however many they are.
 //!
 //! A change is accepted by one transaction that writes the head and the change, on condition that
 //! the head is the one that was read. All values are JSON.
@@ -22,7 +25,7 @@
 
 use crate::{
     error::PlatformError,
-    table::{TableApi, retry::Retry},
+    table::{KeyRange, TableApi, retry::Retry},
 };
 
 pub use commit::{Commit, Proposal};
@@ -33,6 +36,39 @@
 pub(crate) const CHANGES_PREFIX: &str = "catalogue/changes/";
 pub(crate) const SNAPSHOT_KEY: &str = "catalogue/snapshot";
 
+/// The number of a log of changes. Grows with each restoration.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct LogNumber(pub(crate) u64);
+
+impl LogNumber {
+    pub(crate) fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+
+    /// Before the revisions in the keys of its changes. Keys sort by log.
+    fn prefix(self) -> String {
+        format!("{CHANGES_PREFIX}{:08}/", self.0)
+    }
+
+    /// The key of the change with `revision`.
+    pub(crate) fn change_key(self, revision: Revision) -> String {
+        format!("{}{:020}", self.prefix(), revision.0)
+    }
+
+    /// The changes from `first` on.
+    pub(crate) fn changes_from(self, first: Revision) -> KeyRange {
+        let mut range = KeyRange::prefix(&self.prefix());
+        range.start = self.change_key(first);
+        range
+    }
+
+    /// All changes before `revision`, those of earlier logs included.
+    pub(crate) fn changes_before(self, revision: Revision) -> KeyRange {
+        KeyRange::between(CHANGES_PREFIX, &self.change_key(revision))
+    }
+}
+
 /// The newest accepted change.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
@@ -105,11 +141,6 @@
     }
 }
 
-/// The key of the change with `revision`.
-pub(crate) fn change_key(revision: Revision) -> String {
-    format!("{CHANGES_PREFIX}{:020}", revision.0)
-}
-
 /// Reads a stored JSON value.
 pub(crate) fn decode<D: for<'de> Deserialize<'de>>(
     key: &str,
--- a/crates/platform/src/catalogue_store/read.rs
+++ b/crates/store/src/catalogue_store/read.rs
@@ -2,19 +2,33 @@
 
 use dragonflyrill_catalogue::state::{Change, Revision};
 
-use super::{CHANGES_PREFIX, CatalogueStore, HEAD_KEY, Head, StoreError, change_key, decode};
+use serde::{Deserialize, Serialize};
+
+use super::{CatalogueStore, HEAD_KEY, Head, LogNumber, StoreError, decode};
 use crate::{
     error::PlatformError,
     table::{KeyRange, Rows, TableApi},
 };
 
 /// The most changes asked for in one read.
-const PAGE: u64 = 500;
+const PAGE: usize = 500;
+
+/// The value of the head's row.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(super) struct StoredHead {
+    #[serde(flatten)]
+    pub(super) head: Head,
+    /// The log that its change is in.
+    #[serde(default)]
+    pub(super) log: LogNumber,
+}
 
 /// The head as it stands in the table.
 #[derive(Debug, Clone, Default)]
 pub(super) struct HeadRow {
     pub(super) head: Head,
+    /// The log that its change is in.
+    pub(super) log: LogNumber,
     /// `None` where the key does not exist.
     pub(super) mod_revision: Option<u64>,
 }
@@ -34,12 +48,11 @@
     /// # Errors
     /// [`StoreError::Missing`] when changes after `after` were trimmed: load a snapshot instead.
     pub async fn read_changes(&self, after: Revision) -> Result<Vec<Change>, StoreError> {
-        let end = prefix_end();
+        let log = self.read_head_row_unchecked().await?.log;
         let mut changes: Vec<Change> = Vec::new();
         loop {
             let last = changes.last().map_or(after, |c| c.revision);
-            let range = KeyRange::between(&change_key(last.next()), &end);
-            let found = self.range(&range, PAGE).await?;
+            let found = self.range(&log.changes_from(last.next()), PAGE).await?;
             for row in &found.rows {
                 let change: Change = decode(&row.key, &row.value)?;
                 let last = changes.last().map_or(after, |c| c.revision);
@@ -94,8 +107,10 @@
         let Some(row) = found.rows.first() else {
             return Ok(HeadRow::default());
         };
+        let StoredHead { head, log } = decode(HEAD_KEY, &row.value)?;
         Ok(HeadRow {
-            head: decode(HEAD_KEY, &row.value)?,
+            head,
+            log,
             mod_revision: Some(row.mod_revision),
         })
     }
@@ -118,7 +133,11 @@
     }
 
     /// A read, repeated while it fails for a passing cause.
-    pub(super) async fn range(&self, range: &KeyRange, limit: u64) -> Result<Rows, PlatformError> {
+    pub(super) async fn range(
+        &self,
+        range: &KeyRange,
+        limit: usize,
+    ) -> Result<Rows, PlatformError> {
         let mut tried = 0;
         loop {
             match self.table.range(range, limit).await {
@@ -131,11 +150,3 @@
         }
     }
 }
-
-/// The end of the range of all changes.
-fn prefix_end() -> String {
-    let mut end = CHANGES_PREFIX.to_owned();
-    end.pop();
-    end.push('0'); // The byte after '/'.
-    end
-}
--- a/crates/platform/src/catalogue_store/restore.rs
+++ b/crates/store/src/catalogue_store/restore.rs
@@ -6,9 +6,10 @@
 //! finds a gap after its own revision and loads the snapshot, instead of folding a change into a
 //! state that the store does not know any more.
 //!
-//! The changes before it are deleted in the same transaction: their numbers may have been used for
-//! other changes than those that hosts have in force. A read after any older revision thus ends at
-//! once in [`StoreError::Missing`], and never shows a host a change that contradicts its own.
+//! It begins a new log: the numbers of the changes before it may have been used for other changes
+//! than those that hosts have in force. A read after any older revision thus ends at once in
+//! [`StoreError::Missing`], and never shows a host a change that contradicts its own. The changes
+//! of earlier logs are removed afterwards; nobody reads them any more.
 
 use dragonflyrill_catalogue::{
     entry::Entry,
@@ -16,11 +17,11 @@
 };
 
 use super::{
-    CHANGES_PREFIX, CatalogueStore, Commit, Head, Loaded, SnapshotStore, StoreError, change_key,
+    CatalogueStore, Commit, Head, Loaded, LogNumber, SnapshotStore, StoreError,
     commit::{Tried, change_ops},
     snapshot,
 };
-use crate::table::{KeyRange, Op, TableApi, Txn};
+use crate::table::{TableApi, Txn};
 
 /// The whole catalogue, to be declared anew.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,7 +40,7 @@
 
 impl<T: TableApi> CatalogueStore<T> {
     /// Declares the whole catalogue anew, under a revision above `restoration.above` and above
-    /// the store's own head, and deletes all changes before it.
+    /// the store's own head, in a log of its own.
     ///
     /// # Errors
     /// [`StoreError`] when no try of this call took effect or will.
@@ -59,22 +60,32 @@
             change_id: change.change_id.clone(),
         };
         snapshot::put_object(objects, &loaded).await?;
-        let mut success = change_ops(&change)?;
-        success.push(delete_before(change.revision));
-        success.push(snapshot::pointer_op(&loaded.head())?);
+        let log = row.log.next();
+        let mut ops = change_ops(&change, log)?;
+        ops.push(snapshot::pointer_op(&loaded.head())?);
         let txn = Txn {
             conditions: vec![row.unchanged()],
-            success,
-            failure: Vec::new(),
+            ops,
         };
         match self.try_txn(&txn).await {
-            Tried::Done => Ok(Commit::Accepted(change.revision)),
+            Tried::Done => {
+                self.remove_earlier(log).await;
+                Ok(Commit::Accepted(change.revision))
+            }
             Tried::Moved { .. } => self.settle_restore(restoration).await,
             Tried::GaveUp { in_doubt, cause } if in_doubt => Ok(Commit::Unknown(cause)),
             Tried::GaveUp { cause, .. } => Err(cause.into()),
         }
     }
 
+    /// Removes the changes of earlier logs. What is left is removed when changes are trimmed.
+    async fn remove_earlier(&self, log: LogNumber) {
+        let earlier = log.changes_before(Revision::default());
+        if let Err(e) = self.table.remove_all(&earlier).await {
+            log::warn!("catalogue: Changes of earlier logs are left in the table: {e}.");
+        }
+    }
+
     async fn settle_restore(&self, restoration: &Restoration) -> Result<Commit, StoreError> {
         let head: Head = match self.read_head_row_unchecked().await {
             Ok(row) => row.head,
@@ -101,9 +112,3 @@
         }
     }
 }
-
-/// The operation that deletes the changes before `revision`. Its range leaves out the change of
-/// `revision` itself: a transaction must not both write and delete one key.
-fn delete_before(revision: Revision) -> Op {
-    Op::Delete(KeyRange::between(CHANGES_PREFIX, &change_key(revision)))
-}
--- a/crates/platform/src/catalogue_store/snapshot.rs
+++ b/crates/store/src/catalogue_store/snapshot.rs
@@ -6,12 +6,9 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{
-    CHANGES_PREFIX, CatalogueStore, Head, SNAPSHOT_KEY, StoreError, change_key, decode, encode,
-};
+use super::{CatalogueStore, Head, SNAPSHOT_KEY, StoreError, decode, encode};
 use crate::{
     error::PlatformError,
-    objects::Objects,
     table::{Condition, KeyRange, Op, Row, TableApi, Txn},
 };
 
@@ -47,16 +44,6 @@
     fn put(&self, key: &str, body: &[u8]) -> impl Future<Output = Result<(), PlatformError>>;
 }
 
-impl SnapshotStore for Objects {
-    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        Self::get(self, key).await
-    }
-
-    async fn put(&self, key: &str, body: &[u8]) -> Result<(), PlatformError> {
-        self.put_if_absent(key, body).await.map(drop)
-    }
-}
-
 impl<T: TableApi> CatalogueStore<T> {
     /// Reads the newest snapshot and the changes after it.
     ///
@@ -101,8 +88,7 @@
         };
         let txn = Txn {
             conditions: vec![condition],
-            success: vec![pointer_op(&loaded.head())?],
-            failure: Vec::new(),
+            ops: vec![pointer_op(&loaded.head())?],
         };
         // Another host's newer pointer is as good.
         self.table.txn(&txn).await?;
@@ -128,7 +114,7 @@
         self.trim().await
     }
 
-    /// Deletes changes that lie well behind the newest snapshot.
+    /// Removes changes that lie well behind the newest snapshot, and those of earlier logs.
     ///
     /// # Errors
     /// [`StoreError::Platform`]; trying again is safe.
@@ -136,13 +122,8 @@
         let row = self.snapshot_row().await?;
         let snapshot = pointer(row.as_ref())?;
         let end = Revision(snapshot.revision.0.saturating_sub(KEPT_CHANGES));
-        let range = KeyRange::between(CHANGES_PREFIX, &change_key(end));
-        let txn = Txn {
-            conditions: Vec::new(),
-            success: vec![Op::Delete(range)],
-            failure: Vec::new(),
-        };
-        self.table.txn(&txn).await?;
+        let log = self.read_head_row_unchecked().await?.log;
+        self.table.remove_all(&log.changes_before(end)).await?;
         Ok(())
     }
 
@@ -217,7 +198,7 @@
 /// The change id is a part of the name: after a restore of the table, the same revision may
 /// belong to another change, and objects are written only once.
 fn object_key(head: &Head) -> String {
-    format!("catalogue/snapshot-{}-{}", head.revision.0, head.change_id)
+    format!("catalogue-snapshot-{}-{}", head.revision.0, head.change_id)
 }
 
 /// The head of the newest snapshot; the default where there is none.
--- a/crates/platform/src/error.rs
+++ b/crates/store/src/error.rs
@@ -14,7 +14,7 @@
         /// How long the platform asks to wait.
         retry_after: Duration,
     },
-    /// The platform is there but did not serve a read.
+    /// The platform did not serve the call. Nothing took effect.
     #[error("unavailable: {0}")]
     Unavailable(String),
     /// The answer to a write was lost: the write may have taken effect, or may still do so.
@@ -31,6 +31,9 @@
     /// The answer, or a stored value, is not in the expected format.
     #[error("malformed: {0}")]
     Malformed(String),
+    /// The history of changes does not reach back to the mark: the whole has to be read anew.
+    #[error("history is gone")]
+    HistoryGone,
 }
 
 impl PlatformError {
@@ -45,7 +48,7 @@
             Self::NotSent(_) | Self::Refused { .. } | Self::Unavailable(_) | Self::Unknown(_) => {
                 true
             }
-            Self::Rejected { .. } | Self::Malformed(_) => false,
+            Self::Rejected { .. } | Self::Malformed(_) | Self::HistoryGone => false,
         }
     }
 
--- a/crates/platform/src/table/once.rs
+++ b/crates/store/src/table/once.rs
@@ -6,11 +6,11 @@
 
 use std::collections::HashSet;
 
-use super::{Condition, KeyRange, Op, Row, TableApi, Txn, TxnOutcome, retry::Retry};
+use super::{Condition, MAX_ENTRIES, Op, Row, TableApi, Txn, TxnOutcome, retry::Retry};
 use crate::error::PlatformError;
 
-/// The most writes in one transaction; the published interface allows 128 operations.
-pub const MAX_BATCH: usize = 100;
+/// The most writes in one transaction; each has a condition and an operation.
+pub const MAX_BATCH: usize = MAX_ENTRIES / 2;
 
 /// Ends the write id in a stored value.
 const SEPARATOR: u8 = b'\n';
@@ -157,13 +157,12 @@
         let writes = || batch.iter().map(|i| &self.writes[*i]);
         Txn {
             conditions: writes().map(|w| Condition::Absent(w.key.clone())).collect(),
-            success: writes()
+            ops: writes()
                 .map(|w| Op::Put {
                     key: w.key.clone(),
                     value: w.stored.encode(),
                 })
                 .collect(),
-            failure: writes().map(|w| Op::Read(KeyRange::one(&w.key))).collect(),
         }
     }
 
@@ -176,8 +175,8 @@
             return true;
         }
         let mut settled = false;
-        for (i, found) in batch.iter().zip(&outcome.reads) {
-            if let Some(row) = found.rows.first() {
+        for (i, found) in batch.iter().zip(&outcome.rows) {
+            if let Some(row) = found {
                 self.outcomes[*i] = Some(whose(row, &self.writes[*i]));
                 settled = true;
             }
--- a/crates/platform/tests/race.rs
+++ b/crates/store/tests/race.rs
@@ -11,7 +11,7 @@
     name::{Name, WorkspaceName},
     state::{ChangeId, Revision},
 };
-use dragonflyrill_platform::catalogue_store::{CatalogueStore, Commit, Proposal, StoreError};
+use dragonflyrill_store::catalogue_store::{CatalogueStore, Commit, Proposal, StoreError};
 
 const OPERATORS: usize = 12;
 const APPLIES: usize = 20;
