Lists are marked by host and incarnation, not by incarnation alone

Both had started in the same microsecond, so that the mark's origin was equal; front-geoje-1 told the changes since a version of another list and left out that i-204be6c5a5 was gone. Every other host had forgotten it; this one sent to it 2,054 ms after it had left.

Change: the origin is a hash of the host's name and its incarnation. Test failed first: a host gives the whole list to a mark of another host that has the same incarnation.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -63,6 +63,14 @@
         self.incarnation.set(incarnation);
     }
 
+    /// Names this incarnation of this host's list. Incarnations alone don't: hosts that start at the
+    /// same moment have the same one.
+    pub fn list_origin(&self, host: &str) -> u64 {
+        let mut hasher = FxHasher::default();
+        (host, self.incarnation.get()).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// This host's incarnation.
     pub fn incarnation(&self) -> u64 {
         self.incarnation.get()
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -110,7 +110,7 @@
     if !gateway.endpoints_known.get() {
         return None;
     }
-    let origin = gateway.peers.incarnation();
+    let origin = gateway.peers.list_origin(&gateway.settings.host);
     let known = (mark.origin == origin).then_some(mark.version);
     let changes = gateway.directory.borrow().changes_since(known);
     let doubted = gateway.doubted.borrow();
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -22,7 +22,7 @@
 /// A place in the changes of one host's list of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ListMark {
-    /// The incarnation of the host whose list it is.
+    /// Names the host whose list it is, and its incarnation.
     pub origin: u64,
     /// How many changes are known.
     pub version: u64,
