--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -170,15 +170,16 @@
         FleetHost {
             host: settings.host.clone(),
             incarnation: self.gateway.peers.incarnation(),
-            addr: settings.peers,
+            addr: settings.peers_announced,
             data_centre: settings.data_centre.to_string(),
         }
     }
 
-    async fn renew(&mut self, expected: u64) -> Result<(), PlatformError> {
+    /// Writes who holds the duty.
+    async fn write(&mut self, holder: &str, expected: u64) -> Result<(), PlatformError> {
         let sent_at = self.gateway.now();
         let store = &self.gateway.platform.store;
-        let written = within(store.write(DUTY_ROW, &self.me, Some(expected))).await;
+        let written = within(store.write(DUTY_ROW, holder, Some(expected))).await;
         count(&self.gateway, written.is_ok());
         let now = self.gateway.now();
         let (outcome, result) = match written {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,8 @@
     pub metrics: SocketAddr,
     /// Where other hosts call.
     pub peers: SocketAddr,
+    /// The address that other hosts are told for it, where it differs.
+    pub peers_announced: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// How long after a key was taken away it may still be honoured.
@@ -41,12 +43,18 @@
     pub retries: BudgetTerms,
 }
 
-/// The keys, by section; each must be there.
+/// The keys, by section; each must be there but for `peers_announced`.
 const KNOWN: settings::Known = &[
     ("host", &["name", "address", "data_centre"]),
     (
         "listen",
-        &["callers", "readiness", "metrics_port", "peers_port"],
+        &[
+            "callers",
+            "readiness",
+            "metrics_port",
+            "peers_port",
+            "peers_announced",
+        ],
     ),
     ("store", &["address"]),
     (
@@ -84,6 +92,12 @@
         let readiness = p.required("listen", "readiness", settings::address);
         let metrics_port = p.required("listen", "metrics_port", port);
         let peers_port = p.required("listen", "peers_port", port);
+        let peers = ip
+            .zip(peers_port)
+            .map(|(ip, port)| SocketAddr::new(ip, port));
+        // Without a valid address nothing is announced; the error says which part is wrong.
+        let usual = peers.map_or("0.0.0.0:0".to_owned(), |peers| peers.to_string());
+        let announced = p.optional("listen", "peers_announced", &usual, settings::address);
         let store = p.required("store", "address", settings::address);
         let key_revocation = p.required("bounds", "key_revocation_ms", settings::fine_millis);
         let config_apply = p.required("bounds", "config_apply_ms", settings::fine_millis);
@@ -98,7 +112,8 @@
             callers: callers?,
             readiness: readiness?,
             metrics: SocketAddr::new(ip?, metrics_port?),
-            peers: SocketAddr::new(ip?, peers_port?),
+            peers: peers?,
+            peers_announced: announced?,
             store: store?,
             key_revocation: key_revocation?,
             config_apply: config_apply?,
--- a/crates/standins/src/relay/connection.rs
+++ b/crates/standins/src/relay/connection.rs
@@ -8,7 +8,8 @@
 };
 
 use bytes::Bytes;
-use futures_util::future;
+use futures_util::future::{self, Either};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::TcpStream,
@@ -16,7 +17,10 @@
     time::Instant,
 };
 
-use super::{LinkFaults, Mode, link::Link};
+use super::{
+    Direction, LinkFaults,
+    link::{Blow, Link},
+};
 
 /// The most that one read takes.
 const READ_BYTES: usize = 64 * 1024;
@@ -29,25 +33,47 @@
     bytes: Bytes,
 }
 
-/// Relays one connection until it ends, loses bytes for good, or the relay stops.
-pub(super) async fn relay(link: Arc<Link>, near: TcpStream, far: TcpStream) -> io::Result<()> {
+/// Relays one connection until it ends, loses bytes for good, is struck, or the relay stops.
+pub(super) async fn relay(
+    link: Arc<Link>,
+    mut near: TcpStream,
+    mut far: TcpStream,
+) -> io::Result<()> {
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
-    let (near_rx, near_tx) = near.into_split();
-    let (far_rx, far_tx) = far.into_split();
-    let there = direction(&link, near_rx, far_tx);
-    let back = direction(&link, far_rx, near_tx);
-    future::try_join(there, back).await?;
-    Ok(())
+    let mut blows = link.blows.subscribe();
+    let blow = {
+        let (near_rx, near_tx) = near.split();
+        let (far_rx, far_tx) = far.split();
+        let there = direction(&link, Direction::There, near_rx, far_tx);
+        let back = direction(&link, Direction::Back, far_rx, near_tx);
+        let relayed = Box::pin(future::try_join(there, back));
+        let struck = Box::pin(blows.changed());
+        match future::select(relayed, struck).await {
+            Either::Left((ended, _)) => return ended.map(drop),
+            Either::Right(_) => *link.blows.borrow(),
+        }
+    };
+    match blow {
+        Some(Blow::Silence) => future::pending().await,
+        Some(Blow::Reset) | None => {
+            // A close without lingering is a reset.
+            for socket in [&near, &far] {
+                SockRef::from(socket).set_linger(Some(Duration::ZERO))?;
+            }
+            Ok(())
+        }
+    }
 }
 
 async fn direction(
     link: &Link,
+    direction: Direction,
     from: impl AsyncRead + Unpin,
     to: impl AsyncWrite + Unpin,
 ) -> io::Result<()> {
     let (tx, rx) = mpsc::channel(QUEUE);
-    future::try_join(read(link, from, tx), write(link, to, rx)).await?;
+    future::try_join(read(link, from, tx), write(link, direction, to, rx)).await?;
     Ok(())
 }
 
@@ -71,15 +97,16 @@
 
 async fn write(
     link: &Link,
+    direction: Direction,
     mut to: impl AsyncWrite + Unpin,
     mut rx: mpsc::Receiver<Piece>,
 ) -> io::Result<()> {
     let mut faults = link.faults.subscribe();
     while let Some(Piece { due, bytes }) = rx.recv().await {
         tokio::time::sleep_until(due).await;
-        if faults.borrow_and_update().mode == Mode::Cut {
+        if faults.borrow_and_update().mode.drops(direction) {
             link.counters.dropped.fetch_add(bytes.len() as u64, Relaxed);
-            return drain(link, faults, rx).await;
+            return drain(link, direction, faults, rx).await;
         }
         if bytes.is_empty() {
             return to.shutdown().await;
@@ -93,6 +120,7 @@
 /// Drops what comes until the link is whole again, then fails, which closes the connection.
 async fn drain(
     link: &Link,
+    direction: Direction,
     mut faults: watch::Receiver<LinkFaults>,
     mut rx: mpsc::Receiver<Piece>,
 ) -> io::Result<()> {
@@ -102,7 +130,7 @@
         }
         future::pending::<()>().await;
     };
-    let whole = faults.wait_for(|faults| faults.mode == Mode::Up);
+    let whole = faults.wait_for(|faults| !faults.mode.drops(direction));
     future::select(Box::pin(whole), Box::pin(dropping)).await;
     Err(io::Error::new(
         io::ErrorKind::ConnectionReset,
--- a/crates/standins/src/relay/link.rs
+++ b/crates/standins/src/relay/link.rs
@@ -14,10 +14,21 @@
     pub(super) dropped: AtomicU64,
 }
 
+/// What befalls the connections that are open when it happens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Blow {
+    /// They are reset.
+    Reset,
+    /// They stay open and carry nothing more.
+    Silence,
+}
+
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) cfg: LinkConfig,
     pub(super) faults: watch::Sender<LinkFaults>,
+    /// The newest blow; connections see those that come after they were opened.
+    pub(super) blows: watch::Sender<Option<Blow>>,
     pub(super) counters: Counters,
 }
 
@@ -27,6 +38,7 @@
         Self {
             cfg,
             faults,
+            blows: watch::Sender::new(None),
             counters: Counters::default(),
         }
     }
@@ -36,6 +48,11 @@
         self.faults.send_replace(faults);
     }
 
+    pub(super) fn strike(&self, blow: Blow) {
+        log::info!("relay {}: {blow:?}.", self.cfg.name);
+        self.blows.send_replace(Some(blow));
+    }
+
     pub(super) fn stats(&self) -> LinkStats {
         LinkStats {
             name: self.cfg.name.clone(),
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -7,11 +7,16 @@
 //! |---|---|
 //! | `POST /standin/faults` | 204; replaces the [`LinkFaults`] of all links |
 //! | `POST /standin/links/NAME` | 204; replaces the [`LinkFaults`] of one link |
+//! | `POST /standin/links/NAME/reset` | 204; resets the connections that are open |
+//! | `POST /standin/links/NAME/silence` | 204; the connections that are open carry nothing more |
 //! | `GET /standin/stats` | a JSON array of [`LinkStats`] |
 //!
 //! A link that is cut behaves like a network partition: bytes are dropped, ends of connections are
-//! not passed on, and new connections are closed at once. When it is whole again, connections that
-//! lost bytes are closed, as nothing could put them right.
+//! not passed on, and new connections are closed at once. Cut one way, it still carries the other
+//! direction. When it is whole again, connections that lost bytes are closed, as nothing could put
+//! them right. Connections that were silenced stay open and silent for good, while new ones work.
+//!
+//! [`RunningLink`] is one link without a control address, for use within a process.
 
 mod connection;
 mod link;
@@ -23,7 +28,7 @@
 
 use crate::settings::Settings;
 
-pub use server::{RunningRelay, start};
+pub use server::{RunningLink, RunningRelay, start};
 
 /// The settings of one link.
 #[derive(Debug, Clone)]
@@ -59,6 +64,31 @@
     Up,
     /// It drops them.
     Cut,
+    /// It drops those towards its end.
+    CutThere,
+    /// It drops those from its end.
+    CutBack,
+}
+
+/// One direction of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    /// Towards its end.
+    There,
+    /// From its end.
+    Back,
+}
+
+impl Mode {
+    /// Whether bytes of a direction are dropped.
+    fn drops(self, direction: Direction) -> bool {
+        match self {
+            Self::Up => false,
+            Self::Cut => true,
+            Self::CutThere => direction == Direction::There,
+            Self::CutBack => direction == Direction::Back,
+        }
+    }
 }
 
 /// The faults of a link. A field left out of JSON has its default.
--- a/crates/standins/src/relay/server.rs
+++ b/crates/standins/src/relay/server.rs
@@ -12,9 +12,13 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    task::JoinHandle,
 };
 
-use super::{LinkConfig, LinkFaults, LinkStats, Mode, connection, link::Link};
+use super::{
+    LinkConfig, LinkFaults, LinkStats, Mode, connection,
+    link::{Blow, Link},
+};
 use crate::{
     Running,
     serve::{self, Answer, Call, Handler},
@@ -51,6 +55,68 @@
     }
 }
 
+/// One link without a control address. Its connections end when it is dropped.
+pub struct RunningLink {
+    link: Arc<Link>,
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+    /// Ends the connections when it is dropped.
+    _stop: watch::Sender<()>,
+}
+
+impl RunningLink {
+    /// Starts a link on the current `actix_rt` system.
+    pub fn start(cfg: LinkConfig) -> io::Result<Self> {
+        let (stop, stopped) = watch::channel(());
+        let (link, addr, accepting) = open(cfg, stopped)?;
+        Ok(Self {
+            link,
+            addr,
+            task: actix_rt::spawn(accepting),
+            _stop: stop,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Replaces its faults.
+    pub fn set_faults(&self, faults: LinkFaults) {
+        self.link.set_faults(faults);
+    }
+
+    /// Resets the connections that are open.
+    pub fn reset(&self) {
+        self.link.strike(Blow::Reset);
+    }
+
+    /// Has the connections that are open carry nothing more.
+    pub fn silence(&self) {
+        self.link.strike(Blow::Silence);
+    }
+}
+
+impl Drop for RunningLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Opens a link; it accepts while the future is polled.
+fn open(
+    cfg: LinkConfig,
+    stopped: watch::Receiver<()>,
+) -> io::Result<(Arc<Link>, SocketAddr, impl Future<Output = ()>)> {
+    let listener = serve::bind(cfg.listen)?;
+    listener.set_nonblocking(true)?;
+    let addr = listener.local_addr()?;
+    let link = Arc::new(Link::new(cfg));
+    let accepting = accept(link.clone(), TcpListener::from_std(listener)?, stopped);
+    Ok((link, addr, accepting))
+}
+
 /// Starts a relay on the current `actix_rt` system.
 pub async fn start(control: SocketAddr, cfgs: Vec<LinkConfig>) -> io::Result<RunningRelay> {
     let (stop, stopped) = watch::channel(());
@@ -58,17 +124,10 @@
     let mut addrs = Vec::with_capacity(cfgs.len());
     let mut tasks = Vec::with_capacity(cfgs.len());
     for cfg in cfgs {
-        let listener = serve::bind(cfg.listen)?;
-        listener.set_nonblocking(true)?;
-        addrs.push(listener.local_addr()?);
-        let link = Arc::new(Link::new(cfg));
-        let accepting = accept(
-            Arc::clone(&link),
-            TcpListener::from_std(listener)?,
-            stopped.clone(),
-        );
-        tasks.push(actix_rt::spawn(accepting));
+        let (link, addr, accepting) = open(cfg, stopped.clone())?;
         links.push(link);
+        addrs.push(addr);
+        tasks.push(actix_rt::spawn(accepting));
     }
     let handler = Arc::new(Control { links });
     let control = serve::run(vec![(serve::bind(control)?, handler)], tasks)?;
@@ -133,8 +192,15 @@
                 let name = path
                     .strip_prefix("/standin/links/")
                     .ok_or_else(Answer::not_found)?;
+                let (name, blow) = name.split_once('/').unwrap_or((name, ""));
                 let link = self.links.iter().find(|link| link.cfg.name == name);
-                link.ok_or_else(Answer::not_found)?.set_faults(call.json()?);
+                let link = link.ok_or_else(Answer::not_found)?;
+                match blow {
+                    "" => link.set_faults(call.json()?),
+                    "reset" => link.strike(Blow::Reset),
+                    "silence" => link.strike(Blow::Silence),
+                    _ => return Err(Answer::not_found()),
+                }
             }
             _ => return Err(Answer::not_found()),
         }
--- a/crates/standins/tests/relay.rs
+++ b/crates/standins/tests/relay.rs
@@ -138,3 +138,60 @@
     relay.stop().await;
     service.stop().await;
 }
+
+/// A call on a connection that may carry nothing; whether it was answered.
+async fn answered(socket: &mut TcpStream) -> bool {
+    socket.write_all(CALL).await.is_ok() && socket.read_u8().await.is_ok()
+}
+
+#[actix_rt::test]
+async fn a_reset_ends_what_is_open_and_new_connections_work() {
+    let (service, relay) = start().await;
+    let mut old = TcpStream::connect(relay.links()[0]).await.expect("a link");
+    call(&mut old).await;
+    let path = "/standin/links/l/reset";
+    let struck = common::send("POST", relay.control(), path, &[], Vec::new()).await;
+    assert_eq!(struck.expect("answer").status, 204);
+    let mut byte = [0];
+    let ended = old.read(&mut byte).await;
+    let reset = ended.expect_err("an error").kind();
+    assert_eq!(reset, std::io::ErrorKind::ConnectionReset);
+    let mut new = TcpStream::connect(relay.links()[0]).await.expect("a link");
+    call(&mut new).await;
+    relay.stop().await;
+    service.stop().await;
+}
+
+#[actix_rt::test]
+async fn silenced_connections_stay_open_and_silent_and_new_ones_work() {
+    let (service, relay) = start().await;
+    let mut old = TcpStream::connect(relay.links()[0]).await.expect("a link");
+    call(&mut old).await;
+    let path = "/standin/links/l/silence";
+    let struck = common::send("POST", relay.control(), path, &[], Vec::new()).await;
+    assert_eq!(struck.expect("answer").status, 204);
+    let mut waiting = Box::pin(answered(&mut old));
+    assert!(common::is_pending(&mut waiting));
+    let mut new = TcpStream::connect(relay.links()[0]).await.expect("a link");
+    call(&mut new).await;
+    assert!(common::is_pending(&mut waiting), "long after the new one");
+    drop(waiting);
+    relay.stop().await;
+    service.stop().await;
+}
+
+#[actix_rt::test]
+async fn a_link_cut_one_way_carries_the_other_direction() {
+    let (service, relay) = start().await;
+    let mut socket = TcpStream::connect(relay.links()[0]).await.expect("a link");
+    call(&mut socket).await;
+    set(&relay, r#"{"mode": "cut_back"}"#).await;
+    socket.write_all(CALL).await.expect("sent");
+    while stats(&relay).await.dropped == 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    let carried = stats(&relay).await.carried;
+    assert!(carried >= 2 * CALL.len() as u64, "both calls arrived");
+    relay.stop().await;
+    service.stop().await;
+}
