placement: judge moves until a horizon, return to the best layout; give the duty up at once

Change: a choice of layers counts the requests served until 15 s from now, with what the engine keeps while it loads. Where the layout as if placed anew serves a quarter more, engines move towards it, assigned so that the least is loaded (pathfinding's assignment). Loaded engines are asked before they move and stay if they don't answer or are not as listed; nothing moves while engines that hold layers come to a data centre's list. A host that is asked to stop writes into the duty's row that nobody holds it. The planner is split into covers, value, target and moves.

Tests: gaps are closed within three seconds of loading; unsettled lists; engines in doubt; a joiner restores the layout; releases, also in the random schedules with hosts that leave and start again.

--- /dev/null
+++ b/crates/fleet/benches/planning.rs
@@ -0,0 +1,54 @@
+//! What the planner and the search for chains cost, by the number of endpoints.
+//!
+//! `cargo bench -p dragonflyrill-fleet --bench planning`
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::hint::black_box;
+
+use common::{engine, fleet};
+use criterion::{BenchmarkId, Criterion};
+use dragonflyrill_fleet::placement::{self, Candidate};
+
+/// Endpoints by data centre and kind: today's, the grown ones', and 25 data centres of 40.
+fn sizes() -> Vec<(usize, Vec<Candidate>)> {
+    let today = fleet(&[("a", [2, 2, 5]), ("b", [1, 3, 8]), ("c", [1, 6, 5])]);
+    let grown = fleet(&[("a", [4, 6, 14]), ("b", [2, 9, 22]), ("c", [2, 15, 12])]);
+    let names: Vec<String> = (0..25).map(|i| format!("dc{i:02}")).collect();
+    let many: Vec<(&str, [usize; 3])> = names.iter().map(|n| (n.as_str(), [4, 12, 24])).collect();
+    let all = [today, grown, fleet(&many)];
+    all.into_iter().map(|c| (c.len(), c)).collect()
+}
+
+/// All endpoints as the planner places them.
+fn placed(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+    for placement in placement::plan(&engine(), &candidates, |_| false) {
+        let found = candidates.iter_mut().find(|c| c.id == placement.id);
+        found.expect("a candidate").holds = Some(placement.layers);
+    }
+    candidates
+}
+
+fn bench(c: &mut Criterion) {
+    let engine = engine();
+    let mut group = c.benchmark_group("plan");
+    group.sample_size(10);
+    for (n, fresh) in sizes() {
+        group.bench_function(BenchmarkId::new("first", n), |b| {
+            b.iter(|| placement::plan(&engine, black_box(&fresh), |_| false));
+        });
+        let mut lost = placed(fresh);
+        lost.remove(0);
+        group.bench_function(BenchmarkId::new("after a loss", n), |b| {
+            b.iter(|| placement::plan(&engine, black_box(&lost), |_| false));
+        });
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut c = Criterion::default().configure_from_args();
+    bench(&mut c);
+    c.final_summary();
+}
--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -141,6 +141,10 @@
     pub usual_answer: f64,
     /// Tokens in one event of a stream.
     pub tokens_per_event: f64,
+    /// The time to load the whole model's layers, in seconds.
+    pub load_s: f64,
+    /// Loads beyond so many at a time take proportionally longer.
+    pub loads_at_once: f64,
     /// The kinds of accelerators.
     pub accelerators: Vec<Accelerator>,
 }
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -4,7 +4,8 @@
 //! as the holder left it; any other host takes it over once the row has not changed for a whole
 //! term. No clock is compared between hosts: each measures on its own monotonic clock how long the
 //! row has stood still. The holder counts its term from the *sending* of its last write that
-//! succeeded and stops before the term ends, so that two hosts never both act.
+//! succeeded and stops before the term ends, so that two hosts never both act. A holder that ends
+//! says so in the row, so that another one need not wait for the term.
 
 use std::time::Duration;
 
@@ -13,10 +14,13 @@
 /// The part of the term after which the holder renews.
 const RENEW_PART: f64 = 0.35;
 
+/// What stands in the row, in place of a holder, after one has given the duty up.
+pub const NOBODY: &str = "";
+
 /// The row as it was seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Seen {
-    /// Who wrote it: a host and its incarnation.
+    /// Who wrote it: a host and its incarnation; or [`NOBODY`].
     pub holder: String,
     /// The row's version.
     pub version: u64,
@@ -35,6 +39,12 @@
         /// The version that it must have.
         expected: u64,
     },
+    /// Write into the row that [`NOBODY`] holds the duty, if it still has that version; tell of the
+    /// outcome by [`Duty::wrote`].
+    Release {
+        /// The version that it must have.
+        expected: u64,
+    },
 }
 
 /// How a write ended.
@@ -63,6 +73,8 @@
     renewed_at: Option<Duration>,
     /// A write may or may not have happened; only a read can tell.
     in_doubt: bool,
+    /// This host ends: it never holds the duty again.
+    leaving: bool,
 }
 
 impl Duty {
@@ -77,17 +89,26 @@
             read_at: None,
             renewed_at: None,
             in_doubt: false,
+            leaving: false,
         }
     }
 
+    /// This host ends: it no longer acts on the duty, and is to give it up.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// Whether this host may act on the duty.
     pub fn held(&self, now: Duration) -> bool {
         let until = |at: Duration| at + self.term.mul_f64(HELD_PART);
-        self.renewed_at.is_some_and(|at| now < until(at))
+        !self.leaving && self.renewed_at.is_some_and(|at| now < until(at))
     }
 
     /// What is due.
     pub fn step(&self, now: Duration) -> Step {
+        if self.leaving {
+            return self.step_of_leaving();
+        }
         let Some(read_at) = self.read_at else {
             return Step::Read;
         };
@@ -103,7 +124,8 @@
             };
         }
         let stood_still = self.changed_at.is_some_and(|at| at + self.term <= now);
-        if self.seen.is_none() || stood_still {
+        let free = self.holder().is_none_or(|holder| holder == NOBODY);
+        if free || stood_still {
             return Step::Write { expected };
         }
         match read_at + self.look <= now {
@@ -112,7 +134,16 @@
         }
     }
 
-    /// The row was read, by a call sent at `sent_at`.
+    fn step_of_leaving(&self) -> Step {
+        match &self.seen {
+            Some(seen) if self.mine() && !self.in_doubt => Step::Release {
+                expected: seen.version,
+            },
+            _ => Step::Wait,
+        }
+    }
+
+    /// The row was read.
     pub fn read(&mut self, now: Duration, row: Option<Seen>) {
         self.read_at = Some(now);
         self.in_doubt = false;
@@ -124,11 +155,11 @@
         match outcome {
             Wrote::Done(version) => {
                 self.renewed_at = Some(sent_at);
-                let mine = Seen {
-                    holder: self.me.clone(),
-                    version,
+                let holder = match self.leaving {
+                    true => NOBODY.to_owned(),
+                    false => self.me.clone(),
                 };
-                self.see(now, Some(mine));
+                self.see(now, Some(Seen { holder, version }));
             }
             Wrote::Conflict(row) => {
                 self.read_at = Some(now);
--- a/crates/fleet/src/layers.rs
+++ b/crates/fleet/src/layers.rs
@@ -22,6 +22,11 @@
         self.end - self.first
     }
 
+    /// The layers that are in both, if there are any.
+    pub fn intersection(self, other: Self) -> Option<Self> {
+        Self::new(self.first.max(other.first), self.end.min(other.end))
+    }
+
     /// Whether it has the layer.
     pub fn contains(&self, layer: u32) -> bool {
         (self.first..self.end).contains(&layer)
--- /dev/null
+++ b/crates/fleet/src/placement/mod.rs
@@ -0,0 +1,105 @@
+//! Decides which endpoint holds which layers.
+//!
+//! A plain function from what is known to the ranges that should be loaded. Each data centre gets
+//! covers of its own, since it may be cut off from the others. Layers and requests share an
+//! endpoint's memory: the more layers it holds, the fewer requests it can carry. So the fast
+//! accelerators make the first cover with room for many requests, and the slow ones a second
+//! cover, which carries on when an endpoint of the first is lost.
+//!
+//! What is loaded mostly stays where it is: endpoints that hold nothing are given the layers that
+//! help their data centre most, and a loaded one moves only if that is worth far more than it
+//! costs.
+
+mod covers;
+mod moves;
+mod target;
+mod value;
+
+use std::rc::Rc;
+
+use crate::{
+    catalogue::{Accelerator, Engine},
+    layers::LayerRange,
+};
+
+/// An endpoint that may hold layers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The endpoint.
+    pub id: Rc<str>,
+    /// Where it is.
+    pub data_centre: Rc<str>,
+    /// Its accelerator's name.
+    pub accelerator: Rc<str>,
+    /// The layers that it holds, or is loading.
+    pub holds: Option<LayerRange>,
+    /// It is loading, or may be: it is given nothing. Without layers it is not known what.
+    pub loading: bool,
+}
+
+/// Layers that an endpoint should load.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// The endpoint.
+    pub id: Rc<str>,
+    /// The layers.
+    pub layers: LayerRange,
+}
+
+struct Slot<'a> {
+    candidate: &'a Candidate,
+    accelerator: &'a Accelerator,
+}
+
+/// What endpoints should load: all that hold nothing, and loaded ones that are worth moving.
+///
+/// Nothing loaded moves in data centres that are `unsettled`.
+pub fn plan(
+    engine: &Engine,
+    candidates: &[Candidate],
+    unsettled: impl Fn(&str) -> bool,
+) -> Vec<Placement> {
+    let mut centres: Vec<&Rc<str>> = candidates.iter().map(|c| &c.data_centre).collect();
+    centres.sort();
+    centres.dedup();
+    let mut placements = Vec::new();
+    for centre in centres {
+        let local = candidates.iter().filter(|c| c.data_centre == *centre);
+        let mut slots: Vec<Slot<'_>> = local.filter_map(|c| slot(engine, c)).collect();
+        slots.sort_by(|a, b| {
+            let pace = a.accelerator.pace.total_cmp(&b.accelerator.pace);
+            pace.then_with(|| a.candidate.id.cmp(&b.candidate.id))
+        });
+        let fresh = slots.iter().all(|s| s.candidate.holds.is_none());
+        match fresh {
+            true => covers::cover_anew(engine, &slots, &mut placements),
+            false => {
+                let before = placements.len();
+                moves::fill_gaps(engine, &slots, &mut placements);
+                if placements.len() == before && !unsettled(centre) {
+                    moves::moves(engine, &slots, &mut placements);
+                }
+            }
+        }
+    }
+    placements
+}
+
+fn slot<'a>(engine: &'a Engine, candidate: &'a Candidate) -> Option<Slot<'a>> {
+    let accelerator = engine.accelerator(&candidate.accelerator)?;
+    Some(Slot {
+        candidate,
+        accelerator,
+    })
+}
+
+/// The most layers that leave room for `tokens` of requests on each of them.
+fn most_layers(engine: &Engine, accelerator: &Accelerator, tokens: f64) -> u32 {
+    let per_layer = engine.layer_mb + tokens * engine.token_layer_mb;
+    ((accelerator.memory_mb / per_layer) as u32).clamp(1, engine.most_layers(accelerator).max(1))
+}
+
+/// Tokens of one request, prompt and answer.
+fn request_tokens(engine: &Engine) -> f64 {
+    (engine.usual_prompt + engine.usual_answer).max(1.0)
+}
--- /dev/null
+++ b/crates/fleet/src/placement/target.rs
@@ -0,0 +1,49 @@
+//! The layout that a data centre would have if it were placed anew, with as little as possible to
+//! load.
+
+use pathfinding::{kuhn_munkres::kuhn_munkres_min, matrix::Matrix};
+
+use super::{Slot, covers};
+use crate::{catalogue::Engine, layers::LayerRange};
+
+/// How many of a range's layers an endpoint would have to load.
+pub(super) fn new_layers(held: Option<LayerRange>, range: LayerRange) -> u32 {
+    let kept = held.and_then(|held| held.intersection(range));
+    range.count() - kept.map_or(0, |k| k.count())
+}
+
+/// What each slot would hold. Those that no cover needs stay as they are.
+pub(super) fn layout(
+    engine: &Engine,
+    slots: &[Slot<'_>],
+    held: &[Option<LayerRange>],
+) -> Vec<Option<LayerRange>> {
+    let mut layout = held.to_vec();
+    let planned = covers::laid_out(engine, slots);
+    for accelerator in &engine.accelerators {
+        let of_kind = |i: &usize| slots[*i].accelerator.name == accelerator.name;
+        let places: Vec<usize> = (0..slots.len()).filter(of_kind).collect();
+        let ranges = planned.iter().filter(|(i, _)| of_kind(i));
+        let ranges: Vec<LayerRange> = ranges.map(|(_, range)| *range).collect();
+        for (place, range) in assigned(&places, &ranges, held) {
+            layout[place] = Some(range);
+        }
+    }
+    layout
+}
+
+/// Ranges given to endpoints that are alike, so that the fewest layers are loaded.
+fn assigned(
+    places: &[usize],
+    ranges: &[LayerRange],
+    held: &[Option<LayerRange>],
+) -> Vec<(usize, LayerRange)> {
+    if ranges.is_empty() {
+        return Vec::new();
+    }
+    let cost = |(r, p): (usize, usize)| i64::from(new_layers(held[places[p]], ranges[r]));
+    let costs = Matrix::from_fn(ranges.len(), places.len(), cost);
+    let (_, chosen) = kuhn_munkres_min(&costs);
+    let pairs = chosen.into_iter().zip(ranges);
+    pairs.map(|(p, range)| (places[p], *range)).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/placement/value.rs
@@ -0,0 +1,72 @@
+//! What the endpoints of a data centre serve, by the layers that each holds.
+
+use super::Slot;
+use crate::{
+    catalogue::Engine,
+    chains::{self, Figures, Holding},
+    layers::LayerRange,
+};
+
+/// What a covered layer is worth where there is no chain, in requests a second: next to nothing.
+const COVERED_WEIGHT: f64 = 0.001;
+/// A layer that nobody holds weighs as much as this many that only a slow endpoint holds.
+const UNHELD: f64 = 1000.0;
+
+/// Whether a value is that of a data centre that has a chain.
+pub(super) fn has_chain(engine: &Engine, value: f64) -> bool {
+    value > COVERED_WEIGHT * f64::from(engine.layers) + 1e-6
+}
+
+/// The speed at which each layer is held, over all its holders.
+pub(super) fn speeds(engine: &Engine, slots: &[Slot<'_>], held: &[Option<LayerRange>]) -> Vec<f64> {
+    let mut speeds = vec![0.0; engine.layers as usize];
+    for (slot, range) in slots.iter().zip(held) {
+        for layer in range.iter().flat_map(|r| r.first..r.end.min(engine.layers)) {
+            speeds[layer as usize] += 1.0 / slot.accelerator.pace;
+        }
+    }
+    speeds
+}
+
+/// What a data centre serves in a second with such holdings, by chains that share no endpoint;
+/// where there is none, the more the nearer it is to having one.
+pub(super) fn value(engine: &Engine, slots: &[Slot<'_>], held: &[Option<LayerRange>]) -> f64 {
+    let holding =
+        |(s, r): (&Slot<'_>, &Option<LayerRange>)| Some(Holding::new(s.accelerator, (*r)?));
+    let mut holdings: Vec<Holding> = slots.iter().zip(held).filter_map(holding).collect();
+    let mut rate = 0.0;
+    while let Some(path) = chains::cheapest(engine, &holdings) {
+        let parts = path.iter().map(|(i, layers)| (&holdings[*i], *layers));
+        rate += Figures::new(engine, parts).rate(engine);
+        let mut place = 0;
+        holdings.retain(|_| {
+            place += 1;
+            path.iter().all(|(i, _)| i + 1 != place)
+        });
+    }
+    let covered = speeds(engine, slots, held)
+        .iter()
+        .filter(|s| **s > 0.0)
+        .count();
+    rate + COVERED_WEIGHT * covered as f64
+}
+
+/// The range of `size` layers that gains most from another holder.
+pub(super) fn weakest(speed: &[f64], size: u32) -> LayerRange {
+    let gain: Vec<f64> = speed
+        .iter()
+        .map(|s| if *s > 0.0 { 1.0 / s } else { UNHELD })
+        .collect();
+    let size = size.max(1) as usize;
+    let mut best = (f64::MIN, 0);
+    for first in 0..=gain.len() - size {
+        let sum: f64 = gain[first..first + size].iter().sum();
+        if sum > best.0 + 1e-9 {
+            best = (sum, first);
+        }
+    }
+    LayerRange {
+        first: best.1 as u32,
+        end: (best.1 + size) as u32,
+    }
+}
--- a/crates/fleet/tests/chains.rs
+++ b/crates/fleet/tests/chains.rs
@@ -33,7 +33,7 @@
 fn of_today() -> Vec<Endpoint> {
     let candidates = today();
     let find = |id: &str| candidates.iter().find(|c| *c.id == *id);
-    placement::plan(&engine(), &candidates)
+    placement::plan(&engine(), &candidates, |_| false)
         .iter()
         .map(|p| placed(find(&p.id).expect("planned"), p.layers))
         .collect()
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -31,6 +31,8 @@
         usual_prompt: 774.0,
         usual_answer: 204.0,
         tokens_per_event: 3.0,
+        load_s: 14.0,
+        loads_at_once: 5.0,
         accelerators: vec![
             accelerator("a100", 72_000.0, 2.4, 3.2),
             accelerator("l40s", 43_200.0, 5.6, 2.7),
--- a/crates/fleet/tests/duty.rs
+++ b/crates/fleet/tests/duty.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::duty::{Duty, Seen, Step, Wrote};
+use dragonflyrill_fleet::duty::{Duty, NOBODY, Seen, Step, Wrote};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -95,10 +95,40 @@
     assert!(!duty.held(ms(1921)));
 }
 
+#[test]
+fn a_holder_that_ends_gives_the_duty_up_and_another_host_need_not_wait() {
+    let mut row = Row::default();
+    let (mut first, mut second) = (duty(0), duty(1));
+    first.read(ms(0), None);
+    let wrote = row.write("host0 1", 0);
+    first.wrote(ms(0), ms(5), wrote);
+    second.read(ms(10), row.now.clone());
+    assert_eq!(second.step(ms(20)), Step::Wait);
+    first.leave();
+    assert!(!first.held(ms(30)), "before the row says so");
+    assert_eq!(first.step(ms(30)), Step::Release { expected: 1 });
+    let wrote = row.write(NOBODY, 1);
+    first.wrote(ms(30), ms(35), wrote);
+    assert_eq!(first.step(ms(36)), Step::Wait);
+    assert!(!first.held(ms(36)));
+    second.read(ms(40), row.now.clone());
+    assert_eq!(second.step(ms(40)), Step::Write { expected: 2 });
+}
+
+#[test]
+fn a_host_that_ends_and_holds_nothing_writes_nothing() {
+    let mut duty = duty(0);
+    duty.read(ms(0), None);
+    duty.leave();
+    assert_eq!(duty.step(ms(10_000)), Step::Wait);
+}
+
 /// One host in a random schedule.
 struct Host {
     duty: Duty,
-    me: String,
+    number: usize,
+    incarnation: u32,
+    leaving: bool,
     asleep_until: u64,
     /// A call under way: when it was sent, when it is carried out, when its answer comes, whether
     /// the answer is lost.
@@ -114,7 +144,9 @@
         let mut hosts: Vec<Host> = (0..4)
             .map(|i| Host {
                 duty: duty(i),
-                me: format!("host{i} 1"),
+                number: i,
+                incarnation: 1,
+                leaving: false,
                 asleep_until: 0,
                 call: None,
                 carried_out: None,
@@ -139,15 +171,24 @@
     }
 }
 
+/// What a step writes, and the version that the row must have.
+fn written(number: usize, incarnation: u32, step: &Step) -> Option<(String, u64)> {
+    match step {
+        Step::Write { expected } => Some((format!("host{number} {incarnation}"), *expected)),
+        Step::Release { expected } => Some((NOBODY.to_owned(), *expected)),
+        Step::Wait | Step::Read => None,
+    }
+}
+
 fn step(host: &mut Host, row: &mut Row, t: u64, calm: bool, rng: &mut Pcg64) {
     // A call is carried out also while its sender sleeps.
     if let Some((_, at, _, _, step)) = &host.call
         && *at <= t
         && host.carried_out.is_none()
     {
-        host.carried_out = Some(match step {
-            Step::Write { expected } => Ok(row.write(&host.me, *expected)),
-            _ => Err(row.now.clone()),
+        host.carried_out = Some(match written(host.number, host.incarnation, step) {
+            Some((holder, expected)) => Ok(row.write(&holder, expected)),
+            None => Err(row.now.clone()),
         });
     }
     if !calm && rng.random_bool(0.0008) {
@@ -171,18 +212,31 @@
             host.call = None;
         } else if given_up {
             let late = host.call.take();
-            if let Some((_, _, _, _, Step::Write { expected })) = late {
+            let late = late.and_then(|c| written(host.number, host.incarnation, &c.4));
+            if let Some((holder, expected)) = late {
                 host.duty.wrote(ms(sent), ms(t), Wrote::Unknown);
                 if host.carried_out.is_none() {
                     // Carried out late, and nobody hears of it.
-                    row.write(&host.me, expected);
+                    row.write(&holder, expected);
                 }
             }
             host.carried_out = None;
         }
         return;
     }
+    if !calm && !host.leaving && rng.random_bool(0.0008) {
+        host.leaving = true;
+        host.duty.leave();
+    }
     let step = host.duty.step(ms(t));
+    if step == Step::Wait && host.leaving {
+        host.leaving = false;
+        host.incarnation += 1;
+        let me = format!("host{} {}", host.number, host.incarnation);
+        host.duty = Duty::new(me, TERM, LOOK);
+        host.asleep_until = t + rng.random_range(100..5000);
+        return;
+    }
     if step != Step::Wait {
         let trouble = !calm && rng.random_bool(0.1);
         let at = t + rng.random_range(1..if trouble { 3000 } else { 30 });
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -9,6 +9,11 @@
 };
 use proptest::prelude::*;
 
+/// The plan of settled data centres.
+fn plan(candidates: &[Candidate]) -> Vec<Placement> {
+    placement::plan(&engine(), candidates, |_| false)
+}
+
 fn apply(candidates: &mut [Candidate], placements: &[Placement]) {
     for placement in placements {
         let found = candidates.iter_mut().find(|c| c.id == placement.id);
@@ -19,11 +24,11 @@
 /// Plans and loads until nothing is left to be ordered.
 fn settle(candidates: &mut [Candidate]) {
     for _ in 0..20 {
-        let plan = placement::plan(&engine(), candidates);
-        if plan.is_empty() {
+        let orders = plan(candidates);
+        if orders.is_empty() {
             return;
         }
-        apply(candidates, &plan);
+        apply(candidates, &orders);
     }
     panic!("orders never end: {candidates:?}");
 }
@@ -74,15 +79,15 @@
 #[test]
 fn a_new_endpoint_takes_the_layers_of_a_lost_one() {
     let mut candidates = fleet(&[("a", [2, 2, 0])]);
-    let plan = placement::plan(&engine(), &candidates);
-    apply(&mut candidates, &plan);
+    let orders = plan(&candidates);
+    apply(&mut candidates, &orders);
     let lost = candidates.remove(0);
     let held = lost.holds.expect("it held layers");
     candidates.push(candidate(90, "a", "a100"));
-    let plan = placement::plan(&engine(), &candidates);
-    assert_eq!(plan.len(), 1);
+    let orders = plan(&candidates);
+    assert_eq!(orders.len(), 1);
     settle(&mut candidates);
-    assert_eq!(plan[0].id, name("e90"));
+    assert_eq!(orders[0].id, name("e90"));
     assert_eq!(
         covers(&candidates, "a"),
         1,
@@ -93,7 +98,7 @@
 #[test]
 fn an_endpoint_of_an_unknown_kind_is_left_alone() {
     let candidates = [candidate(0, "a", "tape")];
-    assert_eq!(placement::plan(&engine(), &candidates), []);
+    assert_eq!(plan(&candidates), []);
 }
 
 proptest! {
@@ -107,7 +112,7 @@
         for (candidate, (first, count)) in candidates.iter_mut().zip(&held) {
             candidate.holds = LayerRange::new(*first, first + count);
         }
-        for placement in placement::plan(&engine, &candidates) {
+        for placement in plan(&candidates) {
             let found = candidates.iter().find(|c| c.id == placement.id).expect("a candidate");
             let accelerator = engine.accelerator(&found.accelerator).expect("known");
             prop_assert!(placement.layers.count() <= engine.most_layers(accelerator));
@@ -116,3 +121,82 @@
         }
     }
 }
+
+/// Engines of one data centre as its first cover and its spares hold them.
+fn centre(holds: &[(&str, u32, u32)]) -> Vec<Candidate> {
+    let candidates = holds.iter().enumerate();
+    let candidates = candidates.map(|(i, (kind, first, end))| Candidate {
+        holds: LayerRange::new(*first, *end),
+        ..candidate(i, "a", kind)
+    });
+    candidates.collect()
+}
+
+/// Layers that an order has its endpoint load.
+fn loaded(candidates: &[Candidate], order: &Placement) -> u32 {
+    let found = candidates.iter().find(|c| c.id == order.id);
+    let kept = found
+        .and_then(|c| c.holds)
+        .and_then(|held| held.intersection(order.layers));
+    order.layers.count() - kept.map_or(0, |k| k.count())
+}
+
+#[test]
+fn a_gap_is_closed_by_loads_of_a_few_seconds() {
+    // A data centre that lost what held layers 62 to 66: no chain is left, and nothing is to spare.
+    let candidates = centre(&[
+        ("a100", 0, 24),
+        ("l40s", 24, 38),
+        ("l4", 38, 48),
+        ("l4", 44, 53),
+        ("l4", 53, 62),
+        ("l40s", 66, 80),
+    ]);
+    let orders = plan(&candidates);
+    let most = orders.iter().map(|o| loaded(&candidates, o)).max();
+    assert!(most.is_some_and(|n| n <= 17), "{orders:?}");
+    let mut repaired = candidates.clone();
+    apply(&mut repaired, &orders);
+    assert_eq!(covers(&repaired, "a"), 1, "{orders:?}");
+}
+
+#[test]
+fn nothing_loaded_moves_where_the_list_does_not_stand_still() {
+    let candidates = centre(&[("a100", 0, 32), ("l40s", 32, 48), ("l40s", 64, 80)]);
+    assert_ne!(plan(&candidates), []);
+    let unsettled = placement::plan(&engine(), &candidates, |centre| centre == "a");
+    assert_eq!(unsettled, []);
+}
+
+#[test]
+fn an_engine_that_may_be_carrying_out_an_order_is_given_nothing() {
+    let mut candidates = centre(&[("a100", 0, 32), ("l40s", 32, 48), ("l40s", 64, 80)]);
+    candidates.push(candidate(9, "a", "a100"));
+    candidates[3].loading = true;
+    let orders = plan(&candidates);
+    assert!(orders.iter().all(|o| o.id != name("e09")), "{orders:?}");
+}
+
+#[test]
+fn a_joiner_brings_a_patched_data_centre_back_to_the_layout_as_if_placed_anew() {
+    // After the loss of the first a100 the layers were patched up; an a100 joins.
+    let mut candidates = centre(&[
+        ("a100", 20, 50),
+        ("l40s", 0, 20),
+        ("l40s", 65, 80),
+        ("l4", 50, 60),
+        ("l4", 50, 60),
+        ("l4", 60, 70),
+        ("l4", 60, 70),
+        ("l4", 70, 80),
+    ]);
+    candidates.push(candidate(8, "a", "a100"));
+    settle(&mut candidates);
+    let fast = |c: &&Candidate| *c.accelerator != *"l4";
+    let most = candidates.iter().filter(fast).filter_map(|c| c.holds);
+    let most = most.map(|held| held.count()).max();
+    assert!(
+        most.is_some_and(|n| n <= 26),
+        "room for requests: {candidates:?}"
+    );
+}
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -1,8 +1,12 @@
 //! Has engines load the layers that the planner gives them, on the host that holds the duty.
 //!
-//! What an engine holds is read from itself before its first order, so that an order of an earlier
-//! holder that is still being carried out is seen. An order without an answer may be carried out
-//! seconds later: the engine is left alone until then, and read again.
+//! What an engine holds is read from itself before an order, so that an order of an earlier holder
+//! that is still being carried out is seen, and engines that are cut off are left alone. An order
+//! without an answer may be carried out seconds later: the engine is left alone until then, and read
+//! again.
+//!
+//! When engines that hold layers come back to the list, more will: a data centre that was cut off is
+//! listed again one engine after the other. Nothing moves there until its list stands still.
 
 use std::{rc::Rc, time::Duration};
 
@@ -12,7 +16,7 @@
     placement::{self, Candidate, Placement},
 };
 use futures_util::{StreamExt, stream};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::time;
 
 use crate::{
@@ -41,8 +45,8 @@
 /// What is known of an engine beyond the list.
 #[derive(Debug, Clone)]
 enum Known {
-    /// It was asked and holds nothing; how many orders it had begun.
-    Empty(u64),
+    /// It was asked and is as listed; how many orders it had begun.
+    Asked(u64),
     /// It holds these layers or loads them, until then at the latest.
     Loading(LayerRange, Duration),
     /// Nothing can be said before then.
@@ -56,8 +60,20 @@
     /// How many engines are listed, and since when.
     listed: (usize, Duration),
     first_seen: Option<Duration>,
+    /// The engines that held layers when the list was last looked at.
+    holders: FxHashSet<Rc<str>>,
+    /// When an engine that holds layers last came to the list of a data centre.
+    came_at: FxHashMap<Rc<str>, Duration>,
     /// The state for which there was nothing to order.
-    planned_for: Option<Vec<Candidate>>,
+    planned_for: Option<Situation>,
+}
+
+/// What is planned for.
+#[derive(PartialEq)]
+struct Situation {
+    candidates: Vec<Candidate>,
+    /// Data centres in which nothing loaded may move.
+    unsettled: Vec<Rc<str>>,
 }
 
 impl Placing {
@@ -68,13 +84,23 @@
             known: FxHashMap::default(),
             listed: (0, Duration::ZERO),
             first_seen: None,
+            holders: FxHashSet::default(),
+            came_at: FxHashMap::default(),
             planned_for: None,
         }
     }
 
-    /// Another host may give orders now: what was known is no longer so.
-    pub(super) fn pause(&mut self) {
+    /// Another host may give orders now: what was known is no longer so, and only the list is
+    /// watched.
+    pub(super) fn watch(&mut self) {
         self.known.clear();
+        let Some(catalogue) = self.gateway.catalogue.borrow().clone() else {
+            return;
+        };
+        for service in catalogue.engine_services() {
+            let endpoints = self.endpoints(&service.name);
+            self.unsettled(&endpoints);
+        }
     }
 
     /// Orders what is missing, if `held` still says so when the engines have been asked: that takes
@@ -92,16 +118,18 @@
                 continue;
             }
             self.ask(&endpoints).await;
-            let candidates = self.candidates(&endpoints);
-            if self.planned_for.as_ref() == Some(&candidates) {
+            let situation = Situation {
+                candidates: self.candidates(&endpoints),
+                unsettled: self.unsettled(&endpoints),
+            };
+            if self.planned_for.as_ref() == Some(&situation) {
                 continue;
             }
-            let mut placements = placement::plan(engine, &candidates);
-            placements.retain(|p| match self.known.get(&p.id) {
-                Some(Known::Empty(_)) | None => true,
-                Some(Known::Loading(..) | Known::Unsure(_)) => false,
-            });
-            self.planned_for = placements.is_empty().then_some(candidates);
+            let unsettled = |centre: &str| situation.unsettled.iter().any(|c| **c == *centre);
+            let mut placements = placement::plan(engine, &situation.candidates, unsettled);
+            self.planned_for = placements.is_empty().then_some(situation);
+            self.ask_movers(&endpoints, &placements).await;
+            placements.retain(|p| matches!(self.known.get(&p.id), Some(Known::Asked(_))));
             if !held() {
                 return;
             }
@@ -164,28 +192,73 @@
         let unknown = endpoints
             .iter()
             .filter(|e| e.layers.is_none() && !self.known.contains_key(&e.id));
-        let engines = &self.gateway.platform.engines;
-        let reports: Vec<(Rc<str>, Option<EngineReport>)> = stream::iter(unknown)
-            .map(|e| async move {
-                let report = time::timeout(CALL, engines.report(e.addr)).await;
-                (e.id.clone(), report.ok().and_then(Result::ok))
-            })
-            .buffer_unordered(AT_ONCE)
-            .collect()
-            .await;
+        let reports = self.reports(unknown).await;
         let now = self.gateway.now();
-        for (id, report) in reports {
+        for (endpoint, report) in reports {
             let known = match report {
                 Some(EngineReport {
                     layers: Some(layers),
                     ..
                 }) => Known::Loading(layers, now + LOADING),
                 Some(report) if report.busy => Known::Unsure(now + REFUSED),
-                Some(report) => Known::Empty(report.orders),
+                Some(report) => Known::Asked(report.orders),
                 None => Known::Unsure(now + REFUSED),
             };
-            self.known.insert(id, known);
+            self.known.insert(endpoint.id.clone(), known);
+        }
+    }
+
+    /// Asks the loaded engines that are to move. One that does not answer, or is not as it is
+    /// listed, stays as it is.
+    async fn ask_movers(&mut self, endpoints: &[Rc<Endpoint>], placements: &[Placement]) {
+        let moves = |e: &&Rc<Endpoint>| {
+            let placed = placements.iter().any(|p| p.id == e.id);
+            placed && !self.known.contains_key(&e.id)
+        };
+        let reports = self.reports(endpoints.iter().filter(moves)).await;
+        let now = self.gateway.now();
+        for (endpoint, report) in reports {
+            let known = match report {
+                Some(report) if !report.busy && report.layers == endpoint.layers => {
+                    Known::Asked(report.orders)
+                }
+                _ => Known::Unsure(now + REFUSED),
+            };
+            self.known.insert(endpoint.id.clone(), known);
+        }
+    }
+
+    async fn reports<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Rc<Endpoint>>,
+    ) -> Vec<(&'a Rc<Endpoint>, Option<EngineReport>)> {
+        let engines = &self.gateway.platform.engines;
+        stream::iter(endpoints)
+            .map(|e| async move {
+                let report = time::timeout(CALL, engines.report(e.addr)).await;
+                (e, report.ok().and_then(Result::ok))
+            })
+            .buffer_unordered(AT_ONCE)
+            .collect()
+            .await
+    }
+
+    /// The data centres to whose list engines that hold layers have come a short time ago.
+    fn unsettled(&mut self, endpoints: &[Rc<Endpoint>]) -> Vec<Rc<str>> {
+        let now = self.gateway.now();
+        let mut holders = FxHashSet::default();
+        for endpoint in endpoints.iter().filter(|e| e.layers.is_some()) {
+            holders.insert(endpoint.id.clone());
+            let ordered = self.known.contains_key(&endpoint.id);
+            if !self.holders.contains(&endpoint.id) && !ordered {
+                self.came_at.insert(endpoint.data_centre.clone(), now);
+            }
         }
+        self.holders = holders;
+        self.came_at.retain(|_, at| *at + SETTLE > now);
+        let mut unsettled: Vec<Rc<str>> = self.came_at.keys().cloned().collect();
+        unsettled.sort();
+        unsettled
     }
 
     fn candidates(&self, endpoints: &[Rc<Endpoint>]) -> Vec<Candidate> {
@@ -199,7 +272,10 @@
                 data_centre: e.data_centre.clone(),
                 accelerator: e.accelerator.clone()?,
                 holds: loading.or(e.layers),
-                loading: self.known.contains_key(&e.id),
+                loading: matches!(
+                    self.known.get(&e.id),
+                    Some(Known::Loading(..) | Known::Unsure(_))
+                ),
             })
         };
         endpoints.iter().filter_map(candidate).collect()
@@ -211,7 +287,7 @@
         let orders = placements.into_iter().filter_map(|p| {
             let endpoint = endpoints.iter().find(|e| e.id == p.id)?;
             let begun = match known.get(&p.id) {
-                Some(Known::Empty(begun)) => Some(*begun),
+                Some(Known::Asked(begun)) => Some(*begun),
                 _ => None,
             };
             Some((p, endpoint.addr, begun))
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::duty::{Duty, Seen, Step, Wrote};
+use dragonflyrill_fleet::duty::{Duty, NOBODY, Seen, Step, Wrote};
 use dragonflyrill_protocol::exchange::{DutyRow, FleetHost};
 use dragonflyrill_store::PlatformError;
 use rustc_hash::FxHashMap;
@@ -68,12 +68,12 @@
             }
         }
         let now = gateway.now();
-        match roster.duty.held(now) && !gateway.leaving() {
+        match roster.duty.held(now) {
             true => {
                 let duty = &roster.duty;
                 placing.round(|| duty.held(gateway.now())).await;
             }
-            false => placing.pause(),
+            false => placing.watch(),
         }
         time::sleep(TICK).await;
     }
@@ -83,14 +83,17 @@
     async fn round(&mut self) -> Result<(), PlatformError> {
         let now = self.gateway.now();
         self.hear(now);
-        let step = match self.gateway.leaving() {
-            true => Step::Wait,
-            false => self.duty.step(now),
-        };
         let held = self.duty.held(now);
-        match step {
+        if self.gateway.leaving() {
+            self.duty.leave();
+        }
+        match self.duty.step(now) {
             Step::Read => self.read().await?,
-            Step::Write { expected } => self.renew(expected).await?,
+            Step::Write { expected } => {
+                let me = self.me.clone();
+                self.write(&me, expected).await?;
+            }
+            Step::Release { expected } => self.write(NOBODY, expected).await?,
             Step::Wait if self.rows_due(now) => self.read().await?,
             Step::Wait => {}
         }
