A line for each decision on a request, histograms, and gauges of what a host believes

Cause: the users ask that a request be traceable from its id by logs and metrics alone, with the inputs of each decision and their age. Requests that went well had no lines, refusals without a route and callers that left had none either, and there were no latencies.

Change: forward::trail notes admission (route, workspace, catalogue's version, age of its proof), each send (endpoint or chain, expected first event, fill, age of the list), the answer, and a caller that leaves. Twenty requests a second that go well are logged whole (logs.requests_per_second); the lines of others are held back and written if anything goes wrong. Histograms of requests by kind and outcome, of first events and of store calls; gauges of endpoints by state, catalogue, hosts and the ages of proof and list. Calls to the store are made, timed and counted in one place.

Tests: platform/tests/trail.rs; docs/logs.md and the code have the same events as before, by a test.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -68,6 +68,17 @@
     forgotten: u64,
 }
 
+/// How many endpoints are in each state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct States {
+    /// They may get new work.
+    pub usable: i64,
+    /// They failed, and get none for a moment.
+    pub avoided: i64,
+    /// They have said that they are leaving.
+    pub leaving: i64,
+}
+
 /// What has changed in a list of endpoints.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListChanges {
@@ -147,6 +158,19 @@
         }
     }
 
+    /// How many endpoints there are in each state.
+    pub fn states(&self, now: Duration) -> States {
+        let mut states = States::default();
+        for endpoint in self.endpoints.values() {
+            match (endpoint.leaving, self.usable(&endpoint.id, now)) {
+                (true, _) => states.leaving += 1,
+                (false, true) => states.usable += 1,
+                (false, false) => states.avoided += 1,
+            }
+        }
+        states
+    }
+
     /// Whether an endpoint may get new work.
     pub fn usable(&self, id: &str, now: Duration) -> bool {
         let listed = self.endpoints.get(id).is_some_and(|e| !e.leaving);
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -2,15 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_store::PlatformError;
-use tokio::time;
-
-use super::Backoff;
+use super::{Backoff, StoreCall};
 use crate::{
     gateway::{Gateway, On},
     ports::{CatalogueNews, Mark},
     settings::Settings,
 };
+use dragonflyrill_store::PlatformError;
 
 /// The part of the time for which a proof holds that a read waits for news at most: with it a proof
 /// is at most twice as old, and two reads in a row may be lost before it runs out.
@@ -33,14 +31,11 @@
         }
         let sent_at = gateway.now();
         let read = gateway.platform.store.catalogue(mark, wait);
-        let read = match time::timeout(wait + SLACK, read).await {
-            Ok(read) => read,
-            Err(_) => Err(PlatformError::Unavailable("no answer in time".to_owned())),
-        };
-        let calls = &gateway.metrics.store_calls;
+        let read = StoreCall::Catalogue
+            .made(&gateway, wait + SLACK, read)
+            .await;
         match read {
             Ok(news) => {
-                calls.with_label_values(&["ok"]).inc();
                 backoff.succeeded(&gateway);
                 gateway.heard(On::Catalogue, gateway.now());
                 mark = Some(take(&gateway, news, sent_at, mark));
@@ -50,7 +45,6 @@
                 mark = None;
             }
             Err(e) => {
-                calls.with_label_values(&["failed"]).inc();
                 log::warn!(target: "catalogue", why:% = e, fresh = gateway.fresh(); "No news of the catalogue.");
                 if matches!(e, PlatformError::Malformed(_)) {
                     mark = None;
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time;
 
-use super::Backoff;
+use super::{Backoff, StoreCall};
 use crate::{
     gateway::{Gateway, On},
     ports::{EndpointNews, Mark},
@@ -67,14 +67,11 @@
 impl Follower {
     async fn read(&mut self) -> Result<(), PlatformError> {
         let read = self.gateway.platform.store.endpoints(self.mark, WAIT);
-        let read = match time::timeout(WAIT + SLACK, read).await {
-            Ok(read) => read,
-            Err(_) => Err(PlatformError::Unavailable("no answer in time".to_owned())),
-        };
-        let calls = &self.gateway.metrics.store_calls;
+        let read = StoreCall::List
+            .made(&self.gateway, WAIT + SLACK, read)
+            .await;
         match read {
             Ok(news) => {
-                calls.with_label_values(&["ok"]).inc();
                 self.take(news);
                 Ok(())
             }
@@ -83,7 +80,6 @@
                 Ok(())
             }
             Err(e) => {
-                calls.with_label_values(&["failed"]).inc();
                 self.troubled = true;
                 Err(e)
             }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,7 +8,9 @@
 
 use std::time::Duration;
 
+use dragonflyrill_store::PlatformError;
 use rand::Rng;
+use tokio::time;
 
 use crate::gateway::Gateway;
 
@@ -46,3 +48,54 @@
         tokio::time::sleep(pause.min(longest).mul_f64(spread)).await;
     }
 }
+
+/// What a call to the store is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreCall {
+    /// Reads the catalogue, and waits for news.
+    Catalogue,
+    /// Reads the list of endpoints, and waits for news.
+    List,
+    /// Reads the hosts' own rows.
+    Rows,
+    /// Writes one of them.
+    Write,
+}
+
+impl StoreCall {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Catalogue => "catalogue",
+            Self::List => "list",
+            Self::Rows => "rows",
+            Self::Write => "write",
+        }
+    }
+
+    /// Makes the call, which ends within `limit`, and counts and times it.
+    async fn made<T>(
+        self,
+        gateway: &Gateway,
+        limit: Duration,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        let began = time::Instant::now();
+        let result = match time::timeout(limit, call).await {
+            Ok(result) => result,
+            Err(_) => {
+                let why = "no answer in time".to_owned();
+                Err(match self {
+                    Self::Write => PlatformError::Unknown(why),
+                    Self::Catalogue | Self::List | Self::Rows => PlatformError::Unavailable(why),
+                })
+            }
+        };
+        let metrics = &gateway.metrics;
+        let answered = matches!(result, Ok(_) | Err(PlatformError::HistoryGone));
+        let outcome = if answered { "ok" } else { "failed" };
+        metrics.store_calls.with_label_values(&[outcome]).inc();
+        let seconds = metrics.store_seconds.with_label_values(&[self.label()]);
+        seconds.observe(began.elapsed().as_secs_f64());
+        result
+    }
+}
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time;
 
-use super::{Backoff, placing::Placing};
+use super::{Backoff, StoreCall, placing::Placing};
 use crate::{
     gateway::Gateway,
     ports::{Row, Written},
@@ -127,9 +127,9 @@
     }
 
     async fn read(&mut self) -> Result<(), PlatformError> {
-        let rows = within(self.gateway.platform.store.rows()).await;
-        count(&self.gateway, rows.is_ok());
-        let rows = rows?;
+        let gateway = &self.gateway;
+        let rows = gateway.platform.store.rows();
+        let rows = StoreCall::Rows.made(gateway, CALL, rows).await?;
         let now = self.gateway.now();
         self.read_at = Some(now);
         let duty = rows.iter().find(|r| r.key == DUTY_ROW);
@@ -181,9 +181,12 @@
     /// Writes who holds the duty.
     async fn write(&mut self, holder: &str, expected: u64) -> Result<(), PlatformError> {
         let sent_at = self.gateway.now();
-        let store = &self.gateway.platform.store;
-        let written = within(store.write(DUTY_ROW, holder, Some(expected))).await;
-        count(&self.gateway, written.is_ok());
+        let gateway = &self.gateway;
+        let write = gateway
+            .platform
+            .store
+            .write(DUTY_ROW, holder, Some(expected));
+        let written = StoreCall::Write.made(gateway, CALL, write).await;
         let now = self.gateway.now();
         let (outcome, result) = match written {
             Ok(Written::Done(version)) => (Wrote::Done(version), Ok(())),
@@ -199,9 +202,9 @@
         let key = format!("{HOST_ROW}{}", self.gateway.settings.host);
         let row = serde_json::to_string(&self.myself());
         let row = row.map_err(|e| PlatformError::Malformed(e.to_string()))?;
-        let written = within(self.gateway.platform.store.write(&key, &row, None)).await;
-        count(&self.gateway, written.is_ok());
-        written.map(|_| ())
+        let gateway = &self.gateway;
+        let write = gateway.platform.store.write(&key, &row, None);
+        StoreCall::Write.made(gateway, CALL, write).await.map(drop)
     }
 }
 
@@ -225,18 +228,3 @@
         version: row.version,
     }
 }
-
-fn count(gateway: &Gateway, ok: bool) {
-    let outcome = if ok { "ok" } else { "failed" };
-    let calls = &gateway.metrics.store_calls;
-    calls.with_label_values(&[outcome]).inc();
-}
-
-async fn within<T>(
-    call: impl Future<Output = Result<T, PlatformError>>,
-) -> Result<T, PlatformError> {
-    match time::timeout(CALL, call).await {
-        Ok(result) => result,
-        Err(_) => Err(PlatformError::Unknown("no answer in time".to_owned())),
-    }
-}
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -55,6 +55,7 @@
         .inc();
     let headers = std::mem::take(&mut head.headers);
     out.whole(head.status, headers, whole.body).await?;
+    admitted.trail.answered(head.status);
     Ok(())
 }
 
@@ -81,6 +82,8 @@
             gateway.metrics.repeats.inc();
         }
         tried.push(endpoint.id.clone());
+        let to = endpoint.id.to_string();
+        admitted.trail.sent(to, Duration::ZERO, 0.0, None);
         let more = repeatable && tries.sent() + 1 < most;
         let left = admitted.left();
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
@@ -92,7 +95,11 @@
                 failure = Some(whole);
                 tries.answered();
             }
-            Err(failed) => tries.failed(failed),
+            Err(failed) => {
+                admitted.trail.show();
+                log::info!(target: "forward", id = admitted.trail.id(), endpoint = &*endpoint.id, why:? = failed; "A call failed.");
+                tries.failed(failed);
+            }
         }
     }
     if let Some(whole) = failure {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod refusal;
 mod send;
 mod stream;
+mod trail;
 mod tries;
 
 use std::{io, rc::Rc, time::Duration};
@@ -22,11 +23,14 @@
 use crate::{
     gateway::Gateway,
     http::callers::{Handler, Received, Responder},
+    metrics::Outcome,
     ports::Incoming,
 };
 
 pub use events::{Events, Taken};
 use refusal::Refusal;
+pub use trail::LineBudget;
+use trail::{Step, Trail};
 
 /// How long a request waits for which neither its route nor its caller says it.
 const USUAL_DEADLINE: Duration = Duration::from_secs(30);
@@ -43,28 +47,35 @@
     at: Instant,
     /// When its final answer is due: the route's timeout, or the caller's deadline.
     due: Instant,
+    /// What was decided for it.
+    trail: Trail,
 }
 
 impl Admitted {
-    fn id(&self) -> &str {
-        let id = self.incoming.attempt.as_ref();
-        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
-    }
-
     /// How long the caller and the route still wait.
     fn left(&self) -> Duration {
         self.due.saturating_duration_since(Instant::now())
     }
 
     fn kind_label(&self) -> &'static str {
-        match self.route.kind {
-            RouteKind::Idempotent => "idempotent",
-            RouteKind::NonIdempotent => "non_idempotent",
-            RouteKind::Stream { .. } => "stream",
-        }
+        kind_label(self.route.kind)
     }
 }
 
+fn kind_label(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "non_idempotent",
+        RouteKind::Stream { .. } => "stream",
+    }
+}
+
+/// The id of a request, as its caller gave it.
+fn id(incoming: &Incoming) -> &str {
+    let id = incoming.attempt.as_ref();
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
 /// A request that was refused before it had a route.
 struct Denied {
     incoming: Incoming,
@@ -108,8 +119,19 @@
                 gateway.count_request(&service.name);
                 let deadline = incoming.deadline.unwrap_or(USUAL_DEADLINE);
                 let priority = workspace.as_ref().and_then(|w| w.priority);
+                let due = at + route.timeout.min(deadline);
+                let kind = kind_label(route.kind);
+                let trail = Trail::new(gateway, id(&incoming), kind, at, route.target);
+                trail.step(Step::Admitted {
+                    route: route.name.clone(),
+                    workspace: workspace.as_ref().map(|w| w.name.clone()),
+                    catalogue: gateway.catalogue.borrow().as_ref().map_or(0, |c| c.version),
+                    proof_age: gateway.proof_age().unwrap_or_default(),
+                    left: due.saturating_duration_since(at),
+                });
                 Ok(Admitted {
-                    due: at + route.timeout.min(deadline),
+                    due,
+                    trail,
                     priority: priority.unwrap_or(route.priority).min(9),
                     workspace: workspace.map(|w| w.name),
                     head,
@@ -169,6 +191,7 @@
             Ok(admitted) => admitted,
             Err(denied) => {
                 let Denied { incoming, refusal } = *denied;
+                refusal::log_denied(gateway, id(&incoming), &refusal);
                 return refusal::answer(gateway, &incoming, "unrouted", &refusal, out).await;
             }
         };
@@ -178,7 +201,12 @@
         };
         match result {
             Ok(()) => Ok(()),
-            Err(Ended::Io(e)) => Err(e),
+            Err(Ended::Io(e)) => {
+                admitted.trail.ended(Outcome::Broken);
+                let why = &e;
+                log::info!(target: "forward", id = admitted.trail.id(), why:% = why; "Answer was not passed on.");
+                Err(e)
+            }
             Err(Ended::Refused(refusal)) => {
                 refusal::log(&admitted, &refusal);
                 let kind = admitted.kind_label();
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::Admitted;
-use crate::{gateway::Gateway, http::callers::Responder, ports::Incoming};
+use crate::{gateway::Gateway, http::callers::Responder, metrics::Outcome, ports::Incoming};
 
 /// When a refused caller may come back, at least, and the spread, so that callers don't return
 /// together. An engine that refused has room again in a few hundred ms.
@@ -94,11 +94,29 @@
     out.whole(status, headers, Bytes::new()).await
 }
 
-/// Writes a line on a request that was routed and not served.
+/// Writes a line on a request that got no route.
+pub(super) fn log_denied(gateway: &Gateway, id: &str, refusal: &Refusal) {
+    let known = gateway.catalogue.borrow().as_ref().map_or(0, |c| c.version);
+    let proof_age = gateway.proof_age().unwrap_or_default();
+    log::info!(
+        target: "forward",
+        id = id,
+        why:? = refusal,
+        catalogue = known,
+        proof_age_ms = proof_age.as_millis() as u64;
+        "Request is denied."
+    );
+}
+
+/// Ends the trail of a request that was routed and not served.
 pub(super) fn log(admitted: &Admitted, refusal: &Refusal) {
+    admitted.trail.ended(match refusal.status() {
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Refused,
+        _ => Outcome::Failed,
+    });
     log::info!(
         target: "forward",
-        id = admitted.id(),
+        id = admitted.trail.id(),
         route = &*admitted.route.name,
         after_ms = admitted.at.elapsed().as_millis() as u64,
         why:? = refusal;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -55,6 +55,7 @@
         tries: Tries::new(Refusal::NoEndpoint("no chain covers all layers")),
         tokens: 0.0,
         expected_first: Duration::ZERO,
+        expected_fill: 0.0,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     let label = admitted.kind_label();
@@ -62,19 +63,21 @@
         Ok(Ok(status)) => {
             let answers = &gateway.metrics.answers;
             answers.with_label_values(&[label, status.as_str()]).inc();
+            admitted.trail.answered(status);
             Ok(())
         }
-        Ok(Err(ended)) => Err(cut(out, ended)),
-        Err(_) => Err(cut(out, Ended::Refused(Refusal::OutOfTime))),
+        Ok(Err(ended)) => Err(cut(admitted, out, ended)),
+        Err(_) => Err(cut(admitted, out, Ended::Refused(Refusal::OutOfTime))),
     }
 }
 
 /// Once a part of an answer was sent there is no other answer: the connection ends without the
 /// mark of completeness.
-fn cut(out: &Responder<'_>, ended: Ended) -> Ended {
+fn cut(admitted: &Admitted, out: &Responder<'_>, ended: Ended) -> Ended {
     match ended {
         Ended::Refused(refusal) if out.started() => {
-            log::info!(target: "forward", why:? = refusal; "Stream breaks off.");
+            admitted.trail.show();
+            log::info!(target: "forward", id = admitted.trail.id(), why:? = refusal; "Stream breaks off.");
             Ended::Io(std::io::ErrorKind::ConnectionAborted.into())
         }
         other => other,
@@ -94,6 +97,8 @@
     tokens: f64,
     /// Until the first event of the run, as expected when its chain was chosen.
     expected_first: Duration,
+    /// How full its fullest part was taken to be then.
+    expected_fill: f64,
 }
 
 /// How a run ended.
@@ -136,6 +141,11 @@
                 self.events.resume();
             }
             self.tried.push(chain.first().id.clone());
+            let after_event = out.started().then(|| self.events.last()).flatten();
+            let expected = self.expected_first;
+            self.admitted
+                .trail
+                .sent(text(&chain), expected, self.expected_fill, after_event);
             match self.run_on(&chain, out).await? {
                 RunEnd::Complete(status) => return Ok(status),
                 RunEnd::Failed(failed) => {
@@ -148,9 +158,10 @@
     }
 
     fn note(&self, chain: &Chain, failed: &Failed, started: bool) {
+        self.admitted.trail.show();
         log::info!(
             target: "forward",
-            id = self.admitted.id(),
+            id = self.admitted.trail.id(),
             chain = text(chain),
             started = started,
             after_event:? = self.events.last(),
@@ -178,6 +189,7 @@
             return None;
         }
         self.expected_first = Duration::from_secs_f64(expected.first_ms.max(0.0) / 1000.0);
+        self.expected_fill = expected.fill;
         Some(chains[chosen].clone())
     }
 
@@ -297,6 +309,7 @@
         out: &mut Responder<'_>,
     ) -> Result<(), Ended> {
         if !out.started() {
+            self.admitted.trail.first_event();
             let mut headers = std::mem::take(&mut begun.head.headers);
             self.gateway.platform.dialect.strip(&mut headers);
             out.begin(begun.head.status, headers)?;
@@ -324,7 +337,7 @@
         let report = time::timeout(REPORT, gateway.platform.engines.report(first.addr)).await;
         log::info!(
             target: "forward",
-            id = self.admitted.id(),
+            id = self.admitted.trail.id(),
             chain = text(chain),
             report:? = report;
             "A chain does not go on."
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
+    forward::LineBudget,
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
     peers::Peers,
@@ -105,12 +106,15 @@
     pub asked: Cell<bool>,
     /// Requests that are being answered.
     pub open: Cell<u32>,
+    /// How many requests may be logged whole.
+    pub lines: LineBudget,
 }
 
 impl Gateway {
     /// A host that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, codec: ServiceConfig) -> Rc<Self> {
         let freshness = Freshness::new(settings.key_revocation);
+        let lines = LineBudget::new(settings.logged_per_s);
         Rc::new(Self {
             settings,
             platform,
@@ -136,6 +140,7 @@
             peers: Peers::default(),
             asked: Cell::new(false),
             open: Cell::new(0),
+            lines,
         })
     }
 
@@ -161,6 +166,33 @@
         self.freshness.set(freshness);
     }
 
+    /// How old the proof is that the catalogue is the newest.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.freshness.get().age(self.now())
+    }
+
+    /// Brings the gauges up to date.
+    pub fn observe(&self) {
+        let metrics = &self.metrics;
+        let now = self.now();
+        let states = self.directory.borrow().states(now);
+        for (state, n) in [
+            ("usable", states.usable),
+            ("avoided", states.avoided),
+            ("leaving", states.leaving),
+        ] {
+            metrics.endpoints.with_label_values(&[state]).set(n);
+        }
+        let version = self.catalogue.borrow().as_ref().map_or(0, |c| c.version);
+        metrics.catalogue_version.set(version as i64);
+        metrics.hosts.set(i64::from(self.hosts.get()));
+        metrics.open.set(i64::from(self.open.get()));
+        // Never proven is as old as can be.
+        let seconds = |age: Option<Duration>| age.map_or(f64::INFINITY, |a| a.as_secs_f64());
+        metrics.proof_age_seconds.set(seconds(self.proof_age()));
+        metrics.store_silence_seconds.set(seconds(self.heard_age()));
+    }
+
     /// The store has answered on something, this host or the one that it asks.
     pub fn heard(&self, on: On, at: Duration) {
         let mut heard = self.heard_at.get();
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -129,7 +129,10 @@
                 true => (StatusCode::OK, Bytes::new()),
                 false => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
             },
-            "/metrics" => (StatusCode::OK, gateway.metrics.text().into()),
+            "/metrics" => {
+                gateway.observe();
+                (StatusCode::OK, gateway.metrics.text().into())
+            }
             _ => (StatusCode::NOT_FOUND, Bytes::new()),
         };
         out.whole(status, Default::default(), body).await
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,10 +1,43 @@
-//! Counters of an entry host, by `prometheus`.
+//! Counters, histograms and gauges of an entry host, by `prometheus`.
 
 use prometheus::{
-    Encoder, IntCounter, IntCounterVec, Opts, Registry, TextEncoder, core::Collector,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector, exponential_buckets,
 };
 
-/// The counters, in a registry of their own.
+/// The lowest bound of the histograms, in seconds, the factor between bounds and how many there are:
+/// from a plain call's few milliseconds to the longest deadline of some twenty seconds.
+const BOUNDS: (f64, f64, usize) = (0.005, 2.0, 13);
+
+/// How a request that had a route ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// An endpoint's answer was passed on whole.
+    Served,
+    /// It was answered that it was not run.
+    Refused,
+    /// It was answered with a failure, of the endpoint's or of the host's own.
+    Failed,
+    /// Its answer broke off.
+    Broken,
+    /// Its caller left.
+    Abandoned,
+}
+
+impl Outcome {
+    /// Its label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
+/// All of them, in a registry of their own.
 pub struct Metrics {
     registry: Registry,
     /// Answers by kind of request and status.
@@ -23,6 +56,26 @@
     pub store_calls: IntCounterVec,
     /// Orders to engines, by outcome.
     pub orders: IntCounterVec,
+    /// Requests that went well and whose lines were left out.
+    pub unlogged: IntCounter,
+    /// From the reading of a request to its end, by kind and outcome.
+    pub request_seconds: HistogramVec,
+    /// From the reading of a stream's request to its first event.
+    pub first_event_seconds: Histogram,
+    /// Calls to the store, by what they are for.
+    pub store_seconds: HistogramVec,
+    /// Endpoints, by state.
+    pub endpoints: IntGaugeVec,
+    /// The version of the catalogue in force.
+    pub catalogue_version: IntGauge,
+    /// Hosts that are alive.
+    pub hosts: IntGauge,
+    /// Requests that are being answered.
+    pub open: IntGauge,
+    /// How old the proof is that the catalogue is the newest.
+    pub proof_age_seconds: Gauge,
+    /// How long ago the store last answered, this host or the one that it asks.
+    pub store_silence_seconds: Gauge,
 }
 
 impl Default for Metrics {
@@ -36,6 +89,28 @@
             let vector = IntCounterVec::new(options(name, help), labels).expect("a valid name");
             register(&registry, vector)
         };
+        let (lowest, factor, n) = BOUNDS;
+        let bounds = exponential_buckets(lowest, factor, n).expect("valid bounds");
+        let histogram = |name: &str, help: &str| {
+            let opts = HistogramOpts::from(options(name, help)).buckets(bounds.clone());
+            register(&registry, Histogram::with_opts(opts).expect("a valid name"))
+        };
+        let histograms = |name: &str, help: &str, labels: &[&str]| {
+            let opts = HistogramOpts::from(options(name, help)).buckets(bounds.clone());
+            register(
+                &registry,
+                HistogramVec::new(opts, labels).expect("a valid name"),
+            )
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::with_opts(options(name, help)).expect("a valid name");
+            register(&registry, gauge)
+        };
+        let seconds = |name: &str, help: &str| {
+            let gauge = Gauge::with_opts(options(name, help)).expect("a valid name");
+            register(&registry, gauge)
+        };
+        let endpoints = IntGaugeVec::new(options("endpoints", "Endpoints"), &["state"]);
         Self {
             answers: vector("answers_total", "Answers to callers", &["kind", "status"]),
             sends: counter("sends_total", "Requests sent to endpoints"),
@@ -45,6 +120,32 @@
             abandoned: counter("abandoned_total", "Callers that left early"),
             store_calls: vector("store_calls_total", "Calls to the store", &["outcome"]),
             orders: vector("orders_total", "Orders to engines", &["outcome"]),
+            unlogged: counter(
+                "unlogged_requests_total",
+                "Requests whose lines were left out",
+            ),
+            request_seconds: histograms(
+                "request_seconds",
+                "From reading a request to its end",
+                &["kind", "outcome"],
+            ),
+            first_event_seconds: histogram(
+                "first_event_seconds",
+                "From reading a stream's request to its first event",
+            ),
+            store_seconds: histograms("store_seconds", "Calls to the store", &["call"]),
+            endpoints: register(&registry, endpoints.expect("a valid name")),
+            catalogue_version: gauge("catalogue_version", "Version of the catalogue in force"),
+            hosts: gauge("hosts", "Hosts that are alive"),
+            open: gauge("open_requests", "Requests that are being answered"),
+            proof_age_seconds: seconds(
+                "proof_age_seconds",
+                "Age of the proof that the catalogue is the newest",
+            ),
+            store_silence_seconds: seconds(
+                "store_silence_seconds",
+                "Since the store last answered",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,9 +41,14 @@
     pub grace: Duration,
     /// The budget of repeats of one service.
     pub retries: BudgetTerms,
+    /// How many requests that go well are logged whole in a second.
+    pub logged_per_s: f64,
 }
 
-/// The keys, by section; each must be there but for `peers_announced`.
+/// Some 60 lines and 20 KB a second.
+const LOGGED_PER_S: &str = "20";
+
+/// The keys, by section; each must be there but for `peers_announced` and those of `logs`.
 const KNOWN: settings::Known = &[
     ("host", &["name", "address", "data_centre"]),
     (
@@ -67,6 +72,7 @@
         ],
     ),
     ("retries", &["ratio", "burst", "window_s"]),
+    ("logs", &["requests_per_second"]),
 ];
 
 impl Settings {
@@ -106,6 +112,12 @@
         let ratio = p.required("retries", "ratio", settings::decimal);
         let burst = p.required("retries", "burst", settings::decimal);
         let window = p.required("retries", "window_s", settings::seconds);
+        let logged = p.optional(
+            "logs",
+            "requests_per_second",
+            LOGGED_PER_S,
+            settings::decimal,
+        );
         Some(Self {
             host: host?,
             data_centre: data_centre?.into(),
@@ -124,6 +136,7 @@
                 burst: burst?,
                 window: window?,
             },
+            logged_per_s: logged?,
         })
     }
 }
