roster: rows of large fleets are written more seldom

Change: all hosts together write four rows a second, every 8 to 30 s each; a row counts for two and a half beats. Ruled out for now: one reader of the store for all data centres, which would save more but makes data centres depend on each other for the bounds of configuration.

Test: writes a second by the size of the fleet.

--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -24,10 +24,13 @@
 const TERM: Duration = Duration::from_millis(2400);
 /// How often the rows are read by hosts that don't hold the duty.
 const LOOK: Duration = Duration::from_millis(1200);
-/// How often a host writes its row.
-const BEAT: Duration = Duration::from_secs(8);
-/// How long a host's row may stand still before it no longer counts.
-const ALIVE: Duration = Duration::from_secs(20);
+/// How often a host writes its row: so often that all hosts together write four rows a second, a
+/// hundredth of what the store takes, within bounds for small and large fleets.
+const BEAT_PER_HOST: Duration = Duration::from_millis(250);
+const SHORTEST_BEAT: Duration = Duration::from_secs(8);
+const LONGEST_BEAT: Duration = Duration::from_secs(30);
+/// For how many beats a host's row may stand still before it no longer counts: two may be lost.
+const ALIVE_BEATS: f64 = 2.5;
 /// How often it is looked whether anything is due.
 const TICK: Duration = Duration::from_millis(100);
 /// How long a call to the store may take.
@@ -35,6 +38,12 @@
 /// How often the hosts that read the store for others read the rows.
 const ROWS_LOOK: Duration = Duration::from_millis(1200);
 
+/// How often a host of a fleet of so many writes its row.
+pub fn beat(hosts: usize) -> Duration {
+    let together = BEAT_PER_HOST * hosts.try_into().unwrap_or(u32::MAX);
+    together.clamp(SHORTEST_BEAT, LONGEST_BEAT)
+}
+
 struct Roster {
     gateway: Rc<Gateway>,
     me: String,
@@ -102,8 +111,8 @@
             let holder = self.duty.holder().unwrap_or("-");
             log::info!(target: "roster", held = !held, holder = holder; "Duty of placing layers changed.");
         }
-        if !self.gateway.leaving() && self.beat_at.is_none_or(|at| at + BEAT <= now) {
-            self.beat().await?;
+        if !self.gateway.leaving() && self.beat_at.is_none_or(|at| at + self.beat() <= now) {
+            self.tell_alive().await?;
         }
         Ok(())
     }
@@ -159,8 +168,9 @@
             }
         }
         let me = self.myself();
+        let counts = self.beat().mul_f64(ALIVE_BEATS);
         let alive = |(host, (_, at, _)): (&String, &mut (u64, Duration, FleetHost))| {
-            *host != me.host && *at + ALIVE > now
+            *host != me.host && *at + counts > now
         };
         self.hosts.retain(|host, seen| alive((host, seen)));
         let mut fleet: Vec<FleetHost> = self.hosts.values().map(|(_, _, h)| h.clone()).collect();
@@ -197,7 +207,12 @@
         result
     }
 
-    async fn beat(&mut self) -> Result<(), PlatformError> {
+    /// How often this host writes its row.
+    fn beat(&self) -> Duration {
+        beat(self.hosts.len() + 1)
+    }
+
+    async fn tell_alive(&mut self) -> Result<(), PlatformError> {
         self.beat_at = Some(self.gateway.now());
         let key = format!("{HOST_ROW}{}", self.gateway.settings.host);
         let row = serde_json::to_string(&self.myself());
--- /dev/null
+++ b/crates/gateway/tests/roster.rs
@@ -0,0 +1,21 @@
+//! What the hosts' rows cost the store.
+
+use std::time::Duration;
+
+use dragonflyrill_gateway::control::roster::beat;
+
+/// Rows that a fleet writes in a second.
+fn writes_per_second(hosts: usize) -> f64 {
+    hosts as f64 / beat(hosts).as_secs_f64()
+}
+
+#[test]
+fn rows_of_large_fleets_are_written_more_seldom() {
+    assert_eq!(beat(1), Duration::from_secs(8));
+    assert_eq!(beat(82), Duration::from_millis(20_500));
+    assert_eq!(beat(12_000), Duration::from_secs(30));
+    for hosts in [1, 8, 60, 82, 120] {
+        assert!(writes_per_second(hosts) <= 4.0, "{hosts}");
+    }
+    assert!(writes_per_second(360) <= 12.0);
+}
