ctl: `explain` gathers from hosts' logs what was decided for a request

Change: `dragonflyrillctl explain ID FILE...` shows the request's own lines, lines of its endpoints and what its host learnt of catalogue, store and peers, from 10 s before (`--before-ms`), in order of the hosts' clocks; `--output json` keeps the fields.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -63,6 +63,8 @@
     Status(Status),
     /// Prints changes as they are accepted.
     Watch(Watch),
+    /// Tells from hosts' logs what was decided for a request.
+    Explain(Explain),
 }
 
 /// check declaration files, without the platform
@@ -153,6 +155,22 @@
     pub every_ms: u64,
 }
 
+/// tell from the hosts' logs what was decided for a request, and what was known then
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// how long before the request lines on its endpoints and its host are shown, in milliseconds
+    /// (default 10000)
+    #[argh(option, default = "10_000")]
+    pub before_ms: u64,
+    /// the id of the attempt
+    #[argh(positional)]
+    pub id: String,
+    /// log files; one without the host in its lines is named after the host
+    #[argh(positional)]
+    pub files: Vec<String>,
+}
+
 /// Why there is nothing to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NoArgs {
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod check;
 pub mod diff;
+pub mod explain;
 pub mod get;
 pub mod status;
 pub mod watch;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,5 @@
-//! The operators' program: checks, compares and applies catalogue declarations, and shows what is
-//! in force where.
+//! The operators' program: checks, compares and applies catalogue declarations, shows what is
+//! in force where, and tells from logs what became of a request.
 //!
 //! [`args`] is the command line and [`commands`] has one module for each command; a command gives
 //! a [`report::Report`], which [`run`] prints in the asked form and turns into an exit code.
@@ -29,6 +29,7 @@
         Command::Apply(cmd) => printer.print(commands::apply::run(&cx, cmd).await),
         Command::Get(cmd) => printer.print(commands::get::run(&cx, cmd).await),
         Command::Status(cmd) => printer.print(commands::status::run(&cx, cmd).await),
+        Command::Explain(cmd) => printer.print(commands::explain::run(cmd)),
         Command::Watch(cmd) => commands::watch::run(&cx, cmd, &mut printer).await,
     }
 }
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,107 @@
+//! What `explain` finds in hosts' logs.
+
+mod common;
+
+use common::{File, output};
+use dragonflyrill_ctl::report::Exit;
+
+/// The log of the host that read the request, under the host's name.
+const OWN: &str = r#"{"t":100,"level":"INFO","part":"catalogue","m":"Catalogue is in force.","version":1}
+{"t":20000,"level":"INFO","part":"catalogue","m":"Catalogue is in force.","version":2}
+{"t":20500,"level":"INFO","part":"forward","m":"Request is answered.","id":"other","status":200}
+{"t":21000,"level":"INFO","part":"forward","m":"Request is admitted.","id":"a1","catalogue":2}
+{"t":21001,"level":"INFO","part":"forward","m":"Request is sent.","id":"a1","to":"e-1=0-4,e-2=4-8"}
+{"t":21900,"level":"INFO","part":"forward","m":"Request is not served.","id":"a1","why":"Stale"}
+{"t":22000,"level":"INFO","part":"fleet","m":"Endpoint is gone.","endpoint":"e-1"}
+"#;
+
+/// Several hosts' logs in one file, with a time and the host before each line, and another's words.
+const COLLECTED: &str = r#"20.9 host-b {"t":20900,"level":"INFO","part":"fleet","m":"Endpoint stalls a chain and is avoided.","endpoint":"e-2"}
+20.9 host-b {"t":20900,"level":"INFO","part":"fleet","m":"Endpoint stalls a chain and is avoided.","endpoint":"e-9"}
+20.9 host-c {"t":20905,"level":"INFO","part":"fleet","m":"Endpoint stalls a chain and is avoided.","endpoint":"e-2"}
+20.9 host-b {"t":20910,"level":"INFO","part":"catalogue","m":"Catalogue is in force.","version":2}
+the day begins
+"#;
+
+fn logs(name: &str) -> (File, File) {
+    let own = File::new(&format!("{name}-host-a.log"), OWN);
+    let collected = File::new(&format!("{name}-collected.log"), COLLECTED);
+    (own, collected)
+}
+
+#[actix_rt::test]
+async fn a_request_is_shown_with_its_endpoints_and_what_its_host_believed() {
+    let (own, collected) = logs("plain");
+    let (exit, out) = output(&["explain", "a1", own.path(), collected.path()]).await;
+    assert_eq!(exit, Exit::Ok, "{out}");
+    let lines: Vec<&str> = out.lines().collect();
+    let starts = [
+        "request a1; ms from its first line:",
+        "h   -1000 ",
+        "e    -100 host-b fleet: Endpoint stalls a chain and is avoided. endpoint=\"e-2\"",
+        ">      +0 ",
+        ">      +1 ",
+        ">    +900 ",
+        "1 lines are not of the gateway's log",
+    ];
+    assert_eq!(lines.len(), starts.len(), "{out}");
+    for (line, start) in lines.iter().zip(starts) {
+        assert!(line.starts_with(start), "{line} instead of {start}");
+    }
+    assert!(lines[1].contains("plain-host-a catalogue: Catalogue is in force. version=2"));
+    assert!(lines[5].ends_with(r#"Request is not served. why="Stale""#));
+}
+
+#[actix_rt::test]
+async fn how_far_back_is_asked() {
+    let (own, collected) = logs("back");
+    let all = ["explain", "--before-ms", "30000", "a1", own.path()];
+    let (_, out) = output(&all).await;
+    assert!(out.contains("version=1"), "{out}");
+    let none = [
+        "explain",
+        "--before-ms",
+        "0",
+        "a1",
+        own.path(),
+        collected.path(),
+    ];
+    let (_, out) = output(&none).await;
+    assert!(!out.contains("catalogue:"), "{out}");
+}
+
+#[actix_rt::test]
+async fn as_json_lines_keep_their_fields_and_tell_host_and_role() {
+    let (own, collected) = logs("json");
+    let line = [
+        "--output",
+        "json",
+        "explain",
+        "a1",
+        own.path(),
+        collected.path(),
+    ];
+    let (exit, out) = output(&line).await;
+    assert_eq!(exit, Exit::Ok);
+    let report: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!(report["id"], "a1");
+    assert_eq!(report["lines"][1]["host"], "host-b");
+    assert_eq!(report["lines"][1]["role"], "endpoint");
+    assert_eq!(report["lines"][4]["why"], "Stale");
+}
+
+#[actix_rt::test]
+async fn an_unknown_id_and_an_unreadable_file_are_told() {
+    let (own, _collected) = logs("unknown");
+    let (exit, out) = output(&["explain", "a2", own.path()]).await;
+    assert_eq!(exit, Exit::Invalid);
+    assert!(out.starts_with("no line has id a2"), "{out}");
+    let (exit, out) = output(&["explain", "a1", "no-such.log"]).await;
+    assert_eq!(exit, Exit::Invalid);
+    assert!(out.starts_with("no-such.log: cannot be read"), "{out}");
+    let (exit, out) = output(&["explain", "a1"]).await;
+    assert_eq!(
+        (exit, out.as_str()),
+        (Exit::Invalid, "no log file is given\n")
+    );
+}
