--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -18,7 +18,7 @@
 pub const NOBODY: &str = "";
 
 /// The row as it was seen.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Seen {
     /// Who wrote it: a host and its incarnation; or [`NOBODY`].
     pub holder: String,
@@ -27,7 +27,7 @@
 }
 
 /// What is to be done now.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Step {
     /// Nothing.
     Wait,
@@ -48,7 +48,7 @@
 }
 
 /// How a write ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Wrote {
     /// The row has that version now.
     Done(u64),
@@ -59,7 +59,7 @@
 }
 
 /// One host's view of a duty.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Duty {
     me: String,
     term: Duration,
