peers: hosts of a data centre share what they avoid

Cause: after an engine was lost each host found it by a request of its own; the list shows the loss after up to 3.6 s. Change: the calls between hosts of a data centre, each 250 ms, tell what failed a host itself and for how long it is avoided still. What is told is not told on as one's own, and ends when it is no longer told: a success at one host ends it for all. Data centres don't share, since a cut between them looks like a failure. A told endpoint that runs out and is told anew counts as a change, so that chains are found anew.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -56,6 +56,8 @@
 pub struct Directory {
     endpoints: FxHashMap<Rc<str>, Rc<Endpoint>>,
     seen: FxHashMap<Rc<str>, Seen>,
+    /// Until when endpoints are avoided because they failed other hosts nearby.
+    told: FxHashMap<Rc<str>, Duration>,
     /// Grows whenever chains may have changed.
     generation: u64,
     /// Grows with each change of the list.
@@ -174,7 +176,34 @@
     /// Whether an endpoint may get new work.
     pub fn usable(&self, id: &str, now: Duration) -> bool {
         let listed = self.endpoints.get(id).is_some_and(|e| !e.leaving);
-        listed && self.seen.get(id).is_none_or(|s| s.avoid_until <= now)
+        let avoided_until = self.seen.get(id).map(|s| s.avoid_until);
+        let told_until = self.told.get(id).copied();
+        listed && avoided_until.max(told_until).is_none_or(|t| t <= now)
+    }
+
+    /// What is avoided by what this host saw itself, and for how long still.
+    pub fn avoided(&self, now: Duration) -> impl Iterator<Item = (&Rc<str>, Duration)> {
+        let left = move |s: &Seen| s.avoid_until.saturating_sub(now);
+        let avoided = self.seen.iter().map(move |(id, s)| (id, left(s)));
+        avoided.filter(|(id, left)| !left.is_zero() && self.endpoints.contains_key(&**id))
+    }
+
+    /// Other hosts nearby avoid just these, for so long still: what failed them fails this one too.
+    ///
+    /// What they no longer tell is no longer avoided on their account.
+    pub fn told_avoided(&mut self, told: impl Iterator<Item = (Rc<str>, Duration)>, now: Duration) {
+        let mut before = std::mem::take(&mut self.told);
+        before.retain(|_, until| *until > now);
+        for (id, left) in told {
+            let until = now + left.min(LONGEST_AVOID);
+            let known = self.told.entry(id).or_default();
+            *known = until.max(*known);
+        }
+        let same =
+            before.len() == self.told.len() && self.told.keys().all(|id| before.contains_key(id));
+        if !same {
+            self.generation += 1;
+        }
     }
 
     /// Whether an endpoint is listed and has not said that it is leaving.
@@ -221,7 +250,8 @@
 
     /// When the next endpoint stops being avoided.
     pub fn next_return(&self, now: Duration) -> Option<Duration> {
-        let later = self.seen.values().map(|s| s.avoid_until);
+        let seen = self.seen.values().map(|s| s.avoid_until);
+        let later = seen.chain(self.told.values().copied());
         later.filter(|t| *t > now).min()
     }
 
--- a/crates/fleet/tests/duty_search.rs
+++ b/crates/fleet/tests/duty_search.rs
@@ -88,7 +88,10 @@
 
 /// What happens: to a host by its number, or to all.
 #[derive(Debug)]
-#[expect(dead_code, reason = "the hosts' numbers are printed in counterexamples")]
+#[expect(
+    dead_code,
+    reason = "the hosts' numbers are printed in counterexamples"
+)]
 enum Event {
     Tick,
     Begins(usize),
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -128,3 +128,29 @@
     directory.erred("x", ms(4));
     assert_eq!(pick(&directory, 5).as_deref(), Some("y"));
 }
+
+#[test]
+fn what_others_avoid_is_avoided_for_as_long_as_they_tell_it() {
+    let mut directory = directory(&[("x", "a"), ("y", "b")]);
+    let told = |ids: &[&'static str]| {
+        let told: Vec<_> = ids.iter().map(|id| ((*id).into(), ms(500))).collect();
+        told.into_iter()
+    };
+    directory.told_avoided(told(&["x"]), ms(0));
+    assert_eq!(pick(&directory, 100).as_deref(), Some("y"));
+    assert_eq!(directory.avoided(ms(100)).count(), 0, "it is not told on");
+    assert_eq!(directory.next_return(ms(100)), Some(ms(500)));
+    let before = directory.generation();
+    directory.told_avoided(told(&[]), ms(200));
+    assert_eq!(pick(&directory, 200).as_deref(), Some("x"));
+    assert!(directory.generation() > before, "chains are found anew");
+    directory.told_avoided(told(&["x"]), ms(300));
+    assert_eq!(
+        pick(&directory, 800).as_deref(),
+        Some("x"),
+        "it has run out"
+    );
+    let before = directory.generation();
+    directory.told_avoided(told(&["x"]), ms(900));
+    assert!(directory.generation() > before, "it is avoided once more");
+}
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -11,7 +11,11 @@
 use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
 use tokio::time;
 
-use super::{FIRST_HOSTS, from_wire, serve::own_data_centre, to_wire};
+use super::{
+    FIRST_HOSTS, from_wire,
+    serve::{own_avoided, own_data_centre},
+    to_wire,
+};
 use crate::{
     control::catalogue::wait,
     gateway::{Gateway, On},
@@ -137,6 +141,11 @@
         }
         let loads = from_wire(&news.loads);
         gateway.loads.borrow_mut().told(loads, now);
+        let told = news.avoided.iter().map(|a| {
+            let left = Duration::from_millis(a.left_ms.into());
+            (Rc::from(a.endpoint.as_str()), left)
+        });
+        gateway.directory.borrow_mut().told_avoided(told, now);
     }
 
     /// Exchanges loads with the reading hosts of the other data centres.
@@ -150,7 +159,13 @@
             let offer = self.offer(&own_data_centre(&gateway), false);
             if let Some(news) = self.call(&host, offer).await {
                 let now = gateway.now();
-                peers.hear(&host.host, &host.data_centre, from_wire(&news.loads), now);
+                peers.hear(
+                    &host.host,
+                    &host.data_centre,
+                    from_wire(&news.loads),
+                    &[],
+                    now,
+                );
             }
         }
         let now = gateway.now();
@@ -172,6 +187,10 @@
             list: near.then(|| gateway.peers.list.get()),
             fleet: gateway.peers.fleet_hash.get(),
             loads: to_wire(loads),
+            avoided: match near {
+                true => own_avoided(gateway),
+                false => Vec::new(),
+            },
         }
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -18,7 +18,7 @@
 };
 
 use dragonflyrill_fleet::choice::{Load, LoadMap};
-use dragonflyrill_protocol::exchange::{DutyRow, EndpointLoad, FleetHost, ListMark};
+use dragonflyrill_protocol::exchange::{Avoided, DutyRow, EndpointLoad, FleetHost, ListMark};
 use rustc_hash::{FxHashMap, FxHasher};
 
 use crate::settings::Settings;
@@ -36,6 +36,8 @@
 struct Heard {
     data_centre: String,
     loads: LoadMap,
+    /// What it avoids, and until when.
+    avoided: Vec<(Rc<str>, Duration)>,
     at: Duration,
 }
 
@@ -153,12 +155,20 @@
     }
 
     /// Another host told of its loads, or of those of its data centre.
-    fn hear(&self, host: &str, data_centre: &str, loads: LoadMap, now: Duration) {
+    fn hear(
+        &self,
+        host: &str,
+        data_centre: &str,
+        loads: LoadMap,
+        avoided: &[Avoided],
+        now: Duration,
+    ) {
         let mut heard = self.heard.borrow_mut();
         heard.retain(|_, h| h.at + LOADS_AGE > now);
         let told = Heard {
             data_centre: data_centre.to_owned(),
             loads,
+            avoided: avoided.iter().map(|a| until(a, now)).collect(),
             at: now,
         };
         heard.insert(host.to_owned(), told);
@@ -176,6 +186,22 @@
     }
 }
 
+impl Peers {
+    /// What hosts of this data centre but one avoid, as they told this one, and for how long still.
+    fn avoided_but(&self, host: &str, now: Duration) -> Vec<(Rc<str>, Duration)> {
+        let heard = self.heard.borrow();
+        let others = heard.iter().filter(|(h, _)| **h != *host);
+        let avoided = others.flat_map(|(_, heard)| heard.avoided.iter());
+        let left = avoided.map(|(id, until)| (id.clone(), until.saturating_sub(now)));
+        left.filter(|(_, left)| !left.is_zero()).collect()
+    }
+}
+
+fn until(avoided: &Avoided, now: Duration) -> (Rc<str>, Duration) {
+    let left = Duration::from_millis(avoided.left_ms.into());
+    (Rc::from(avoided.endpoint.as_str()), now + left)
+}
+
 fn add(sum: &mut LoadMap, loads: &LoadMap) {
     for (id, load) in loads {
         let entry = sum.entry(id.clone()).or_default();
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,11 +1,11 @@
 //! Answers the other hosts.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{choice::LoadMap, endpoints::Endpoint};
 use dragonflyrill_protocol::{
     MAX_FRAME,
-    exchange::{Exchange, ListMark, ListNews, Listed, News, Offer},
+    exchange::{Avoided, Exchange, ListMark, ListNews, Listed, News, Offer},
 };
 use futures_util::StreamExt;
 use tarpc::{
@@ -71,8 +71,11 @@
         &offer.host,
         &offer.data_centre,
         from_wire(&offer.loads),
+        &offer.avoided,
         now,
     );
+    let told = peers.avoided_but("", now).into_iter();
+    gateway.directory.borrow_mut().told_avoided(told, now);
     let loads = match same {
         true => loads_but(gateway, &offer.host),
         false => own_data_centre(gateway),
@@ -88,6 +91,34 @@
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
         duty: peers.duty(),
         loads: to_wire(&loads),
+        avoided: match same {
+            true => avoided_but(gateway, &offer.host),
+            false => Vec::new(),
+        },
+    }
+}
+
+/// What this host avoids by what it saw itself.
+pub(super) fn own_avoided(gateway: &Gateway) -> Vec<Avoided> {
+    let directory = gateway.directory.borrow();
+    let avoided = directory.avoided(gateway.now());
+    avoided
+        .map(|(id, left)| avoided_on_wire(id, left))
+        .collect()
+}
+
+/// What the hosts of this data centre but one avoid.
+fn avoided_but(gateway: &Gateway, host: &str) -> Vec<Avoided> {
+    let others = gateway.peers.avoided_but(host, gateway.now());
+    let mut all = own_avoided(gateway);
+    all.extend(others.iter().map(|(id, left)| avoided_on_wire(id, *left)));
+    all
+}
+
+fn avoided_on_wire(id: &str, left: Duration) -> Avoided {
+    Avoided {
+        endpoint: id.to_owned(),
+        left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -1,7 +1,7 @@
 //! What entry hosts tell each other so that few of them need to ask the platform's store.
 //!
-//! A host calls another several times a second: it tells the load that it puts on endpoints, and
-//! gets what it lacks of the catalogue, of the list of endpoints and of the fleet. A lost or late
+//! A host calls another several times a second: it tells the load that it puts on endpoints and what
+//! failed it there, and gets what it lacks of the catalogue, of the list of endpoints and of the fleet. A lost or late
 //! call loses nothing: the next one says the same.
 
 use std::net::SocketAddr;
@@ -19,6 +19,15 @@
     pub token_layers: f32,
 }
 
+/// An endpoint that failed a host, so that it gets nothing more for a moment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Avoided {
+    /// The endpoint.
+    pub endpoint: String,
+    /// For how long it is avoided still, in milliseconds.
+    pub left_ms: u32,
+}
+
 /// A place in the changes of one host's list of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ListMark {
@@ -43,6 +52,8 @@
     pub fleet: u64,
     /// The load of the host, or of its whole data centre if it calls another one's.
     pub loads: Vec<EndpointLoad>,
+    /// What the host avoids by what it saw itself; nothing if it calls another data centre's.
+    pub avoided: Vec<Avoided>,
 }
 
 /// A host of the fleet.
@@ -126,6 +137,9 @@
     pub duty: Option<DutyRow>,
     /// The loads of all hosts but the one that asks; of one data centre, if another one asks.
     pub loads: Vec<EndpointLoad>,
+    /// What this data centre's hosts avoid by what they saw themselves, without the one that asks;
+    /// nothing if another data centre's asks.
+    pub avoided: Vec<Avoided>,
 }
 
 /// What one entry host does for another.
