--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -51,6 +51,15 @@
     in_flight: u32,
 }
 
+/// An endpoint that gets no new work for a while.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Avoided {
+    /// The endpoint's id.
+    pub id: Rc<str>,
+    /// For how long still.
+    pub left: Duration,
+}
+
 /// All endpoints that are known.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -182,19 +191,22 @@
     }
 
     /// What is avoided by what this host saw itself, and for how long still.
-    pub fn avoided(&self, now: Duration) -> impl Iterator<Item = (&Rc<str>, Duration)> {
-        let left = move |s: &Seen| s.avoid_until.saturating_sub(now);
-        let avoided = self.seen.iter().map(move |(id, s)| (id, left(s)));
-        avoided.filter(|(id, left)| !left.is_zero() && self.endpoints.contains_key(&**id))
+    pub fn avoided(&self, now: Duration) -> Vec<Avoided> {
+        let listed = self.seen.iter().filter(|(id, _)| self.listed(id));
+        let avoided = listed.map(|(id, seen)| Avoided {
+            id: id.clone(),
+            left: seen.avoid_until.saturating_sub(now),
+        });
+        avoided.filter(|a| !a.left.is_zero()).collect()
     }
 
     /// Other hosts nearby avoid just these, for so long still: what failed them fails this one too.
     ///
     /// What they no longer tell is no longer avoided on their account.
-    pub fn told_avoided(&mut self, told: impl Iterator<Item = (Rc<str>, Duration)>, now: Duration) {
+    pub fn told_avoided(&mut self, told: Vec<Avoided>, now: Duration) {
         let mut before = std::mem::take(&mut self.told);
         before.retain(|_, until| *until > now);
-        for (id, left) in told {
+        for Avoided { id, left } in told {
             let until = now + left.min(LONGEST_AVOID);
             let known = self.told.entry(id).or_default();
             *known = until.max(*known);
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{endpoint, ms};
-use dragonflyrill_fleet::endpoints::{Directory, Endpoint};
+use dragonflyrill_fleet::endpoints::{Avoided, Directory, Endpoint};
 
 fn service(id: &str, centre: &str) -> Endpoint {
     Endpoint {
@@ -132,13 +132,16 @@
 #[test]
 fn what_others_avoid_is_avoided_for_as_long_as_they_tell_it() {
     let mut directory = directory(&[("x", "a"), ("y", "b")]);
-    let told = |ids: &[&'static str]| {
-        let told: Vec<_> = ids.iter().map(|id| ((*id).into(), ms(500))).collect();
-        told.into_iter()
+    let told = |ids: &[&str]| -> Vec<Avoided> {
+        let avoided = |id: &&str| Avoided {
+            id: (*id).into(),
+            left: ms(500),
+        };
+        ids.iter().map(avoided).collect()
     };
     directory.told_avoided(told(&["x"]), ms(0));
     assert_eq!(pick(&directory, 100).as_deref(), Some("y"));
-    assert_eq!(directory.avoided(ms(100)).count(), 0, "it is not told on");
+    assert_eq!(directory.avoided(ms(100)), [], "it is not told on");
     assert_eq!(directory.next_return(ms(100)), Some(ms(500)));
     let before = directory.generation();
     directory.told_avoided(told(&[]), ms(200));
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -12,9 +12,7 @@
 use tokio::time;
 
 use super::{
-    FIRST_HOSTS, from_wire,
-    serve::{own_avoided, own_data_centre},
-    to_wire,
+    FIRST_HOSTS, avoided_from_wire, avoided_to_wire, from_wire, serve::own_data_centre, to_wire,
 };
 use crate::{
     control::catalogue::wait,
@@ -141,10 +139,7 @@
         }
         let loads = from_wire(&news.loads);
         gateway.loads.borrow_mut().told(loads, now);
-        let told = news.avoided.iter().map(|a| {
-            let left = Duration::from_millis(a.left_ms.into());
-            (Rc::from(a.endpoint.as_str()), left)
-        });
+        let told = avoided_from_wire(&news.avoided);
         gateway.directory.borrow_mut().told_avoided(told, now);
     }
 
@@ -163,7 +158,7 @@
                     &host.host,
                     &host.data_centre,
                     from_wire(&news.loads),
-                    &[],
+                    Vec::new(),
                     now,
                 );
             }
@@ -188,7 +183,7 @@
             fleet: gateway.peers.fleet_hash.get(),
             loads: to_wire(loads),
             avoided: match near {
-                true => own_avoided(gateway),
+                true => avoided_to_wire(&gateway.directory.borrow().avoided(gateway.now())),
                 false => Vec::new(),
             },
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -17,8 +17,11 @@
     time::Duration,
 };
 
-use dragonflyrill_fleet::choice::{Load, LoadMap};
-use dragonflyrill_protocol::exchange::{Avoided, DutyRow, EndpointLoad, FleetHost, ListMark};
+use dragonflyrill_fleet::{
+    choice::{Load, LoadMap},
+    endpoints::Avoided,
+};
+use dragonflyrill_protocol::exchange::{self, DutyRow, EndpointLoad, FleetHost, ListMark};
 use rustc_hash::{FxHashMap, FxHasher};
 
 use crate::settings::Settings;
@@ -36,8 +39,8 @@
 struct Heard {
     data_centre: String,
     loads: LoadMap,
-    /// What it avoids, and until when.
-    avoided: Vec<(Rc<str>, Duration)>,
+    /// What it avoided then.
+    avoided: Vec<Avoided>,
     at: Duration,
 }
 
@@ -160,7 +163,7 @@
         host: &str,
         data_centre: &str,
         loads: LoadMap,
-        avoided: &[Avoided],
+        avoided: Vec<Avoided>,
         now: Duration,
     ) {
         let mut heard = self.heard.borrow_mut();
@@ -168,7 +171,7 @@
         let told = Heard {
             data_centre: data_centre.to_owned(),
             loads,
-            avoided: avoided.iter().map(|a| until(a, now)).collect(),
+            avoided,
             at: now,
         };
         heard.insert(host.to_owned(), told);
@@ -184,24 +187,20 @@
         }
         sum
     }
-}
 
-impl Peers {
-    /// What hosts of this data centre but one avoid, as they told this one, and for how long still.
-    fn avoided_but(&self, host: &str, now: Duration) -> Vec<(Rc<str>, Duration)> {
+    /// What the hosts that told this one avoid, but for `host`, and for how long still.
+    fn avoided_but(&self, host: &str, now: Duration) -> Vec<Avoided> {
         let heard = self.heard.borrow();
         let others = heard.iter().filter(|(h, _)| **h != *host);
-        let avoided = others.flat_map(|(_, heard)| heard.avoided.iter());
-        let left = avoided.map(|(id, until)| (id.clone(), until.saturating_sub(now)));
-        left.filter(|(_, left)| !left.is_zero()).collect()
+        let avoided = others.flat_map(|(_, h)| h.avoided.iter().map(|a| (h.at, a)));
+        let left = avoided.map(|(at, a)| Avoided {
+            id: a.id.clone(),
+            left: (at + a.left).saturating_sub(now),
+        });
+        left.filter(|a| !a.left.is_zero()).collect()
     }
 }
 
-fn until(avoided: &Avoided, now: Duration) -> (Rc<str>, Duration) {
-    let left = Duration::from_millis(avoided.left_ms.into());
-    (Rc::from(avoided.endpoint.as_str()), now + left)
-}
-
 fn add(sum: &mut LoadMap, loads: &LoadMap) {
     for (id, load) in loads {
         let entry = sum.entry(id.clone()).or_default();
@@ -228,3 +227,19 @@
     };
     loads.iter().map(one).collect()
 }
+
+fn avoided_to_wire(avoided: &[Avoided]) -> Vec<exchange::Avoided> {
+    let one = |a: &Avoided| exchange::Avoided {
+        endpoint: a.id.to_string(),
+        left_ms: u32::try_from(a.left.as_millis()).unwrap_or(u32::MAX),
+    };
+    avoided.iter().map(one).collect()
+}
+
+fn avoided_from_wire(avoided: &[exchange::Avoided]) -> Vec<Avoided> {
+    let one = |a: &exchange::Avoided| Avoided {
+        id: Rc::from(a.endpoint.as_str()),
+        left: Duration::from_millis(a.left_ms.into()),
+    };
+    avoided.iter().map(one).collect()
+}
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,11 +1,14 @@
 //! Answers the other hosts.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
-use dragonflyrill_fleet::{choice::LoadMap, endpoints::Endpoint};
+use dragonflyrill_fleet::{
+    choice::LoadMap,
+    endpoints::{Avoided, Endpoint},
+};
 use dragonflyrill_protocol::{
     MAX_FRAME,
-    exchange::{Avoided, Exchange, ListMark, ListNews, Listed, News, Offer},
+    exchange::{Exchange, ListMark, ListNews, Listed, News, Offer},
 };
 use futures_util::StreamExt;
 use tarpc::{
@@ -16,7 +19,7 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{add, from_wire, to_wire};
+use super::{add, avoided_from_wire, avoided_to_wire, from_wire, to_wire};
 use crate::gateway::Gateway;
 
 /// Serves the other hosts for as long as the process lives.
@@ -71,10 +74,10 @@
         &offer.host,
         &offer.data_centre,
         from_wire(&offer.loads),
-        &offer.avoided,
+        avoided_from_wire(&offer.avoided),
         now,
     );
-    let told = peers.avoided_but("", now).into_iter();
+    let told = peers.avoided_but(&gateway.settings.host, now);
     gateway.directory.borrow_mut().told_avoided(told, now);
     let loads = match same {
         true => loads_but(gateway, &offer.host),
@@ -92,36 +95,20 @@
         duty: peers.duty(),
         loads: to_wire(&loads),
         avoided: match same {
-            true => avoided_but(gateway, &offer.host),
+            true => avoided_to_wire(&avoided_but(gateway, &offer.host)),
             false => Vec::new(),
         },
     }
 }
 
-/// What this host avoids by what it saw itself.
-pub(super) fn own_avoided(gateway: &Gateway) -> Vec<Avoided> {
-    let directory = gateway.directory.borrow();
-    let avoided = directory.avoided(gateway.now());
-    avoided
-        .map(|(id, left)| avoided_on_wire(id, left))
-        .collect()
-}
-
-/// What the hosts of this data centre but one avoid.
+/// What the hosts of this data centre but one avoid by what they saw themselves.
 fn avoided_but(gateway: &Gateway, host: &str) -> Vec<Avoided> {
-    let others = gateway.peers.avoided_but(host, gateway.now());
-    let mut all = own_avoided(gateway);
-    all.extend(others.iter().map(|(id, left)| avoided_on_wire(id, *left)));
+    let now = gateway.now();
+    let mut all = gateway.directory.borrow().avoided(now);
+    all.extend(gateway.peers.avoided_but(host, now));
     all
 }
 
-fn avoided_on_wire(id: &str, left: Duration) -> Avoided {
-    Avoided {
-        endpoint: id.to_owned(),
-        left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-    }
-}
-
 /// The loads of all hosts but one of this data centre.
 fn loads_but(gateway: &Gateway, host: &str) -> LoadMap {
     let mut sum = gateway.peers.sum(gateway.now(), |h, _| h != host);
