entry: one way to dispatch a call that must not run twice

Cause: `call` and `drive` each had the same twelve lines that turn a recorded request into a dispatched one, or abandon its record and refuse. Change: `drive::dispatch_once` serves both. No behaviour changes; the tests are as they were.

--- a/crates/entry/src/caller/call.rs
+++ b/crates/entry/src/caller/call.rs
@@ -13,7 +13,7 @@
     entry::{LimitEntry, LimitKey, ServiceEntry},
 };
 use dragonflyrill_delivery::{
-    ErrorKind, NotRunKind,
+    ErrorKind,
     error::AfterDispatchKind,
     life,
     record::{Outcome, Record, RecordState},
@@ -234,16 +234,7 @@
         Recorded::Known(record) => return kept(slot, &record),
     };
     let ticket = record.ticket();
-    let dispatched = match req.record(record).dispatch(host.now()) {
-        Ok(dispatched) => dispatched,
-        Err(too_late) => {
-            host.recording.abandon(too_late.expired);
-            let message = "the host was too slow to begin the call in time";
-            let kind = NotRunKind::RecordUnavailable;
-            let refusal = Refusal::later(kind, message, NO_ENDPOINT_RETRY);
-            return Err(refusal.of(too_late.request));
-        }
-    };
+    let dispatched = drive::dispatch_once(host, req.record(record))?;
     let mut tried = Vec::new();
     loop {
         match call_endpoint(host, slot, call, &endpoint).await {
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -212,21 +212,28 @@
         Recorded::Known(record) => return take_kept(slot, &record),
     };
     let ticket = record.ticket();
-    let dispatched = match req.record(record).dispatch(host.now()) {
-        Ok(dispatched) => dispatched,
-        Err(too_late) => {
-            host.recording.abandon(too_late.expired);
-            let message = "the host was too slow to begin the call in time";
-            let kind = NotRunKind::RecordUnavailable;
-            let refusal = Refusal::later(kind, message, NO_ENDPOINT_RETRY);
-            return Err(refusal.of(too_late.request));
-        }
-    };
+    let dispatched = dispatch_once(host, req.record(record))?;
     let result = driver.run(steps).await;
     keep(host, slot, ticket, result.is_ok());
     result.map_err(|failed| failed.of(dispatched))
 }
 
+/// From here on bytes of a call that must not run twice may leave: its record is in the table.
+///
+/// # Errors
+/// A refusal that says "not run", if the record's term is over: nothing was sent.
+pub fn dispatch_once(
+    host: &Host,
+    req: life::Request<life::Recorded>,
+) -> Result<life::Request<life::Dispatched>, Failure> {
+    req.dispatch(host.now()).map_err(|too_late| {
+        host.recording.abandon(too_late.expired);
+        let message = "the host was too slow to begin the call in time";
+        let kind = NotRunKind::RecordUnavailable;
+        Refusal::later(kind, message, NO_ENDPOINT_RETRY).of(too_late.request)
+    })
+}
+
 /// The answer to a call that must not run twice and was refused before its record was read.
 ///
 /// "Not run" would speak for earlier calls under the same key as well, so it is said only where the
