gateway: one copy of what stood twice, scans that grew with the square, dead code

Cause: found by reading the whole change again. Change, without a change of behaviour: - the memory that layers leave for requests was worked out in `Engine` and in `Holding` - both forwarders had their own rules on whether a request may be sent once more: `Admitted` has them; a repeat is counted where it is taken out of the budget; answers are counted by `Metrics::answered` - what a request may expect of the chosen chain was worked out a second time: it comes with the choice - doubted endpoints were kept in two maps - a whole list was compared with the known one, and a page's entries with each other, by scans for each entry: with 12,000 endpoints 144 million comparisons; sets and one map now.

--- a/crates/catalogue/src/declare/mod.rs
+++ b/crates/catalogue/src/declare/mod.rs
@@ -93,11 +93,6 @@
         self.0.values().map(|d| &d.entry)
     }
 
-    /// The file that declares `key`.
-    pub fn file_of(&self, key: &EntryKey) -> Option<&str> {
-        self.0.get(key).map(|d| d.file.as_str())
-    }
-
     /// Names the declaring file in every fault whose section was declared here.
     pub fn locate(&self, faults: &mut [Fault]) {
         let files: BTreeMap<String, &str> = self
--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::endpoints::Endpoint;
+use crate::{endpoints::Endpoint, layers::LayerRange};
 
 /// One version of the catalogue, never changed after it was read.
 #[derive(Debug, Clone, Default)]
@@ -158,8 +158,13 @@
     /// The memory that an endpoint has for requests, in tokens times layers.
     pub fn capacity(&self, endpoint: &Endpoint) -> Option<f64> {
         let accelerator = self.accelerator(endpoint.accelerator.as_deref()?)?;
-        let held_mb = f64::from(endpoint.layers?.count()) * self.layer_mb;
-        Some((accelerator.memory_mb - held_mb).max(0.0) / self.token_layer_mb)
+        Some(self.memory_left(accelerator.memory_mb, endpoint.layers?))
+    }
+
+    /// What of an accelerator's memory layers leave for requests, in tokens times layers.
+    pub(crate) fn memory_left(&self, memory_mb: f64, layers: LayerRange) -> f64 {
+        let held_mb = f64::from(layers.count()) * self.layer_mb;
+        (memory_mb - held_mb).max(0.0) / self.token_layer_mb
     }
 
     /// The most layers that the accelerator holds with nothing left for requests.
--- a/crates/fleet/src/chains.rs
+++ b/crates/fleet/src/chains.rs
@@ -96,8 +96,7 @@
 
     /// The memory for requests, in tokens times layers.
     fn capacity(&self, engine: &Engine) -> f64 {
-        let held_mb = f64::from(self.layers.count()) * engine.layer_mb;
-        (self.memory_mb - held_mb).max(0.0) / engine.token_layer_mb
+        engine.memory_left(self.memory_mb, self.layers)
     }
 
     /// What each request that is generating adds to a token, in ms.
--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -202,7 +202,16 @@
     }
 }
 
-/// The chain for a request: its place in the list.
+/// The chain for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Chosen {
+    /// Its place in the list.
+    pub place: usize,
+    /// What the request may expect of it.
+    pub expected: Expected,
+}
+
+/// Picks the chain for a request.
 ///
 /// `usable` says which chains may get it.
 pub fn choose(
@@ -211,9 +220,9 @@
     want: &Want,
     now: Duration,
     usable: impl Fn(&Chain) -> bool,
-) -> Option<usize> {
-    let mut best: Option<(bool, f64, usize)> = None;
-    for (i, chain) in chains.iter().enumerate() {
+) -> Option<Chosen> {
+    let mut best: Option<(bool, f64, Chosen)> = None;
+    for (place, chain) in chains.iter().enumerate() {
         if !usable(chain) {
             continue;
         }
@@ -225,8 +234,8 @@
             false => expected.whole_ms,
         };
         if best.is_none_or(|(l, c, _)| (late, cost) < (l, c)) {
-            best = Some((late, cost, i));
+            best = Some((late, cost, Chosen { place, expected }));
         }
     }
-    best.map(|(_, _, i)| i)
+    best.map(|(_, _, chosen)| chosen)
 }
--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::layers::LayerRange;
 
@@ -169,6 +169,13 @@
         }
     }
 
+    /// The ids of all endpoints but those given.
+    pub fn others<'a>(&self, but: impl Iterator<Item = &'a str>) -> Vec<Rc<str>> {
+        let but: FxHashSet<&str> = but.collect();
+        let ids = self.iter().map(|e| &e.id);
+        ids.filter(|id| !but.contains(&***id)).cloned().collect()
+    }
+
     /// How many endpoints there are in each state.
     pub fn states(&self, now: Duration) -> States {
         let mut states = States::default();
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -32,7 +32,7 @@
 
 fn first(chains: &[Chain], loads: &Loads) -> String {
     let chosen = choice::choose(chains, loads, &WANT, ms(0), |_| true);
-    chains[chosen.expect("one is usable")]
+    chains[chosen.expect("one is usable").place]
         .first()
         .id
         .to_string()
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_store::PlatformError;
-use rustc_hash::FxHashMap;
 use tokio::time;
 
 use super::{Backoff, StoreCall};
@@ -30,8 +29,6 @@
     troubled: bool,
     /// When the store last answered again after trouble.
     returned_at: Option<Duration>,
-    /// Entries that were removed and may come back, until when.
-    doubted: FxHashMap<Rc<str>, Duration>,
 }
 
 /// Follows the endpoints for as long as the process lives.
@@ -42,7 +39,6 @@
         mark: None,
         troubled: false,
         returned_at: None,
-        doubted: FxHashMap::default(),
     };
     let mut backoff = Backoff::default();
     loop {
@@ -59,7 +55,7 @@
             }
         }
         follower.drop_doubted();
-        follower.gateway.idle.sweep(|_| true);
+        follower.gateway.idle.sweep();
         time::sleep_until(began + pace).await;
     }
 }
@@ -97,54 +93,32 @@
         self.gateway.list_mark.set(known.max(news.mark));
         let mut removed = news.removed;
         if news.whole {
-            let directory = self.gateway.directory.borrow();
-            let listed = |id: &Rc<str>| news.changed.iter().any(|e| e.id == *id);
-            removed.extend(
-                directory
-                    .iter()
-                    .map(|e| e.id.clone())
-                    .filter(|id| !listed(id)),
-            );
+            let listed = news.changed.iter().map(|e| &*e.id);
+            removed.extend(self.gateway.directory.borrow().others(listed));
             self.gateway.endpoints_known.set(true);
         }
         for endpoint in news.changed {
-            self.settle(&endpoint.id);
+            self.gateway.doubted.borrow_mut().remove(&endpoint.id);
             self.gateway.list_endpoint(endpoint);
         }
         let until = self.returned_at.map(|at| at + DOUBT).filter(|t| *t > now);
         for id in removed {
             match until {
                 Some(until) => {
-                    self.gateway.doubted.borrow_mut().insert(id.clone());
-                    self.doubted.entry(id).or_insert(until);
+                    let mut doubted = self.gateway.doubted.borrow_mut();
+                    doubted.entry(id).or_insert(until);
                 }
-                None => self.forget(&id),
+                None => self.gateway.forget_endpoint(&id),
             }
         }
     }
 
-    fn forget(&self, id: &str) {
-        self.gateway.forget_endpoint(id);
-    }
-
-    /// Nothing is in doubt about the endpoint any more.
-    fn settle(&mut self, id: &str) {
-        if self.doubted.remove(id).is_some() {
-            self.gateway.doubted.borrow_mut().remove(id);
-        }
-    }
-
-    fn drop_doubted(&mut self) {
+    /// Forgets endpoints whose entries have not come back in time.
+    fn drop_doubted(&self) {
         let now = self.gateway.now();
-        let due: Vec<Rc<str>> = self
-            .doubted
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
-            self.settle(&id);
-            self.forget(&id);
+        let mut doubted = self.gateway.doubted.borrow_mut();
+        for (id, _) in doubted.extract_if(|_, until| *until <= now) {
+            self.gateway.forget_endpoint(&id);
         }
     }
 }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -176,16 +176,15 @@
     async fn ask(&mut self, endpoints: &[Rc<Endpoint>]) {
         let now = self.gateway.now();
         for endpoint in endpoints {
-            let expired = match self.known.get(&endpoint.id) {
-                Some(Known::Unsure(until) | Known::Loading(_, until)) => *until <= now,
-                _ => false,
-            };
-            let loaded = match self.known.get(&endpoint.id) {
-                Some(Known::Loading(layers, _)) => endpoint.layers == Some(*layers),
-                Some(Known::Unsure(_)) => false,
-                _ => endpoint.layers.is_some(),
+            let outdated = match self.known.get(&endpoint.id) {
+                Some(Known::Loading(layers, until)) => {
+                    *until <= now || endpoint.layers == Some(*layers)
+                }
+                Some(Known::Unsure(until)) => *until <= now,
+                Some(Known::Asked(_)) => endpoint.layers.is_some(),
+                None => false,
             };
-            if expired || loaded {
+            if outdated {
                 self.known.remove(&endpoint.id);
             }
         }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -6,7 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dragonflyrill_fleet::{catalogue::RouteKind, endpoints::Endpoint};
+use dragonflyrill_fleet::endpoints::Endpoint;
 use tokio::time;
 
 use super::{
@@ -40,19 +40,14 @@
     let Begun {
         mut connection,
         mut head,
-        ..
     } = whole.begun;
     if connection.reusable() {
         let addr = connection.peer();
         gateway.keep(addr, connection, &admitted.service);
     }
     gateway.platform.dialect.strip(&mut head.headers);
-    let kind = admitted.kind_label();
-    gateway
-        .metrics
-        .answers
-        .with_label_values(&[kind, head.status.as_str()])
-        .inc();
+    let metrics = &gateway.metrics;
+    metrics.answered(admitted.kind_label(), head.status);
     let headers = std::mem::take(&mut head.headers);
     out.whole(head.status, headers, whole.body).await?;
     admitted.trail.answered(head.status);
@@ -63,28 +58,20 @@
     let mut tried: Vec<Rc<str>> = Vec::new();
     let mut tries = Tries::new(Refusal::NoEndpoint("no endpoint of the service is known"));
     let mut failure: Option<Whole> = None;
-    let repeatable = admitted.route.kind == RouteKind::Idempotent;
-    let most = admitted.route.max_attempts.max(1);
-    for _ in 0..most + MORE_TRIES {
-        if admitted.left().is_zero() || tries.sent() >= most {
-            break;
-        }
-        if tries.may_have_run() && !repeatable {
+    for _ in 0..admitted.most_sends() + MORE_TRIES {
+        if admitted.left().is_zero() || !admitted.may_send(&tries) {
             break;
         }
         let Some(endpoint) = pick(gateway, admitted, &tried) else {
             break;
         };
-        if tries.sent() > 0 {
-            if !gateway.may_repeat(&admitted.service.name) {
-                break;
-            }
-            gateway.metrics.repeats.inc();
+        if tries.sent() > 0 && !gateway.take_repeat(&admitted.service.name) {
+            break;
         }
         tried.push(endpoint.id.clone());
         let to = endpoint.id.to_string();
         admitted.trail.sent(to, Duration::ZERO, 0.0, None);
-        let more = repeatable && tries.sent() + 1 < most;
+        let more = admitted.may_go_on(&tries);
         let left = admitted.left();
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
         match attempt_at(gateway, admitted, &endpoint, limit).await {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -31,6 +31,7 @@
 use refusal::Refusal;
 pub use trail::LineBudget;
 use trail::{Step, Trail};
+use tries::Tries;
 
 /// How long a request waits for which neither its route nor its caller says it.
 const USUAL_DEADLINE: Duration = Duration::from_secs(30);
@@ -57,6 +58,22 @@
         self.due.saturating_duration_since(Instant::now())
     }
 
+    /// The most endpoints that it may be sent to.
+    fn most_sends(&self) -> u32 {
+        self.route.max_attempts.max(1)
+    }
+
+    /// Whether it may be sent once more after these tries.
+    fn may_send(&self, tries: &Tries) -> bool {
+        let may_run_again = self.route.kind.repeatable() || !tries.may_have_run();
+        may_run_again && tries.sent() < self.most_sends()
+    }
+
+    /// Whether another send may follow the next one, even if that may have run.
+    fn may_go_on(&self, tries: &Tries) -> bool {
+        self.route.kind.repeatable() && tries.sent() + 1 < self.most_sends()
+    }
+
     fn kind_label(&self) -> &'static str {
         kind_label(self.route.kind)
     }
@@ -125,7 +142,7 @@
                 trail.step(Step::Admitted {
                     route: route.name.clone(),
                     workspace: workspace.as_ref().map(|w| w.name.clone()),
-                    catalogue: gateway.catalogue.borrow().as_ref().map_or(0, |c| c.version),
+                    catalogue: gateway.catalogue_version(),
                     proof_age: gateway.proof_age().unwrap_or_default(),
                     left: due.saturating_duration_since(at),
                 });
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -84,11 +84,7 @@
     out: &mut Responder<'_>,
 ) -> io::Result<()> {
     let status = refusal.status();
-    gateway
-        .metrics
-        .answers
-        .with_label_values(&[kind, status.as_str()])
-        .inc();
+    gateway.metrics.answered(kind, status);
     let dialect = &gateway.platform.dialect;
     let headers = dialect.own_answer(incoming, refusal.retry_after());
     out.whole(status, headers, Bytes::new()).await
@@ -96,13 +92,12 @@
 
 /// Writes a line on a request that got no route.
 pub(super) fn log_denied(gateway: &Gateway, id: &str, refusal: &Refusal) {
-    let known = gateway.catalogue.borrow().as_ref().map_or(0, |c| c.version);
     let proof_age = gateway.proof_age().unwrap_or_default();
     log::info!(
         target: "forward",
         id = id,
         why:? = refusal,
-        catalogue = known,
+        catalogue = gateway.catalogue_version(),
         proof_age_ms = proof_age.as_millis() as u64;
         "Request is denied."
     );
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -4,7 +4,6 @@
 
 use actix_http::{RequestHead, ResponseHead};
 use dragonflyrill_fleet::{endpoints::Directory, layers::LayerRange};
-use http::StatusCode;
 use tokio::time;
 
 use super::Admitted;
@@ -116,9 +115,9 @@
     if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
         return Err(Failed::MayHaveRun("the answer is another's".to_owned()));
     }
-    if facts.not_run || (facts.misdirected && head.status == StatusCode::MISDIRECTED_REQUEST) {
+    if facts.not_run || facts.misdirected {
         let at = facts.fault_at.unwrap_or(target.addr);
-        note_refusal(gateway, at, head.status, after);
+        note_refusal(gateway, at, facts.misdirected, after);
         return Err(Failed::NotRun(format!("{} by {at}", head.status.as_u16())));
     }
     if facts.encoded || !facts.sealed {
@@ -130,14 +129,14 @@
 
 /// An endpoint that refuses is left alone for a moment: longer if it is not what it was taken for
 /// or does not answer, briefly if it is only full.
-fn note_refusal(gateway: &Gateway, at: SocketAddr, status: StatusCode, after: Duration) {
+fn note_refusal(gateway: &Gateway, at: SocketAddr, misdirected: bool, after: Duration) {
     let mut directory = gateway.directory.borrow_mut();
     let found = directory.iter().find(|e| e.addr == at);
     let Some(id) = found.map(|e| e.id.clone()) else {
         return;
     };
     let now = gateway.now();
-    let at_once = status != StatusCode::MISDIRECTED_REQUEST && after < AT_ONCE;
+    let at_once = !misdirected && after < AT_ONCE;
     let full = at_once && fill(gateway, &directory, &id, now) > MAY_BE_FULL;
     match full {
         true => gateway.loads.borrow_mut().refused(&id, now),
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -9,7 +9,7 @@
 use dragonflyrill_fleet::{
     catalogue::Engine,
     chains::{Chain, Part},
-    choice::{self, Want},
+    choice::{self, Chosen, Want},
     layers::LayerRange,
 };
 use tokio::time;
@@ -58,11 +58,9 @@
         expected_fill: 0.0,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
-    let label = admitted.kind_label();
     match run {
         Ok(Ok(status)) => {
-            let answers = &gateway.metrics.answers;
-            answers.with_label_values(&[label, status.as_str()]).inc();
+            gateway.metrics.answered(admitted.kind_label(), status);
             admitted.trail.answered(status);
             Ok(())
         }
@@ -110,30 +108,21 @@
 }
 
 impl Stream<'_> {
-    /// Whether another run may follow one that may have run.
-    fn may_go_on(&self) -> bool {
-        let most = self.admitted.route.max_attempts.max(1);
-        self.admitted.route.kind.repeatable() && self.tries.sent() + 1 < most
-    }
-
     async fn run(&mut self, out: &mut Responder<'_>) -> Result<http::StatusCode, Ended> {
         let Some(engine) = self.admitted.service.engine.clone() else {
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
-        let resumable = self.admitted.route.kind.repeatable();
-        let most = self.admitted.route.max_attempts.max(1);
-        for _ in 0..most + call::MORE_TRIES {
-            if self.tries.sent() >= most || (self.tries.may_have_run() && !resumable) {
+        for _ in 0..self.admitted.most_sends() + call::MORE_TRIES {
+            if !self.admitted.may_send(&self.tries) {
                 break;
             }
             let Some(chain) = self.choose(&engine) else {
                 break;
             };
             if self.tries.sent() > 0 {
-                if !self.gateway.may_repeat(&self.admitted.service.name) {
+                if !self.gateway.take_repeat(&self.admitted.service.name) {
                     break;
                 }
-                self.gateway.metrics.repeats.inc();
                 self.gateway
                     .metrics
                     .resumed
@@ -182,7 +171,7 @@
         let with_room = |chain: &Chain| untried(chain) && !loads.full(chain, now);
         let chosen = choice::choose(&chains, &loads, &want, now, with_room)
             .or_else(|| choice::choose(&chains, &loads, &want, now, untried))?;
-        let expected = choice::expect(&chains[chosen], &want, |id| loads.at(id, now));
+        let Chosen { place, expected } = chosen;
         if expected.fill > MOST_FILL {
             let short = Refusal::NoEndpoint("memory is short everywhere");
             self.tries.not_sent(short);
@@ -190,7 +179,7 @@
         }
         self.expected_first = Duration::from_secs_f64(expected.first_ms.max(0.0) / 1000.0);
         self.expected_fill = expected.fill;
-        Some(chains[chosen].clone())
+        Some(chains[place].clone())
     }
 
     /// How long the first event of a run may take.
@@ -225,7 +214,7 @@
         if begun.head.status.is_server_error() {
             let now = gateway.now();
             gateway.directory.borrow_mut().erred(target.id, now);
-            if self.may_go_on() {
+            if self.admitted.may_go_on(&self.tries) {
                 let why = format!("{} of its own", begun.head.status.as_u16());
                 return Ok(RunEnd::Failed(Failed::MayHaveRun(why)));
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
     endpoints::{Directory, Endpoint},
     freshness::Freshness,
 };
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -71,8 +71,9 @@
     pub codec: ServiceConfig,
     /// When the store last answered on the catalogue, and on the list of endpoints.
     heard_at: Cell<[Option<Duration>; 2]>,
-    /// Endpoints whose entries lapsed while the store was in trouble, and may come back.
-    pub doubted: RefCell<FxHashSet<Rc<str>>>,
+    /// Endpoints whose entries lapsed while the store was in trouble, and until when they may come
+    /// back.
+    pub doubted: RefCell<FxHashMap<Rc<str>, Duration>>,
     /// The place in the store's history up to which the list of endpoints is known.
     pub list_mark: Cell<Mark>,
     /// The newest catalogue known.
@@ -149,11 +150,6 @@
         self.epoch.elapsed()
     }
 
-    /// The moment as time since the start.
-    pub fn since_start(&self, at: Instant) -> Duration {
-        at.saturating_duration_since(self.epoch)
-    }
-
     /// Whether the catalogue may be acted on.
     pub fn fresh(&self) -> bool {
         self.freshness.get().fresh(self.now())
@@ -166,6 +162,11 @@
         self.freshness.set(freshness);
     }
 
+    /// The version of the newest catalogue known; 0 if none is.
+    pub fn catalogue_version(&self) -> u64 {
+        self.catalogue.borrow().as_ref().map_or(0, |c| c.version)
+    }
+
     /// How old the proof is that the catalogue is the newest.
     pub fn proof_age(&self) -> Option<Duration> {
         self.freshness.get().age(self.now())
@@ -183,8 +184,9 @@
         ] {
             metrics.endpoints.with_label_values(&[state]).set(n);
         }
-        let version = self.catalogue.borrow().as_ref().map_or(0, |c| c.version);
-        metrics.catalogue_version.set(version as i64);
+        metrics
+            .catalogue_version
+            .set(self.catalogue_version() as i64);
         metrics.hosts.set(i64::from(self.hosts.get()));
         metrics.open.set(i64::from(self.open.get()));
         // Never proven is as old as can be.
@@ -302,10 +304,12 @@
         self.with_budget(service, |b| b.request(now));
     }
 
-    /// Whether a request may be sent once more.
-    pub fn may_repeat(&self, service: &Rc<str>) -> bool {
+    /// Takes one repeat of a request out of the budget, and counts it; false if none is left.
+    pub fn take_repeat(&self, service: &Rc<str>) -> bool {
         let (now, hosts) = (self.now(), self.hosts.get());
-        self.with_budget(service, |b| b.take(now, hosts))
+        let taken = self.with_budget(service, |b| b.take(now, hosts));
+        self.metrics.repeats.inc_by(u64::from(taken));
+        taken
     }
 
     fn with_budget<R>(&self, service: &Rc<str>, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -72,11 +72,6 @@
         self.started
     }
 
-    /// Has the connection closed after the answer.
-    pub fn close_after(&mut self) {
-        self.close = true;
-    }
-
     /// Sends a whole answer.
     pub async fn whole(
         &mut self,
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -208,11 +208,6 @@
         Codec::Head(ClientCodec::new(self.config.clone()))
     }
 
-    /// Whether the body ends with the connection, so that nobody can tell whether it is whole.
-    pub fn unframed(&self) -> bool {
-        self.body == Body::UntilClose
-    }
-
     /// Reads the next piece of the body; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Broken> {
         loop {
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -44,12 +44,12 @@
         }
     }
 
-    /// Closes what has been idle too long, and what leads to addresses that `keep` refuses.
-    pub fn sweep(&self, keep: impl Fn(&SocketAddr) -> bool) {
+    /// Closes what has been idle too long.
+    pub fn sweep(&self) {
         let mut by_addr = self.by_addr.borrow_mut();
-        by_addr.retain(|addr, kept| {
+        by_addr.retain(|_, kept| {
             kept.retain(|(since, _)| since.elapsed() < MOST_IDLE);
-            !kept.is_empty() && keep(addr)
+            !kept.is_empty()
         });
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, histograms and gauges of an entry host, by `prometheus`.
 
+use http::StatusCode;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder, core::Collector, exponential_buckets,
@@ -163,6 +164,12 @@
 }
 
 impl Metrics {
+    /// A caller got an answer.
+    pub fn answered(&self, kind: &str, status: StatusCode) {
+        let labels = [kind, status.as_str()];
+        self.answers.with_label_values(&labels).inc();
+    }
+
     /// The counters in the text format.
     pub fn text(&self) -> String {
         let mut out = Vec::new();
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -170,13 +170,12 @@
 
     fn offer(&self, loads: &LoadMap, near: bool) -> Offer {
         let gateway = &self.gateway;
-        let catalogue = gateway.catalogue.borrow();
         Offer {
             host: gateway.settings.host.clone(),
             data_centre: gateway.settings.data_centre.to_string(),
             // Loads only are exchanged with other data centres.
             catalogue: match near {
-                true => catalogue.as_ref().map_or(0, |c| c.version),
+                true => gateway.catalogue_version(),
                 false => u64::MAX,
             },
             list: near.then(|| gateway.peers.list.get()),
@@ -246,18 +245,15 @@
         return;
     }
     gateway.list_mark.set(list.store_mark);
-    let removed: Vec<String> = match list.whole {
-        false => list.removed,
-        true => {
-            let directory = gateway.directory.borrow();
-            let listed = |id: &str| {
-                list.changed.iter().any(|l| l.id == *id) || list.doubted.iter().any(|d| d == id)
-            };
-            let ids = directory.iter().map(|e| e.id.to_string());
-            ids.filter(|id| !listed(id)).collect()
-        }
-    };
-    removed.iter().for_each(|id| gateway.forget_endpoint(id));
+    if list.whole {
+        let listed = list.changed.iter().map(|l| &*l.id);
+        let listed = listed.chain(list.doubted.iter().map(|d| &**d));
+        let removed = gateway.directory.borrow().others(listed);
+        removed.iter().for_each(|id| gateway.forget_endpoint(id));
+    } else {
+        let removed = list.removed.iter();
+        removed.for_each(|id| gateway.forget_endpoint(id));
+    }
     for listed in list.changed {
         gateway.list_endpoint(endpoint(listed));
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -122,7 +122,6 @@
         let fleet = self.fleet.borrow();
         let mut others: Vec<String> = fleet.iter().map(|h| h.data_centre.clone()).collect();
         others.retain(|d| d != but);
-        others.dedup();
         others.sort();
         others.dedup();
         others
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -132,7 +132,10 @@
     let known = (mark.origin == origin).then_some(mark.version);
     let changes = gateway.directory.borrow().changes_since(known);
     let doubted = gateway.doubted.borrow();
-    let certain = changes.changed.iter().filter(|e| !doubted.contains(&e.id));
+    let certain = changes
+        .changed
+        .iter()
+        .filter(|e| !doubted.contains_key(&e.id));
     Some(ListNews {
         mark: ListMark {
             origin,
@@ -141,7 +144,7 @@
         store_mark: gateway.list_mark.get(),
         whole: changes.whole,
         changed: certain.map(|e| listed(e)).collect(),
-        doubted: doubted.iter().map(ToString::to_string).collect(),
+        doubted: doubted.keys().map(ToString::to_string).collect(),
         removed: changes.removed.iter().map(ToString::to_string).collect(),
     })
 }
