sight: what each repeat was allowed by is logged

Whether a process that starts has its budget again, or takes itself for the only host, could not be told from logs: no line said by how many hosts the burst was divided, nor how much was left. A line for each repeat asked of the budget now does, a line tells when the number of hosts changes, and repeats that are refused are counted. No decision is changed.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -20,6 +20,24 @@
     pub window: Duration,
 }
 
+/// How a budget stands: what a decision on a repeat rests on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// Requests of the window.
+    pub requests: usize,
+    /// Repeats of the window.
+    pub repeats: usize,
+    /// Repeats that this host may have made in the window.
+    pub allowed: f64,
+}
+
+impl Standing {
+    /// Whether one more repeat is left.
+    pub fn left(&self) -> bool {
+        (self.repeats + 1) as f64 <= self.allowed
+    }
+}
+
 /// This host's part of one service's budget.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -55,10 +73,18 @@
 
     /// Whether a repeat is left for one of `hosts` hosts.
     pub fn left(&mut self, now: Duration, hosts: u32) -> bool {
+        self.standing(now, hosts).left()
+    }
+
+    /// How the budget stands for one of `hosts` hosts.
+    pub fn standing(&mut self, now: Duration, hosts: u32) -> Standing {
         self.expire(now);
         let own = self.terms.ratio * self.requests.len() as f64;
-        let allowed = USED * (own + self.terms.burst / f64::from(hosts.max(1)));
-        (self.repeats.len() + 1) as f64 <= allowed
+        Standing {
+            requests: self.requests.len(),
+            repeats: self.repeats.len(),
+            allowed: USED * (own + self.terms.burst / f64::from(hosts.max(1))),
+        }
     }
 
     fn expire(&mut self, now: Duration) {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -77,6 +77,19 @@
         self.route.kind.repeatable() && tries.sent() + 1 < self.most_sends()
     }
 
+    /// Takes one repeat of it out of the budget; false if none is left.
+    fn take_repeat(&self, gateway: &Gateway) -> bool {
+        let service = &self.service.name;
+        let standing = gateway.repeats_standing(service);
+        let allowed = gateway.take_repeat(service);
+        self.trail.step(Step::Repeat {
+            allowed,
+            standing,
+            hosts: gateway.hosts.get(),
+        });
+        allowed
+    }
+
     fn kind_label(&self) -> &'static str {
         kind_label(self.route.kind)
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -119,7 +119,7 @@
                 break;
             };
             if self.tries.sent() > 0 {
-                if !self.gateway.take_repeat(&self.admitted.service.name) {
+                if !self.admitted.take_repeat(self.gateway) {
                     break;
                 }
                 self.gateway
--- a/crates/gateway/src/forward/trail.rs
+++ b/crates/gateway/src/forward/trail.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use dragonflyrill_fleet::catalogue::Route;
+use dragonflyrill_fleet::{budget::Standing, catalogue::Route};
 use http::StatusCode;
 use tokio::time::Instant;
 
@@ -62,6 +62,13 @@
         /// How long the caller and the route wait.
         left: Duration,
     },
+    /// The budget was asked for a repeat, and stood so before.
+    Repeat {
+        allowed: bool,
+        standing: Standing,
+        /// The hosts that the budget is taken to be shared by.
+        hosts: u32,
+    },
     /// It goes to an endpoint.
     Sent {
         /// The endpoint, or all that run it with their layers.
@@ -103,6 +110,21 @@
                 left_ms = ms(*left);
                 "Request is admitted."
             ),
+            Self::Repeat {
+                allowed,
+                standing,
+                hosts,
+            } => log::info!(
+                target: "forward",
+                id = id,
+                after_ms = ms(after),
+                allowed = *allowed,
+                repeats = standing.repeats as u64,
+                most = standing.allowed as u64,
+                requests = standing.requests as u64,
+                hosts = *hosts;
+                "A repeat was asked of the budget."
+            ),
             Self::Sent {
                 to,
                 send,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use actix_http::ServiceConfig;
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    budget::RetryBudget,
+    budget::{RetryBudget, Standing},
     catalogue::{Catalogue, Engine, Service},
     chains::{self, Chain},
     choice::Loads,
@@ -311,10 +311,29 @@
     pub fn take_repeat(&self, service: &Rc<str>) -> bool {
         let (now, hosts) = (self.now(), self.hosts.get());
         let taken = self.with_budget(service, |b| b.take(now, hosts));
-        self.metrics.repeats.inc_by(u64::from(taken));
+        let metrics = &self.metrics;
+        match taken {
+            true => metrics.repeats.inc(),
+            false => metrics.repeats_refused.inc(),
+        }
         taken
     }
 
+    /// How this host's part of a service's budget of repeats stands.
+    pub fn repeats_standing(&self, service: &Rc<str>) -> Standing {
+        let (now, hosts) = (self.now(), self.hosts.get());
+        self.with_budget(service, |b| b.standing(now, hosts))
+    }
+
+    /// Takes how many hosts are alive, this one included.
+    pub fn set_hosts(&self, hosts: u32) {
+        let before = self.hosts.replace(hosts);
+        if before != hosts {
+            log::info!(target: "peers", hosts = hosts, before = before; "Hosts that are alive changed.");
+        }
+        self.loads.borrow_mut().hosts = hosts;
+    }
+
     /// Whether a repeat of a request is left in the budget.
     pub fn may_repeat(&self, service: &Rc<str>) -> bool {
         let (now, hosts) = (self.now(), self.hosts.get());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub sends: IntCounter,
     /// Sends beyond the first of a request.
     pub repeats: IntCounter,
+    /// Repeats that the budget did not allow.
+    pub repeats_refused: IntCounter,
     /// Streams that went on at another chain.
     pub resumed: IntCounter,
     /// Bytes of events relayed.
@@ -116,6 +118,10 @@
             answers: vector("answers_total", "Answers to callers", &["kind", "status"]),
             sends: counter("sends_total", "Requests sent to endpoints"),
             repeats: counter("repeats_total", "Sends beyond the first of a request"),
+            repeats_refused: counter(
+                "repeats_refused_total",
+                "Repeats that the budget did not allow",
+            ),
             resumed: counter("resumed_streams_total", "Streams resumed at another chain"),
             relayed: counter("relayed_bytes_total", "Bytes of events relayed"),
             abandoned: counter("abandoned_total", "Callers that left early"),
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -61,8 +61,7 @@
         }
         let peers = &gateway.peers;
         let hosts = peers.fleet.borrow().len().max(1) as u32;
-        gateway.hosts.set(hosts);
-        gateway.loads.borrow_mut().hosts = hosts;
+        gateway.set_hosts(hosts);
     }
 
     /// Asks the first hosts of this data centre that work; true if one had fresh news.
