Repeats: a host's share is agreed on, and what it may take is written down beforehand

Cause: the budget of repeats of all hosts was divided by each host's own count of hosts, and what was taken was known to the memory of a process only. A process that started had its part anew, and for 0.25 s the whole burst. The class: a part of a shared bound held by a process without a lease and without a record that outlives it.

Ruled out before: sends that are not counted (hosts' logs and arrivals agree to the last one), uneven surges (each part is bounded by itself), lossy links (fewer repeats).

Change. fleet::share: a host claims its share in its row of the store, under a lease by the store's steady clock, and holds it once all claims that live count it; a process that starts takes the claim over. fleet::budget: the row says beforehand how many repeats the host may take in a window, half of what is allowed in quiet times, more in steps of a fourth as it is used; the next process counts that as taken. A repeat that must be written down first waits up to 60 ms. Rows are written only at the version that is known, so that no late write takes the place of a newer row. The row is kept by a task of its own, control::host_row; the views of the rows ride on the calls between hosts. Nine tenths of the budget are used now (eight before), repeats count for 1.1 windows.

In budget.rs two figures follow the part that is used (8 of 10 to 9 of 10; a repeat counts for 11 s of a window of 10); its property test holds the same bound with a row written wherever one is due. Hosts of tests have a row that holds a share, as without one nothing may be repeated.

--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -249,6 +249,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Rc<Service>> {
+        self.services.values()
+    }
+
     /// The services whose endpoints hold layers of a model.
     pub fn engine_services(&self) -> impl Iterator<Item = &Rc<Service>> {
         self.services.values().filter(|s| s.engine.is_some())
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`examination`] says when the parts of a chain are asked how they are.
 //! - [`patience`] says for how long a run is waited for, and when its chain is examined.
 //! - [`freshness`] says for how long a catalogue may be acted on without news from the store.
-//! - [`budget`] bounds how often a request is sent a second time.
+//! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
+//!   bound a host may use.
 
 pub mod budget;
 pub mod catalogue;
@@ -27,3 +28,4 @@
 pub mod layers;
 pub mod patience;
 pub mod placement;
+pub mod share;
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -1,15 +1,20 @@
-//! Tells the other hosts that this one is alive, counts those that are, and keeps the duty of
-//! placing layers.
+//! Counts the hosts that are alive, tells the others that this one is, and keeps the duty of placing
+//! layers.
 
 use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::duty::{Duty, NOBODY, Seen, Step, Wrote};
-use dragonflyrill_protocol::exchange::{DutyRow, FleetHost};
+use dragonflyrill_protocol::exchange::{DutyRow, FleetHost, HostRow};
 use dragonflyrill_store::PlatformError;
+use futures_util::future;
 use rustc_hash::FxHashMap;
 use tokio::time;
 
-use super::{Backoff, StoreCall, placing::Placing};
+use super::{
+    Backoff, StoreCall,
+    host_row::{self, AllRows, CALL, beat, myself},
+    placing::Placing,
+};
 use crate::{
     gateway::Gateway,
     ports::{Row, Written},
@@ -17,33 +22,18 @@
 
 /// The row of the duty of placing layers.
 const DUTY_ROW: &str = "placement";
-/// Before a host's name in its row's key.
-const HOST_ROW: &str = "host/";
 /// How long the duty's row must stand still before another host takes over: two renewals may be
 /// lost, and layers that are missing are placed within three seconds of a host's end.
 const TERM: Duration = Duration::from_millis(2400);
 /// How often the rows are read by hosts that don't hold the duty.
 const LOOK: Duration = Duration::from_millis(1200);
-/// How often a host writes its row: so often that all hosts together write four rows a second, a
-/// hundredth of what the store takes, within bounds for small and large fleets.
-const BEAT_PER_HOST: Duration = Duration::from_millis(250);
-const SHORTEST_BEAT: Duration = Duration::from_secs(8);
-const LONGEST_BEAT: Duration = Duration::from_secs(30);
 /// For how many beats a host's row may stand still before it no longer counts: two may be lost.
 const ALIVE_BEATS: f64 = 2.5;
 /// How often it is looked whether anything is due.
 const TICK: Duration = Duration::from_millis(100);
-/// How long a call to the store may take.
-const CALL: Duration = Duration::from_millis(800);
 /// How often the hosts that read the store for others read the rows.
 const ROWS_LOOK: Duration = Duration::from_millis(1200);
 
-/// How often a host of a fleet of so many writes its row.
-pub fn beat(hosts: usize) -> Duration {
-    let together = BEAT_PER_HOST * hosts.try_into().unwrap_or(u32::MAX);
-    together.clamp(SHORTEST_BEAT, LONGEST_BEAT)
-}
-
 struct Roster {
     gateway: Rc<Gateway>,
     me: String,
@@ -51,20 +41,22 @@
     /// The rows of hosts: the version, when it was first seen, and what it says.
     hosts: FxHashMap<String, (u64, Duration, FleetHost)>,
     read_at: Option<Duration>,
-    beat_at: Option<Duration>,
 }
 
-/// Keeps the roster and the duty for as long as the process lives.
+/// Keeps the roster, this host's row and the duty for as long as the process lives.
 pub async fn keep(gateway: Rc<Gateway>, incarnation: u64) {
-    let me = format!("{} {incarnation}", gateway.settings.host);
     gateway.peers.set_incarnation(incarnation);
+    future::join(host_row::keep(gateway.clone()), watch(gateway, incarnation)).await;
+}
+
+async fn watch(gateway: Rc<Gateway>, incarnation: u64) {
+    let me = format!("{} {incarnation}", gateway.settings.host);
     let mut roster = Roster {
         duty: Duty::new(me.clone(), TERM, LOOK),
         me,
         gateway: gateway.clone(),
         hosts: FxHashMap::default(),
         read_at: None,
-        beat_at: None,
     };
     let mut placing = Placing::new(gateway.clone());
     let mut backoff = Backoff::default();
@@ -111,9 +103,6 @@
             let holder = self.duty.holder().unwrap_or("-");
             log::info!(target: "roster", held = !held, holder = holder; "Duty of placing layers changed.");
         }
-        if !self.gateway.leaving() && self.beat_at.is_none_or(|at| at + self.beat() <= now) {
-            self.tell_alive().await?;
-        }
         Ok(())
     }
 
@@ -136,56 +125,32 @@
     }
 
     async fn read(&mut self) -> Result<(), PlatformError> {
-        let gateway = &self.gateway;
-        let rows = gateway.platform.store.rows();
-        let rows = StoreCall::Rows.made(gateway, CALL, rows).await?;
-        let now = self.gateway.now();
+        let gateway = self.gateway.clone();
+        let AllRows { rows, hosts } = host_row::read_all(&gateway).await?;
+        let now = gateway.now();
         self.read_at = Some(now);
         let duty = rows.iter().find(|r| r.key == DUTY_ROW);
         self.duty.read(now, duty.map(seen));
-        self.gateway.peers.set_duty(duty.map(duty_row));
-        self.count_hosts(now, &rows);
+        gateway.peers.set_duty(duty.map(duty_row));
+        self.count_hosts(now, hosts);
         Ok(())
     }
 
-    fn count_hosts(&mut self, now: Duration, rows: &[Row]) {
-        for row in rows {
-            let Some(host) = row.key.strip_prefix(HOST_ROW) else {
-                continue;
-            };
-            let known = self.hosts.get(host);
-            if known.is_some_and(|(version, _, _)| *version == row.version) {
-                continue;
-            }
-            match serde_json::from_str(&row.value) {
-                Ok(found) => {
-                    self.hosts
-                        .insert(host.to_owned(), (row.version, now, found));
-                }
-                Err(e) => {
-                    log::warn!(target: "roster", row = &*row.key, why:% = e; "A row can't be used.");
-                }
+    fn count_hosts(&mut self, now: Duration, rows: Vec<(u64, HostRow)>) {
+        for (version, row) in rows {
+            let known = self.hosts.get(&row.host.host);
+            if known.is_none_or(|(known, _, _)| *known != version) {
+                let name = row.host.host.clone();
+                self.hosts.insert(name, (version, now, row.host));
             }
         }
-        let me = self.myself();
-        let counts = self.beat().mul_f64(ALIVE_BEATS);
-        let alive = |(host, (_, at, _)): (&String, &mut (u64, Duration, FleetHost))| {
-            *host != me.host && *at + counts > now
-        };
-        self.hosts.retain(|host, seen| alive((host, seen)));
+        let me = myself(&self.gateway);
+        let counts = beat(self.hosts.len() + 1).mul_f64(ALIVE_BEATS);
+        self.hosts
+            .retain(|host, (_, at, _)| *host != me.host && *at + counts > now);
         let mut fleet: Vec<FleetHost> = self.hosts.values().map(|(_, _, h)| h.clone()).collect();
         fleet.push(me);
-        self.gateway.peers.set_fleet(fleet);
-    }
-
-    fn myself(&self) -> FleetHost {
-        let settings = &self.gateway.settings;
-        FleetHost {
-            host: settings.host.clone(),
-            incarnation: self.gateway.peers.incarnation(),
-            addr: settings.peers_announced,
-            data_centre: settings.data_centre.to_string(),
-        }
+        self.gateway.set_fleet(fleet);
     }
 
     /// Writes who holds the duty.
@@ -206,21 +171,6 @@
         self.duty.wrote(sent_at, now, outcome);
         result
     }
-
-    /// How often this host writes its row.
-    fn beat(&self) -> Duration {
-        beat(self.hosts.len() + 1)
-    }
-
-    async fn tell_alive(&mut self) -> Result<(), PlatformError> {
-        self.beat_at = Some(self.gateway.now());
-        let key = format!("{HOST_ROW}{}", self.gateway.settings.host);
-        let row = serde_json::to_string(&self.myself());
-        let row = row.map_err(|e| PlatformError::Malformed(e.to_string()))?;
-        let gateway = &self.gateway;
-        let write = gateway.platform.store.write(&key, &row, None);
-        StoreCall::Write.made(gateway, CALL, write).await.map(drop)
-    }
 }
 
 fn seen(row: &Row) -> Seen {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -65,7 +65,7 @@
         let Some(endpoint) = pick(gateway, admitted, &tried) else {
             break;
         };
-        if tries.sent() > 0 && !admitted.take_repeat(gateway) {
+        if tries.sent() > 0 && !admitted.take_repeat(gateway).await {
             break;
         }
         tried.push(endpoint.id.clone());
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -78,14 +78,15 @@
     }
 
     /// Takes one repeat of it out of the budget; false if none is left.
-    fn take_repeat(&self, gateway: &Gateway) -> bool {
+    async fn take_repeat(&self, gateway: &Gateway) -> bool {
         let service = &self.service.name;
+        gateway.until_recorded(service).await;
         let standing = gateway.repeats_standing(service);
         let allowed = gateway.take_repeat(service);
         self.trail.step(Step::Repeat {
             allowed,
             standing,
-            hosts: gateway.hosts.get(),
+            divisor: gateway.bounds.divisor(gateway.now()),
         });
         allowed
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -119,7 +119,7 @@
                 break;
             };
             if self.tries.sent() > 0 {
-                if !self.admitted.take_repeat(self.gateway) {
+                if !self.admitted.take_repeat(self.gateway).await {
                     break;
                 }
                 self.gateway
--- a/crates/gateway/src/forward/trail.rs
+++ b/crates/gateway/src/forward/trail.rs
@@ -66,8 +66,8 @@
     Repeat {
         allowed: bool,
         standing: Standing,
-        /// The hosts that the budget is taken to be shared by.
-        hosts: u32,
+        /// By how many hosts the burst is divided; `None` if this host has no part of it.
+        divisor: Option<u32>,
     },
     /// It goes to an endpoint.
     Sent {
@@ -113,7 +113,7 @@
             Self::Repeat {
                 allowed,
                 standing,
-                hosts,
+                divisor,
             } => log::info!(
                 target: "forward",
                 id = id,
@@ -121,8 +121,9 @@
                 allowed = *allowed,
                 repeats = standing.repeats as u64,
                 most = standing.allowed as u64,
+                recorded = u64::from(standing.recorded),
                 requests = standing.requests as u64,
-                hosts = *hosts;
+                divisor = divisor.unwrap_or(0);
                 "A repeat was asked of the budget."
             ),
             Self::Sent {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,17 +12,22 @@
 use actix_http::ServiceConfig;
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    budget::{RetryBudget, Standing},
+    budget::Standing,
     catalogue::{Catalogue, Engine, Service},
     chains::{self, Chain},
     choice::Loads,
     endpoints::{Directory, Endpoint},
     freshness::Freshness,
 };
+use dragonflyrill_protocol::exchange::FleetHost;
 use rustc_hash::FxHashMap;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
 
 use crate::{
+    bounds::Bounds,
     forward::{Examiner, LineBudget},
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
@@ -35,6 +40,10 @@
 /// believes the second answer.
 pub const STILL_TAKING: Duration = Duration::from_millis(2900);
 
+/// How long a repeat waits at most until it is written down that it may be made: a write takes some
+/// 10 ms, and a stream may pause for 200 ms.
+const RECORDED_WITHIN: Duration = Duration::from_millis(60);
+
 /// The platform that a host runs on.
 pub struct Platform {
     /// How requests are marked.
@@ -94,7 +103,8 @@
     pub idle: Idle,
     /// Counters.
     pub metrics: Metrics,
-    budgets: RefCell<FxHashMap<Rc<str>, RetryBudget>>,
+    /// This host's part of the bounds that all hosts keep together.
+    pub bounds: Bounds,
     found: RefCell<FxHashMap<Rc<str>, FoundChains>>,
     epoch: Instant,
     /// When this host was asked to stop.
@@ -118,6 +128,7 @@
     pub fn new(settings: Settings, platform: Platform, codec: ServiceConfig) -> Rc<Self> {
         let freshness = Freshness::new(settings.key_revocation);
         let lines = LineBudget::new(settings.logged_per_s);
+        let bounds = Bounds::new(settings.retries);
         Rc::new(Self {
             settings,
             platform,
@@ -134,7 +145,7 @@
             hosts: Cell::new(1),
             idle: Idle::default(),
             metrics: Metrics::default(),
-            budgets: RefCell::default(),
+            bounds,
             found: RefCell::default(),
             epoch: Instant::now(),
             leaving_since: Cell::new(None),
@@ -191,6 +202,8 @@
             .catalogue_version
             .set(self.catalogue_version() as i64);
         metrics.hosts.set(i64::from(self.hosts.get()));
+        let divisor = self.bounds.divisor(now);
+        metrics.share_hosts.set(i64::from(divisor.unwrap_or(0)));
         metrics.open.set(i64::from(self.open.get()));
         // Never proven is as old as can be.
         let seconds = |age: Option<Duration>| age.map_or(f64::INFINITY, |a| a.as_secs_f64());
@@ -295,22 +308,23 @@
     }
 
     /// Keeps an idle connection to an endpoint of a service, so that all hosts together keep at most
-    /// half of what the endpoint accepts.
+    /// half of what the endpoint accepts. A host that does not know how many they are keeps one.
     pub fn keep(&self, addr: SocketAddr, connection: Connection, service: &Service) {
-        let most = service.max_connections / (2 * self.hosts.get().max(1));
+        let most = match self.bounds.hosts() {
+            Some(hosts) => service.max_connections / (2 * hosts.max(self.hosts.get())),
+            None => 1,
+        };
         self.idle.put(addr, connection, most.max(1) as usize);
     }
 
     /// A request for a service came in.
     pub fn count_request(&self, service: &Rc<str>) {
-        let now = self.now();
-        self.with_budget(service, |b| b.request(now));
+        self.bounds.count_request(service, self.now());
     }
 
     /// Takes one repeat of a request out of the budget, and counts it; false if none is left.
     pub fn take_repeat(&self, service: &Rc<str>) -> bool {
-        let (now, hosts) = (self.now(), self.hosts.get());
-        let taken = self.with_budget(service, |b| b.take(now, hosts));
+        let taken = self.bounds.take_repeat(service, self.now());
         let metrics = &self.metrics;
         match taken {
             true => metrics.repeats.inc(),
@@ -319,14 +333,34 @@
         taken
     }
 
+    /// Waits until a repeat may be taken, if it has to be written down first.
+    pub async fn until_recorded(&self, service: &Rc<str>) {
+        let until = Instant::now() + RECORDED_WITHIN;
+        let mut waiting = None;
+        while self.repeats_standing(service).waits_for_record() && self.bounds.writes_row() {
+            waiting.get_or_insert_with(|| self.bounds.wait(service));
+            let mut written = self.bounds.write_row();
+            if time::timeout_at(until, written.changed()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// How this host's part of a service's budget of repeats stands.
     pub fn repeats_standing(&self, service: &Rc<str>) -> Standing {
-        let (now, hosts) = (self.now(), self.hosts.get());
-        self.with_budget(service, |b| b.standing(now, hosts))
+        self.bounds.standing(service, self.now())
+    }
+
+    /// Whether a repeat of a request is left in the budget.
+    pub fn may_repeat(&self, service: &Rc<str>) -> bool {
+        let standing = self.repeats_standing(service);
+        standing.left() || (standing.waits_for_record() && self.bounds.writes_row())
     }
 
-    /// Takes how many hosts are alive, this one included.
-    pub fn set_hosts(&self, hosts: u32) {
+    /// Takes the hosts that are alive, this one included.
+    pub fn set_fleet(&self, fleet: Vec<FleetHost>) {
+        let hosts = fleet.len() as u32;
+        self.peers.set_fleet(fleet);
         let before = self.hosts.replace(hosts);
         if before != hosts {
             log::info!(target: "peers", hosts = hosts, before = before; "Hosts that are alive changed.");
@@ -334,20 +368,6 @@
         self.loads.borrow_mut().hosts = hosts;
     }
 
-    /// Whether a repeat of a request is left in the budget.
-    pub fn may_repeat(&self, service: &Rc<str>) -> bool {
-        let (now, hosts) = (self.now(), self.hosts.get());
-        self.with_budget(service, |b| b.left(now, hosts))
-    }
-
-    fn with_budget<R>(&self, service: &Rc<str>, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
-        let mut budgets = self.budgets.borrow_mut();
-        let terms = self.settings.retries;
-        f(budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(terms)))
-    }
-
     /// The chains of a service's endpoints, found anew if the endpoints have changed.
     pub fn chains(&self, service: &Rc<str>, engine: &Engine) -> Rc<Vec<Chain>> {
         let now = self.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! Where to start: [`host::run`] starts everything; [`gateway::Gateway`] is what the tasks share.
 
+pub mod bounds;
 pub mod control;
 pub mod forward;
 pub mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     pub catalogue_version: IntGauge,
     /// Hosts that are alive.
     pub hosts: IntGauge,
+    /// By how many hosts this one divides what all share; 0 if it has no part of it.
+    pub share_hosts: IntGauge,
     /// Requests that are being answered.
     pub open: IntGauge,
     /// How old the proof is that the catalogue is the newest.
@@ -144,6 +146,10 @@
             endpoints: register(&registry, endpoints.expect("a valid name")),
             catalogue_version: gauge("catalogue_version", "Version of the catalogue in force"),
             hosts: gauge("hosts", "Hosts that are alive"),
+            share_hosts: gauge(
+                "share_hosts",
+                "By how many hosts this one divides what all share; 0 for no part",
+            ),
             open: gauge("open_requests", "Requests that are being answered"),
             proof_age_seconds: seconds(
                 "proof_age_seconds",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -59,9 +59,6 @@
             self.asked = None;
             self.exchange_loads(&near).await;
         }
-        let peers = &gateway.peers;
-        let hosts = peers.fleet.borrow().len().max(1) as u32;
-        gateway.set_hosts(hosts);
     }
 
     /// Asks the first hosts of this data centre that work; true if one had fresh news.
@@ -131,7 +128,10 @@
             take_list(gateway, list);
         }
         if let Some(fleet) = news.fleet {
-            peers.set_fleet(fleet);
+            gateway.set_fleet(fleet);
+        }
+        if let Some(claims) = news.claims {
+            gateway.bounds.told(&claims, sent_at, now);
         }
         if news.duty.is_some() {
             peers.set_duty(news.duty);
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -93,6 +93,7 @@
         list: offer.list.and_then(|mark| list_news(gateway, mark)),
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
         duty: peers.duty(),
+        claims: gateway.bounds.to_tell(now),
         loads: to_wire(&loads),
         avoided: match same {
             true => avoided_to_wire(&avoided_but(gateway, &offer.host)),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -132,6 +132,17 @@
     pub version: u64,
 }
 
+/// All rows of the hosts' own, as of one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostRows {
+    /// The rows, by key in order.
+    pub rows: Vec<Row>,
+    /// The store's version then: rows that are written later have a higher one.
+    pub version: u64,
+    /// The store's clock then. It is steady, and that of no host.
+    pub clock: Duration,
+}
+
 /// How a conditional write ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Written {
@@ -158,7 +169,7 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<EndpointNews, PlatformError>>;
     /// All rows of the hosts' own.
-    fn rows(&self) -> LocalBoxFuture<'_, Result<Vec<Row>, PlatformError>>;
+    fn rows(&self) -> LocalBoxFuture<'_, Result<HostRows, PlatformError>>;
     /// Writes a row if it has that version, 0 if there is none; `None` writes in any case.
     fn write(
         &self,
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_gateway::control::roster::beat;
+use dragonflyrill_gateway::control::host_row::beat;
 
 /// Rows that a fleet writes in a second.
 fn writes_per_second(hosts: usize) -> f64 {
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -69,6 +69,72 @@
     pub data_centre: String,
 }
 
+/// A host's row in the store: that it is alive, and its part in the bounds that all hosts share.
+///
+/// The process that starts next on the host reads it, and so do all other hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// The host.
+    #[serde(flatten)]
+    pub host: FleetHost,
+    /// Its claim of a share; rows of programs that know of none are without.
+    #[serde(default)]
+    pub claim: Option<ShareClaim>,
+    /// Repeats that it may make in a window, by service.
+    #[serde(default)]
+    pub repeats: Vec<RecordedRepeats>,
+}
+
+/// A host's claim of a share of the bounds over all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareClaim {
+    /// The version of the row by which it was first claimed; `None` in that row itself.
+    pub since: Option<u64>,
+    /// The store's version up to which the host counts others' claims.
+    pub counted_to: u64,
+    /// The store's clock when the host read that version, in milliseconds.
+    pub read_at_ms: u64,
+    /// Since when the share is held, if it is.
+    pub held: Option<HeldShare>,
+}
+
+/// Since when a share is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldShare {
+    /// The store's version by which the host found that it holds it.
+    pub version: u64,
+    /// From when on it may be used, by the store's clock, in milliseconds.
+    pub whole_at_ms: u64,
+}
+
+/// Repeats that a host may make in a window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedRepeats {
+    /// The service.
+    pub service: String,
+    /// How many.
+    pub repeats: u32,
+}
+
+/// What a read of all hosts' rows has shown of their claims.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimsView {
+    /// The store's version that was read.
+    pub version: u64,
+    /// The store's clock then, in milliseconds.
+    pub clock_ms: u64,
+    /// How long ago the read was sent, in microseconds.
+    pub age_us: u64,
+    /// Hosts whose claims have not lapsed.
+    pub hosts: u32,
+    /// The version at which the newest of them was first claimed.
+    pub newest: u64,
+    /// The version up to which all of these hosts count.
+    pub counted_by_all: u64,
+    /// The least version of a view by which one of them holds its share.
+    pub first_held: Option<u64>,
+}
+
 /// An endpoint of a list.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
@@ -135,6 +201,8 @@
     pub fleet: Option<Vec<FleetHost>>,
     /// The row of the duty, if it was read.
     pub duty: Option<DutyRow>,
+    /// The claims of shares, if the hosts' rows were read.
+    pub claims: Option<ClaimsView>,
     /// The loads of all hosts but the one that asks; of one data centre, if another one asks.
     pub loads: Vec<EndpointLoad>,
     /// What this data centre's hosts avoid by what they saw themselves, without the one that asks;
