--- a/crates/fleet/src/examination.rs
+++ b/crates/fleet/src/examination.rs
@@ -121,8 +121,9 @@
         running.is_some_and(|r| r.at + RUNS > now)
     }
 
-    /// What is done about a chain in doubt, where so many hosts do the same.
-    pub fn next(&mut self, chain: &Chain, doubt: Doubt, now: Duration, hosts: u32) -> Next {
+    /// What is done about a chain in doubt, where so many hosts do the same; `None` if that is not
+    /// known.
+    pub fn next(&mut self, chain: &Chain, doubt: Doubt, now: Duration, hosts: Option<u32>) -> Next {
         if doubt == Doubt::Still && self.runs(chain, now) {
             return Next::Nothing;
         }
@@ -139,9 +140,12 @@
     }
 
     /// Takes one of the examinations that a host may make.
-    fn take(&mut self, now: Duration, hosts: u32) -> bool {
+    ///
+    /// While it is not known how many hosts do the same, none is made beyond those at once: all hosts
+    /// may have just started, and each would take itself for the only one.
+    fn take(&mut self, now: Duration, hosts: Option<u32>) -> bool {
         let (left, at) = self.left;
-        let per_s = ALL_PER_S / f64::from(hosts.max(1));
+        let per_s = hosts.map_or(0.0, |hosts| ALL_PER_S / f64::from(hosts.max(1)));
         let filled = left + now.saturating_sub(at).as_secs_f64() * per_s;
         let left = filled.min(AT_ONCE);
         let taken = left >= 1.0;
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -32,6 +32,13 @@
 /// may take effect some 12 s later, and must not make a claim look whole that had lapsed meanwhile.
 const LATE_WRITE: Duration = Duration::from_secs(15);
 
+/// The part of a bound that a host may use by itself, where passing it wastes something and breaks no
+/// promise, so that no lease is needed: at least one, and just that while it is not known how many
+/// hosts there are.
+pub fn divided(bound: u32, hosts: Option<u32>) -> u32 {
+    hosts.map_or(1, |hosts| (bound / hosts.max(1)).max(1))
+}
+
 /// What a host's row says of its share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Claim {
--- a/crates/fleet/tests/examination.rs
+++ b/crates/fleet/tests/examination.rs
@@ -30,9 +30,9 @@
     let chains = sharing();
     let mut examinations = Examinations::default();
     examinations.event(&chains[0], ms(1000));
-    let next = examinations.next(&chains[0], Doubt::Still, ms(1050), 8);
+    let next = examinations.next(&chains[0], Doubt::Still, ms(1050), Some(8));
     assert_eq!(next, Next::Nothing);
-    let next = examinations.next(&chains[0], Doubt::Still, ms(1090), 8);
+    let next = examinations.next(&chains[0], Doubt::Still, ms(1090), Some(8));
     assert_eq!(asked(next), ["f", "g"]);
 }
 
@@ -41,7 +41,7 @@
     let chains = sharing();
     let mut examinations = Examinations::default();
     examinations.event(&chains[1], ms(1000));
-    let next = examinations.next(&chains[0], Doubt::Still, ms(1050), 8);
+    let next = examinations.next(&chains[0], Doubt::Still, ms(1050), Some(8));
     assert_eq!(asked(next), ["g"]);
 }
 
@@ -50,7 +50,7 @@
     let chains = sharing();
     let mut examinations = Examinations::default();
     examinations.event(&chains[0], ms(1000));
-    let next = examinations.next(&chains[0], Doubt::Late, ms(1050), 8);
+    let next = examinations.next(&chains[0], Doubt::Late, ms(1050), Some(8));
     assert_eq!(asked(next), ["f", "g"]);
 }
 
@@ -59,12 +59,12 @@
     let chains = sharing();
     let mut examinations = Examinations::default();
     examinations.answered(&"f".into(), ms(1000));
-    let next = examinations.next(&chains[1], Doubt::Still, ms(1050), 8);
+    let next = examinations.next(&chains[1], Doubt::Still, ms(1050), Some(8));
     assert_eq!(asked(next), ["h"]);
 }
 
 /// Examinations of one chain that stands still for so long, in ms from its first doubt on.
-fn played(hosts: u32, until: u64) -> Vec<u64> {
+fn played(hosts: Option<u32>, until: u64) -> Vec<u64> {
     let chains = sharing();
     let mut examinations = Examinations::default();
     let mut times = Vec::new();
@@ -77,13 +77,18 @@
 
 #[test]
 fn a_chain_that_stays_slow_is_examined_more_and_more_seldom() {
-    assert_eq!(played(1, 5000), [0, 100, 300, 700, 1500, 3100, 4700]);
+    assert_eq!(played(Some(1), 5000), [0, 100, 300, 700, 1500, 3100, 4700]);
 }
 
 #[test]
 fn many_hosts_together_make_no_more_examinations_than_few() {
-    let all = |hosts: u32| played(hosts, 60_000).len() * hosts as usize;
+    let all = |hosts: u32| played(Some(hosts), 60_000).len() * hosts as usize;
     // Four at once on each host, and eight a second over all of them.
     assert!(all(8) <= 8 * 4 + 60 * 8, "{}", all(8));
     assert!(all(360) <= 360 * 4 + 60 * 8 + 360, "{}", all(360));
 }
+
+#[test]
+fn a_host_that_does_not_know_how_many_they_are_makes_no_more_than_those_at_once() {
+    assert_eq!(played(None, 60_000).len(), 4);
+}
--- a/crates/fleet/tests/share.rs
+++ b/crates/fleet/tests/share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::share::{Claim, Held, Row, Share, TERM, View};
+use dragonflyrill_fleet::share::{self, Claim, Held, Row, Share, TERM, View};
 
 mod common;
 use common::ms;
@@ -39,6 +39,13 @@
     share
 }
 
+#[test]
+fn a_host_that_does_not_know_how_many_they_are_uses_one_of_a_bound() {
+    assert_eq!(share::divided(55, Some(8)), 6);
+    assert_eq!(share::divided(55, Some(360)), 1);
+    assert_eq!(share::divided(55, None), 1);
+}
+
 #[test]
 fn a_view_counts_claims_until_they_lapse() {
     let rows = [row(5, 1, secs(100)), row(6, 2, secs(130))];
--- a/crates/gateway/src/forward/examine.rs
+++ b/crates/gateway/src/forward/examine.rs
@@ -72,7 +72,7 @@
     if let Some(done) = going_on.get(&chain.key) {
         return Some(done.clone());
     }
-    let (now, hosts) = (gateway.now(), gateway.hosts.get());
+    let (now, hosts) = (gateway.now(), gateway.counted_hosts());
     let mut examinations = examiner.examinations.borrow_mut();
     let Next::Ask(ids) = examinations.next(chain, doubt, now, hosts) else {
         return None;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
     choice::Loads,
     endpoints::{Directory, Endpoint},
     freshness::Freshness,
+    share,
 };
 use dragonflyrill_protocol::exchange::FleetHost;
 use rustc_hash::FxHashMap;
@@ -307,14 +308,18 @@
         let _ = reading.wait_for(|r| *r).await;
     }
 
+    /// How many hosts do what this one does, at least; `None` until that is known. What all of them
+    /// together should keep to is divided by this: a host that has just started is not alone.
+    pub fn counted_hosts(&self) -> Option<u32> {
+        let claimed = self.bounds.hosts()?;
+        Some(claimed.max(self.hosts.get()))
+    }
+
     /// Keeps an idle connection to an endpoint of a service, so that all hosts together keep at most
-    /// half of what the endpoint accepts. A host that does not know how many they are keeps one.
+    /// half of what the endpoint accepts.
     pub fn keep(&self, addr: SocketAddr, connection: Connection, service: &Service) {
-        let most = match self.bounds.hosts() {
-            Some(hosts) => service.max_connections / (2 * hosts.max(self.hosts.get())),
-            None => 1,
-        };
-        self.idle.put(addr, connection, most.max(1) as usize);
+        let most = share::divided(service.max_connections / 2, self.counted_hosts());
+        self.idle.put(addr, connection, most as usize);
     }
 
     /// A request for a service came in.
