A request that is given up is taken back by a reset

A run that was given up closed its connection in order, so that what a cut link held up arrived seconds later, after other sends had taken its place, and an engine began work that nobody waited for.

Change: a connection that is dropped with a request under way is reset, so that what has not arrived is dropped.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -52,6 +52,8 @@
     buf: BytesMut,
     codec: Codec,
     body: Body,
+    /// Whether a request was sent, or a part of it, and its answer was not read to the end.
+    under_way: bool,
     /// Whether the request that was sent was sent whole.
     sent_whole: bool,
     /// Whether the request asked for no body.
@@ -78,6 +80,7 @@
             buf: BytesMut::new(),
             codec: Codec::Head(ClientCodec::new(config.clone())),
             body: Body::Done,
+            under_way: false,
             sent_whole: true,
             head_only: false,
             keep: true,
@@ -127,6 +130,7 @@
             encoded.map_err(|e| (0, e))?;
         }
         self.codec = Codec::Head(codec);
+        self.under_way = true;
         self.sent_whole = false;
         self.head_only = head_only;
         let mut sent = 0;
@@ -200,10 +204,15 @@
         match self.body {
             Body::Framed => self.codec = Codec::Payload(codec.into_payload_codec()),
             Body::UntilClose => self.keep = false,
-            Body::Done => {}
+            Body::Done => self.under_way = false,
         }
     }
 
+    fn end_body(&mut self) {
+        self.body = Body::Done;
+        self.under_way = false;
+    }
+
     fn new_codec(&self) -> Codec {
         Codec::Head(ClientCodec::new(self.config.clone()))
     }
@@ -218,7 +227,7 @@
                     match piece.map_err(|e| Broken::Malformed(e.to_string()))? {
                         Some(Some(bytes)) => return Ok(Some(bytes)),
                         Some(None) => {
-                            self.body = Body::Done;
+                            self.end_body();
                             self.codec = self.new_codec();
                             return Ok(None);
                         }
@@ -233,7 +242,7 @@
                         return Ok(Some(self.buf.split().freeze()));
                     }
                     if self.fill().await? == 0 {
-                        self.body = Body::Done;
+                        self.end_body();
                         return Ok(None);
                     }
                 }
@@ -269,6 +278,18 @@
     }
 }
 
+impl Drop for Connection {
+    /// A request that is given up is taken back: without a reset the system goes on sending what a
+    /// link holds up, and the endpoint gets it seconds later, when nobody waits for it any more and
+    /// others have been sent in its place.
+    fn drop(&mut self) {
+        if self.under_way {
+            // If that fails the connection is broken already.
+            let _ = socket2::SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// Opens a connection within a time.
 pub async fn open_within(
     addr: SocketAddr,
