What is planned and used of an engine is what it is, not what its old entry says

Cause: engines that end behind a cut start again at their address, empty and under a new id. For up to 0.7 s their old entry stood beside the new one, and came back for 3.6 s by a late one; when they answered a report again, saying that they hold nothing, their old id was taken to be well. Requests went to it and were refused as meant for another; the planner took the layers of lost engines as held and gave the new empty ones others.

Change: an endpoint has ended when another is listed at its address, and its late entries are not taken. One that was lost is well again only when it says that it holds what it is listed with. For plans an engine that does not answer holds nothing that is known, and nothing loaded moves in its data centre.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -75,12 +75,16 @@
 }
 
 /// What an entry has changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Put {
     /// Nothing but its place in time.
     Nothing,
     /// The endpoint is new, or is another than it was.
     Listed,
+    /// The endpoint is new, and listens where this one did, which has ended and is forgotten.
+    Replaced(Rc<Endpoint>),
+    /// Nothing: the endpoint was gone, and another one listens where it did.
+    Ended,
     /// The endpoint was gone and is listed again. It may have been cut off; or its last entry was on
     /// its way for long, and it is gone indeed. It counts as lost until it answers.
     Returned,
@@ -103,6 +107,8 @@
     removed: VecDeque<(u64, Rc<str>)>,
     /// Those of them that are not listed.
     gone: FxHashSet<Rc<str>>,
+    /// The endpoint that was listed last at each address.
+    by_addr: FxHashMap<SocketAddr, Rc<str>>,
     /// Changes up to this one can't be told one by one.
     forgotten: u64,
 }
@@ -158,18 +164,27 @@
         if known.is_some_and(|old| **old == endpoint) {
             return Put::Nothing;
         }
+        let new = known.is_none();
+        let other = self.by_addr.get(&endpoint.addr);
+        let other = other.filter(|other| new && **other != endpoint.id).cloned();
+        if other.is_some() && self.gone.contains(&endpoint.id) {
+            return Put::Ended;
+        }
+        // Each start of an endpoint has an id of its own, and two can't listen at one address.
+        let replaced = other.and_then(|other| self.remove(&other));
         // Only engines can be asked without doing anything.
         let returned = self.gone.remove(&endpoint.id) && endpoint.accelerator.is_some();
         self.generation += 1;
         self.list_version += 1;
         let id = endpoint.id.clone();
         self.changed_at.insert(id.clone(), self.list_version);
+        self.by_addr.insert(endpoint.addr, id.clone());
         self.endpoints.insert(id.clone(), Rc::new(endpoint));
-        if !returned {
-            return Put::Listed;
+        if returned {
+            self.lost(&id, now);
+            return Put::Returned;
         }
-        self.lost(&id, now);
-        Put::Returned
+        replaced.map_or(Put::Listed, Put::Replaced)
     }
 
     /// Forgets an endpoint that is gone.
@@ -177,6 +192,9 @@
         let gone = self.endpoints.remove(id)?;
         self.seen.remove(id);
         self.changed_at.remove(id);
+        if self.by_addr.get(&gone.addr).is_some_and(|at| **at == *id) {
+            self.by_addr.remove(&gone.addr);
+        }
         self.generation += 1;
         self.list_version += 1;
         self.removed.push_back((self.list_version, gone.id.clone()));
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     catalogue::{Accelerator, Engine},
+    endpoints::Endpoint,
     layers::LayerRange,
 };
 
@@ -37,6 +38,39 @@
     pub loading: bool,
 }
 
+/// What is believed of an engine beyond its entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Belief {
+    /// It is as it is listed.
+    Listed,
+    /// It holds these layers or loads them.
+    Loading(LayerRange),
+    /// It may be carrying out an order.
+    Unsure,
+    /// It does not answer, or says that it is not as it is listed.
+    Lost,
+}
+
+impl Candidate {
+    /// What is planned with; `None` for an endpoint that holds no layers of a model.
+    ///
+    /// An engine that is lost counts as holding nothing that is known: it may have started again, and
+    /// an empty one should rather take its layers than others.
+    pub fn of(endpoint: &Endpoint, belief: Belief) -> Option<Self> {
+        Some(Self {
+            id: endpoint.id.clone(),
+            data_centre: endpoint.data_centre.clone(),
+            accelerator: endpoint.accelerator.clone()?,
+            holds: match belief {
+                Belief::Listed | Belief::Unsure => endpoint.layers,
+                Belief::Loading(layers) => Some(layers),
+                Belief::Lost => None,
+            },
+            loading: belief != Belief::Listed,
+        })
+    }
+}
+
 /// Layers that an endpoint should load.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::rc::Rc;
+
 use common::{endpoint, ms};
 use dragonflyrill_fleet::endpoints::{Avoided, Directory, Endpoint, Put};
 
@@ -235,3 +237,28 @@
     assert_eq!(directory.put(service("x", "a"), ms(500)), Put::Listed);
     assert!(directory.usable("x", ms(500)));
 }
+
+/// Engines that started again at their address were listed under a new id half a second before their
+/// old ids went, which came back for 3.6 s by entries that were late: what went to these was refused as
+/// meant for another.
+#[test]
+fn an_endpoint_has_ended_when_another_one_is_listed_at_its_address() {
+    let mut directory = Directory::default();
+    let before = endpoint("e", "a", "l40s", 0, 40);
+    let after = Endpoint {
+        id: "f".into(),
+        layers: None,
+        ..before.clone()
+    };
+    directory.put(before.clone(), ms(0));
+    let put = directory.put(after.clone(), ms(100));
+    assert_eq!(put, Put::Replaced(Rc::new(before.clone())));
+    assert!(directory.get("e").is_none() && directory.listed("f"));
+    assert_eq!(
+        directory.put(before, ms(600)),
+        Put::Ended,
+        "an entry that is late"
+    );
+    assert!(directory.get("e").is_none() && directory.listed("f"));
+    assert_eq!(directory.put(after, ms(700)), Put::Nothing);
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use common::{candidate, engine, fleet, name, today};
+use common::{candidate, endpoint, engine, fleet, name, today};
 use dragonflyrill_fleet::{
     layers::LayerRange,
-    placement::{self, Candidate, Placement},
+    placement::{self, Belief, Candidate, Placement},
 };
 use proptest::prelude::*;
 
@@ -95,6 +95,37 @@
     );
 }
 
+/// Engines that had started again behind a cut were still listed with what they had held: new empty
+/// ones were given other layers, and no chain was left for 3 s.
+#[test]
+fn an_empty_endpoint_takes_the_layers_of_one_that_does_not_answer() {
+    let mut candidates = fleet(&[("a", [2, 2, 0])]);
+    let orders = plan(&candidates);
+    apply(&mut candidates, &orders);
+    let held = candidates[0].holds.expect("it held layers");
+    let listed = endpoint("e00", "a", "a100", held.first, held.end);
+    candidates.push(candidate(90, "a", "a100"));
+    let without = plan(&candidates[1..]);
+    candidates[0] = Candidate::of(&listed, Belief::Listed).expect("an engine");
+    assert_ne!(plan(&candidates), without, "it matters");
+    candidates[0] = Candidate::of(&listed, Belief::Lost).expect("an engine");
+    assert_eq!(plan(&candidates), without, "as if it were gone");
+}
+
+#[test]
+fn what_is_believed_of_an_engine_goes_before_its_entry() {
+    let listed = endpoint("e", "a", "l40s", 10, 30);
+    let ordered = LayerRange::new(40, 50).expect("layers");
+    let of = |belief| {
+        let candidate = Candidate::of(&listed, belief).expect("an engine");
+        (candidate.holds, candidate.loading)
+    };
+    assert_eq!(of(Belief::Listed), (listed.layers, false));
+    assert_eq!(of(Belief::Loading(ordered)), (Some(ordered), true));
+    assert_eq!(of(Belief::Unsure), (listed.layers, true));
+    assert_eq!(of(Belief::Lost), (None, true));
+}
+
 #[test]
 fn an_endpoint_of_an_unknown_kind_is_left_alone() {
     let candidates = [candidate(0, "a", "tape")];
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -13,7 +13,7 @@
 use dragonflyrill_fleet::{
     endpoints::Endpoint,
     layers::LayerRange,
-    placement::{self, Candidate, Placement},
+    placement::{self, Belief, Candidate, Placement},
 };
 use futures_util::{StreamExt, stream};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -242,7 +242,8 @@
             .await
     }
 
-    /// The data centres to whose list engines that hold layers have come a short time ago.
+    /// The data centres to whose list engines that hold layers have come a short time ago, or in which
+    /// one does not answer: it may be back in a moment, and is taken from the list if it is not.
     fn unsettled(&mut self, endpoints: &[Rc<Endpoint>]) -> Vec<Rc<str>> {
         let now = self.gateway.now();
         let mut holders = FxHashSet::default();
@@ -255,28 +256,24 @@
         }
         self.holders = holders;
         self.came_at.retain(|_, at| *at + SETTLE > now);
-        let mut unsettled: Vec<Rc<str>> = self.came_at.keys().cloned().collect();
+        let directory = self.gateway.directory.borrow();
+        let lost = endpoints.iter().filter(|e| directory.is_lost(&e.id));
+        let lost = lost.map(|e| e.data_centre.clone());
+        let mut unsettled: Vec<Rc<str>> = self.came_at.keys().cloned().chain(lost).collect();
         unsettled.sort();
+        unsettled.dedup();
         unsettled
     }
 
     fn candidates(&self, endpoints: &[Rc<Endpoint>]) -> Vec<Candidate> {
-        let candidate = |e: &Rc<Endpoint>| {
-            let loading = match self.known.get(&e.id) {
-                Some(Known::Loading(layers, _)) => Some(*layers),
-                _ => None,
-            };
-            Some(Candidate {
-                id: e.id.clone(),
-                data_centre: e.data_centre.clone(),
-                accelerator: e.accelerator.clone()?,
-                holds: loading.or(e.layers),
-                loading: matches!(
-                    self.known.get(&e.id),
-                    Some(Known::Loading(..) | Known::Unsure(_))
-                ),
-            })
+        let directory = self.gateway.directory.borrow();
+        let belief = |id: &str| match self.known.get(id) {
+            _ if directory.is_lost(id) => Belief::Lost,
+            Some(Known::Loading(layers, _)) => Belief::Loading(*layers),
+            Some(Known::Unsure(_)) => Belief::Unsure,
+            Some(Known::Asked(_)) | None => Belief::Listed,
         };
+        let candidate = |e: &Rc<Endpoint>| Candidate::of(e, belief(&e.id));
         endpoints.iter().filter_map(candidate).collect()
     }
 
--- a/crates/gateway/src/forward/examine.rs
+++ b/crates/gateway/src/forward/examine.rs
@@ -180,7 +180,13 @@
         let now = gateway.now();
         let mut directory = gateway.directory.borrow_mut();
         let lost = directory.is_lost(&part.id);
+        let listed = directory.get(&part.id).and_then(|e| e.layers);
         match report {
+            // It has started again behind a cut, and its entry is that of before.
+            Some(report) if lost && report.layers != listed => {
+                directory.lost(&part.id, now);
+                pause = BACK;
+            }
             Some(report) => {
                 directory.paced(&part.id, report.pace, now);
                 if lost {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -274,7 +274,19 @@
         let id = endpoint.id.clone();
         let mut directory = self.directory.borrow_mut();
         let put = directory.put(endpoint, self.now());
-        let Some(listed) = directory.get(&id).filter(|_| put != Put::Nothing) else {
+        match &put {
+            Put::Nothing => return,
+            Put::Ended => {
+                log::info!(target: "fleet", endpoint = &*id; "An entry of an endpoint that has ended is not taken.");
+                return;
+            }
+            Put::Replaced(before) => {
+                log::info!(target: "fleet", endpoint = &*before.id, by = &*id; "Endpoint has ended: another one listens there.");
+                self.loads.borrow_mut().forget(&before.id);
+            }
+            Put::Listed | Put::Returned => {}
+        }
+        let Some(listed) = directory.get(&id) else {
             return;
         };
         log_listed(listed);
