--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -54,18 +54,19 @@
 impl Candidate {
     /// What is planned with; `None` for an endpoint that holds no layers of a model.
     ///
-    /// An engine that is lost counts as holding nothing that is known: it may have started again, and
-    /// an empty one should rather take its layers than others.
+    /// An engine that is lost is planned without: it may have started again, and an empty one should
+    /// rather take its layers than others.
     pub fn of(endpoint: &Endpoint, belief: Belief) -> Option<Self> {
+        let holds = match belief {
+            Belief::Listed | Belief::Unsure => endpoint.layers,
+            Belief::Loading(layers) => Some(layers),
+            Belief::Lost => return None,
+        };
         Some(Self {
             id: endpoint.id.clone(),
             data_centre: endpoint.data_centre.clone(),
             accelerator: endpoint.accelerator.clone()?,
-            holds: match belief {
-                Belief::Listed | Belief::Unsure => endpoint.layers,
-                Belief::Loading(layers) => Some(layers),
-                Belief::Lost => None,
-            },
+            holds,
             loading: belief != Belief::Listed,
         })
     }
