An endpoint is its id and its start; an entry that is not an endpoint's own names nothing

Endpoints may start again under their id, and say when they started. Until now an id that was leaving never came back, and what was believed of it outlived the process that it was true of.

- fleet::incarnations: the id of an endpoint inside the product is its name and its start, so that loads, avoidance, paces, chains, orders and lists of peers hold for one start without a line of their own.
A later start ends an earlier one of its name and whatever listened at its address; an earlier one never comes back, by whatever way.
Leaving and gone are said of a start.
- Reports carry the start: the first to hear of a new one replaces the old one at once, and the layout counts it as empty.
An engine that started again between being asked and being ordered gets no order.
- Streams and calls at a start that is over end at once, as what ran there is lost; they go on elsewhere where they may, else their callers are told.
One line at each change, bounded, and a counter by fault.
- Lists of peers carry name and start.

Tests: fleet/tests/incarnations.rs, with 300 random schedules of two hosts that hear late, doubled and out of order. Entries of tests are whole entries now.

--- a/crates/fleet/src/chains.rs
+++ b/crates/fleet/src/chains.rs
@@ -41,6 +41,8 @@
 pub struct Part {
     /// The endpoint.
     pub id: Rc<str>,
+    /// The name that it answers to.
+    pub name: Rc<str>,
     /// Where it listens.
     pub addr: SocketAddr,
     /// The layers that it runs.
@@ -336,6 +338,7 @@
         let Holder { endpoint, holding } = &holders[*i];
         Part {
             id: endpoint.id.clone(),
+            name: endpoint.name.clone(),
             addr: endpoint.addr,
             layers: *layers,
             token_ms_per_request: holding.ms_per_request(engine, *layers),
--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -4,13 +4,20 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::layers::LayerRange;
+use crate::{
+    incarnations::{Born, Incarnations, Verdict},
+    layers::LayerRange,
+};
 
-/// One incarnation of an endpoint, as the platform's list shows it.
+/// One start of an endpoint, as the platform's list shows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
-    /// New at each start of the endpoint.
+    /// Names this start, see [`crate::incarnations::id`].
     pub id: Rc<str>,
+    /// The endpoint's own name, which it may have had before.
+    pub name: Rc<str>,
+    /// When it started, if it says so.
+    pub born: Option<Born>,
     /// The service it serves.
     pub service: Rc<str>,
     /// Where it listens. Used again by other endpoints after this one has ended.
@@ -81,13 +88,16 @@
     Nothing,
     /// The endpoint is new, or is another than it was.
     Listed,
-    /// The endpoint is new, and listens where this one did, which has ended and is forgotten.
-    Replaced(Rc<Endpoint>),
-    /// Nothing: the endpoint was gone, and another one listens where it did.
-    Ended,
+    /// The endpoint is new, and these have ended: former starts of it, or what listened where it does.
+    InPlaceOf(Vec<Rc<Endpoint>>),
     /// The endpoint was gone and is listed again. It may have been cut off; or its last entry was on
     /// its way for long, and it is gone indeed. It counts as lost until it answers.
     Returned,
+    /// Nothing: the entry speaks of a start that is over.
+    Late,
+    /// The entry leaves out the start that this endpoint always says: it is not its own. The endpoint
+    /// is not used any more, until an entry of its own comes.
+    Foreign,
 }
 
 /// All endpoints that are known.
@@ -104,11 +114,10 @@
     /// The change with which each endpoint became what it is.
     changed_at: FxHashMap<Rc<str>, u64>,
     /// The last endpoints that went, with the change of each.
-    removed: VecDeque<(u64, Rc<str>)>,
-    /// Those of them that are not listed.
-    gone: FxHashSet<Rc<str>>,
-    /// The endpoint that was listed last at each address.
-    by_addr: FxHashMap<SocketAddr, Rc<str>>,
+    removed: VecDeque<(u64, Rc<Endpoint>)>,
+    /// Starts that are known to have ended, of those.
+    over: FxHashSet<Rc<str>>,
+    incarnations: Incarnations,
     /// Changes up to this one can't be told one by one.
     forgotten: u64,
 }
@@ -153,38 +162,60 @@
         self.endpoints.get(id)
     }
 
+    /// The start that is listed under an endpoint's name.
+    pub fn named(&self, name: &str) -> Option<&Rc<Endpoint>> {
+        self.endpoints.get(self.incarnations.current(name)?)
+    }
+
+    /// Whether a start of an endpoint is known to have ended, because another one has taken its place.
+    /// What ran there is lost.
+    pub fn is_over(&self, id: &str) -> bool {
+        self.over.contains(id)
+    }
+
     /// Takes a new or changed entry.
     ///
-    /// An endpoint that was leaving stays so: one that starts again has another id. One that was gone
-    /// must answer before it gets anything: entries that a cut link held up come when the endpoint
-    /// has long ended, and name it for seconds.
+    /// A start that was leaving stays so. One that was gone must answer before it gets anything:
+    /// entries that a cut link held up come when the endpoint has long ended, and name it for seconds.
     pub fn put(&mut self, mut endpoint: Endpoint, now: Duration) -> Put {
+        let (over, returned) = match self.incarnations.judge(&endpoint) {
+            Verdict::Holds { over, returned } => (over, returned),
+            Verdict::Late => return Put::Late,
+            Verdict::Foreign => {
+                let listed = self.incarnations.current(&endpoint.name).cloned();
+                listed.and_then(|id| self.remove(&id));
+                return Put::Foreign;
+            }
+        };
         let known = self.endpoints.get(&endpoint.id);
         endpoint.leaving |= known.is_some_and(|old| old.leaving);
         if known.is_some_and(|old| **old == endpoint) {
             return Put::Nothing;
         }
-        let new = known.is_none();
-        let other = self.by_addr.get(&endpoint.addr);
-        let other = other.filter(|other| new && **other != endpoint.id).cloned();
-        if other.is_some() && self.gone.contains(&endpoint.id) {
-            return Put::Ended;
-        }
-        // Each start of an endpoint has an id of its own, and two can't listen at one address.
-        let replaced = other.and_then(|other| self.remove(&other));
-        // Only engines can be asked without doing anything.
-        let returned = self.gone.remove(&endpoint.id) && endpoint.accelerator.is_some();
+        let over: Vec<Rc<Endpoint>> = over.iter().filter_map(|id| self.supersede(id)).collect();
         self.generation += 1;
         self.list_version += 1;
         let id = endpoint.id.clone();
         self.changed_at.insert(id.clone(), self.list_version);
-        self.by_addr.insert(endpoint.addr, id.clone());
+        self.incarnations.listed(&endpoint);
+        // Only engines can be asked without doing anything.
+        let asked = returned && endpoint.accelerator.is_some();
         self.endpoints.insert(id.clone(), Rc::new(endpoint));
-        if returned {
+        if asked {
             self.lost(&id, now);
             return Put::Returned;
         }
-        replaced.map_or(Put::Listed, Put::Replaced)
+        match over.is_empty() {
+            true => Put::Listed,
+            false => Put::InPlaceOf(over),
+        }
+    }
+
+    /// A start has ended, as another one has taken its place.
+    fn supersede(&mut self, id: &Rc<str>) -> Option<Rc<Endpoint>> {
+        let ended = self.remove(id)?;
+        self.over.insert(id.clone());
+        Some(ended)
     }
 
     /// Forgets an endpoint that is gone.
@@ -192,18 +223,16 @@
         let gone = self.endpoints.remove(id)?;
         self.seen.remove(id);
         self.changed_at.remove(id);
-        if self.by_addr.get(&gone.addr).is_some_and(|at| **at == *id) {
-            self.by_addr.remove(&gone.addr);
-        }
+        self.incarnations.removed(&gone);
         self.generation += 1;
         self.list_version += 1;
-        self.removed.push_back((self.list_version, gone.id.clone()));
-        self.gone.insert(gone.id.clone());
+        self.removed.push_back((self.list_version, gone.clone()));
         if self.removed.len() > MOST_REMOVED
-            && let Some((version, id)) = self.removed.pop_front()
+            && let Some((version, endpoint)) = self.removed.pop_front()
         {
             self.forgotten = version;
-            self.gone.remove(&id);
+            self.over.remove(&endpoint.id);
+            self.incarnations.forget(&endpoint);
         }
         Some(gone)
     }
@@ -219,17 +248,17 @@
             whole: known.is_none(),
             changed: changed.map(|(id, _)| self.endpoints[id].clone()).collect(),
             removed: match known {
-                Some(_) => removed.map(|(_, id)| id.clone()).collect(),
+                Some(_) => removed.map(|(_, e)| e.id.clone()).collect(),
                 None => Vec::new(),
             },
         }
     }
 
-    /// The ids of all endpoints but those given.
+    /// The ids of all endpoints but those of the names given.
     pub fn others<'a>(&self, but: impl Iterator<Item = &'a str>) -> Vec<Rc<str>> {
         let but: FxHashSet<&str> = but.collect();
-        let ids = self.iter().map(|e| &e.id);
-        ids.filter(|id| !but.contains(&***id)).cloned().collect()
+        let others = self.iter().filter(|e| !but.contains(&*e.name));
+        others.map(|e| e.id.clone()).collect()
     }
 
     /// How many endpoints there are in each state.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,8 @@
 //! Where to start:
 //!
 //! - [`catalogue`] holds routes, services, workspaces and their keys, as one immutable version.
-//! - [`endpoints`] holds the endpoints that are known, and which of them may get new work.
+//! - [`endpoints`] holds the endpoints that are known, and which of them may get new work;
+//!   [`incarnations`] tells one start of an endpoint from another.
 //! - [`placement`] decides which endpoint holds which layers; [`duty`] decides which host may say
 //!   so.
 //! - [`chains`] finds chains of endpoints that cover all layers; [`choice`] picks one of them for a
@@ -25,6 +26,7 @@
 pub mod endpoints;
 pub mod examination;
 pub mod freshness;
+pub mod incarnations;
 pub mod layers;
 pub mod patience;
 pub mod placement;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -75,6 +75,8 @@
         .fold(0, |a, b| a.wrapping_mul(31).wrapping_add(b));
     Endpoint {
         id: id.into(),
+        name: id.into(),
+        born: None,
         service: "model".into(),
         addr: ([127, 0, 0, 1], number).into(),
         data_centre: data_centre.into(),
--- /dev/null
+++ b/crates/fleet/tests/incarnations.rs
@@ -0,0 +1,213 @@
+//! What is known of one start of an endpoint says nothing of another, and an earlier one never comes
+//! back.
+
+mod common;
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use common::{endpoint, ms};
+use dragonflyrill_fleet::{
+    endpoints::{Directory, Endpoint, Put},
+    incarnations::{self, Born},
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// An engine that started at a moment, at the address of its name.
+fn start(name: &str, born: u64) -> Endpoint {
+    let born = Some(Born(born));
+    Endpoint {
+        id: incarnations::id(name, born),
+        born,
+        ..endpoint(name, "a", "l40s", 0, 40)
+    }
+}
+
+fn leaving(endpoint: Endpoint) -> Endpoint {
+    Endpoint {
+        leaving: true,
+        ..endpoint
+    }
+}
+
+#[test]
+fn a_later_start_takes_the_place_of_an_earlier_one_and_inherits_nothing() {
+    let mut directory = Directory::default();
+    let first = start("e", 1000);
+    directory.put(leaving(first.clone()), ms(0));
+    directory.failed(&first.id, ms(10));
+    directory.paced(&first.id, 5.0, ms(10));
+    directory.begin(&first.id);
+    let second = start("e", 2000);
+    let put = directory.put(second.clone(), ms(20));
+    assert_eq!(put, Put::InPlaceOf(vec![Rc::new(leaving(first.clone()))]));
+    assert!(directory.is_over(&first.id) && !directory.is_over(&second.id));
+    assert!(directory.usable(&second.id, ms(20)));
+    assert_eq!(directory.pace(&second.id, ms(20)), 1.0);
+    assert_eq!(directory.in_flight(&second.id), 0);
+    // What the former start was asked ends without a trace.
+    directory.end(&first.id);
+    directory.succeeded(&first.id);
+    assert_eq!(directory.named("e"), Some(&Rc::new(second)));
+}
+
+#[test]
+fn an_earlier_start_never_comes_back() {
+    let mut directory = Directory::default();
+    let (first, second) = (start("e", 1000), start("e", 2000));
+    directory.put(second.clone(), ms(0));
+    assert_eq!(directory.put(first.clone(), ms(10)), Put::Late);
+    assert!(directory.usable(&second.id, ms(10)));
+    directory.remove(&second.id);
+    assert_eq!(
+        directory.put(first, ms(20)),
+        Put::Late,
+        "the later one is gone"
+    );
+    assert_eq!(directory.put(second, ms(30)), Put::Returned);
+}
+
+#[test]
+fn an_entry_that_leaves_out_a_start_that_is_always_said_is_not_the_endpoints_own() {
+    let mut directory = Directory::default();
+    directory.put(start("e", 1000), ms(0));
+    let foreign = endpoint("e", "a", "l40s", 0, 40);
+    assert_eq!(directory.put(foreign, ms(10)), Put::Foreign);
+    assert_eq!(directory.named("e"), None, "and it is not used any more");
+}
+
+#[test]
+fn software_that_begins_to_say_its_start_has_started_again() {
+    let mut directory = Directory::default();
+    directory.put(leaving(endpoint("e", "a", "l40s", 0, 40)), ms(0));
+    let after = start("e", 1000);
+    assert!(matches!(
+        directory.put(after.clone(), ms(10)),
+        Put::InPlaceOf(_)
+    ));
+    assert!(directory.usable(&after.id, ms(10)));
+}
+
+#[test]
+fn of_two_names_at_one_address_the_later_start_listens_there() {
+    let mut directory = Directory::default();
+    let at = |name: &str, born| Endpoint {
+        addr: ([127, 0, 0, 1], 7).into(),
+        ..start(name, born)
+    };
+    directory.put(at("e", 1000), ms(0));
+    assert!(matches!(
+        directory.put(at("f", 2000), ms(10)),
+        Put::InPlaceOf(_)
+    ));
+    assert_eq!(directory.put(at("g", 1500), ms(20)), Put::Late);
+    assert!(directory.listed(&at("f", 2000).id));
+}
+
+#[test]
+fn an_endpoint_that_moves_leaves_its_address_to_others() {
+    let mut directory = Directory::default();
+    let at = |name: &str, port: u16| Endpoint {
+        addr: ([127, 0, 0, 1], port).into(),
+        ..endpoint(name, "a", "l40s", 0, 40)
+    };
+    directory.put(at("e", 7), ms(0));
+    directory.put(at("e", 8), ms(10));
+    assert_eq!(directory.put(at("f", 7), ms(20)), Put::Listed);
+    assert!(directory.listed("e") && directory.listed("f"));
+}
+
+/// News of one endpoint on their way to a host: an entry, or that it was removed.
+#[derive(Clone)]
+enum News {
+    Entry(Endpoint),
+    Removed(Rc<str>),
+}
+
+/// Endpoints that start again and again, and two hosts that hear of it out of order, doubled and
+/// late: each by entries, and by the other one's list.
+#[test]
+fn whatever_comes_late_no_host_goes_back_to_an_earlier_start() {
+    for seed in 0..300 {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut hosts = [Directory::default(), Directory::default()];
+        let mut newest: BTreeMap<Rc<str>, Endpoint> = BTreeMap::new();
+        let mut seen: [BTreeMap<Rc<str>, Born>; 2] = Default::default();
+        let mut under_way: Vec<(usize, News)> = Vec::new();
+        for step in 0..400u64 {
+            let now = Duration::from_millis(step * 50);
+            if rng.random_bool(0.3) {
+                let name: Rc<str> = format!("e{}", rng.random_range(0..4)).into();
+                let before = newest.get(&name);
+                let started = match before {
+                    Some(known) if rng.random_bool(0.5) => Endpoint {
+                        leaving: rng.random_bool(0.3),
+                        layers: None,
+                        ..known.clone()
+                    },
+                    _ => start(&name, 1000 + step),
+                };
+                for host in 0..2 {
+                    under_way.push((host, News::Entry(started.clone())));
+                    if let Some(known) = before.filter(|_| rng.random_bool(0.5)) {
+                        under_way.push((host, News::Removed(known.id.clone())));
+                    }
+                }
+                newest.insert(name, started);
+            }
+            for _ in 0..rng.random_range(0..4) {
+                if under_way.is_empty() {
+                    break;
+                }
+                let at = rng.random_range(0..under_way.len());
+                let doubled = rng.random_bool(0.3);
+                let (host, news) = match doubled {
+                    true => under_way[at].clone(),
+                    false => under_way.swap_remove(at),
+                };
+                deliver(&mut hosts[host], &mut seen[host], news, now, seed);
+            }
+            // One host tells the other its list.
+            if rng.random_bool(0.1) {
+                let from = rng.random_range(0..2);
+                let list = hosts[from].changes_since(None).changed;
+                for endpoint in list {
+                    let news = News::Entry((*endpoint).clone());
+                    deliver(&mut hosts[1 - from], &mut seen[1 - from], news, now, seed);
+                }
+            }
+        }
+        // Entries of the newest starts come in the end, as endpoints write them again and again.
+        for (host, seen) in hosts.iter_mut().zip(&mut seen) {
+            for endpoint in newest.values() {
+                let news = News::Entry(endpoint.clone());
+                deliver(host, seen, news, Duration::from_secs(60), seed);
+                let listed = host.named(&endpoint.name).map(|e| e.born);
+                assert_eq!(listed, Some(endpoint.born), "seed {seed}");
+            }
+        }
+    }
+}
+
+fn deliver(
+    host: &mut Directory,
+    seen: &mut BTreeMap<Rc<str>, Born>,
+    news: News,
+    now: Duration,
+    seed: u64,
+) {
+    match news {
+        News::Entry(endpoint) => drop(host.put(endpoint, now)),
+        News::Removed(id) => drop(host.remove(&id)),
+    }
+    for endpoint in host.iter() {
+        let born = endpoint.born.expect("all say it");
+        let before = seen.insert(endpoint.name.clone(), born);
+        assert!(
+            before.is_none_or(|b| b <= born),
+            "seed {seed}: {endpoint:?}"
+        );
+        let of_name = host.iter().filter(|e| e.name == endpoint.name).count();
+        assert_eq!(of_name, 1, "seed {seed}: two starts of {}", endpoint.name);
+    }
+}
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -91,10 +91,13 @@
         self.gateway.heard(On::List, now);
         let known = self.gateway.list_mark.get();
         self.gateway.list_mark.set(known.max(news.mark));
-        let mut removed = news.removed;
+        let mut gone = self.named(&news.removed);
+        for fault in news.unusable {
+            self.gateway.ignore_entry(fault);
+        }
         if news.whole {
-            let listed = news.changed.iter().map(|e| &*e.id);
-            removed.extend(self.gateway.directory.borrow().others(listed));
+            let listed = news.changed.iter().map(|e| &*e.name);
+            gone.extend(self.gateway.directory.borrow().others(listed));
             self.gateway.endpoints_known.set(true);
         }
         for endpoint in news.changed {
@@ -102,7 +105,7 @@
             self.gateway.list_endpoint(endpoint);
         }
         let until = self.returned_at.map(|at| at + DOUBT).filter(|t| *t > now);
-        for id in removed {
+        for id in gone {
             match until {
                 Some(until) => {
                     let mut doubted = self.gateway.doubted.borrow_mut();
@@ -113,6 +116,13 @@
         }
     }
 
+    /// The ids of the starts that are listed under names.
+    fn named(&self, names: &[Rc<str>]) -> Vec<Rc<str>> {
+        let directory = self.gateway.directory.borrow();
+        let listed = names.iter().filter_map(|name| directory.named(name));
+        listed.map(|e| e.id.clone()).collect()
+    }
+
     /// Forgets endpoints whose entries have not come back in time.
     fn drop_doubted(&self) {
         let now = self.gateway.now();
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -8,7 +8,7 @@
 //! When engines that hold layers come back to the list, more will: a data centre that was cut off is
 //! listed again one engine after the other. Nothing moves there until its list stands still.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
     endpoints::Endpoint,
@@ -53,6 +53,14 @@
     Unsure(Duration),
 }
 
+/// An order to an engine.
+struct Order {
+    placement: Placement,
+    addr: SocketAddr,
+    /// How many orders it must have begun.
+    begun: Option<u64>,
+}
+
 /// The work of the host that holds the duty.
 pub(super) struct Placing {
     gateway: Rc<Gateway>,
@@ -194,6 +202,9 @@
         let reports = self.reports(unknown).await;
         let now = self.gateway.now();
         for (endpoint, report) in reports {
+            if self.started_again(endpoint, report.as_ref()) {
+                continue;
+            }
             let known = match report {
                 Some(EngineReport {
                     layers: Some(layers),
@@ -217,6 +228,9 @@
         let reports = self.reports(endpoints.iter().filter(moves)).await;
         let now = self.gateway.now();
         for (endpoint, report) in reports {
+            if self.started_again(endpoint, report.as_ref()) {
+                continue;
+            }
             let known = match report {
                 Some(report) if !report.busy && report.layers == endpoint.layers => {
                     Known::Asked(report.orders)
@@ -227,6 +241,15 @@
         }
     }
 
+    /// Whether a report is of another start than the engine is known by: it says nothing of that one,
+    /// and the new one is asked by its own id.
+    fn started_again(&self, endpoint: &Endpoint, report: Option<&EngineReport>) -> bool {
+        if let Some(report) = report {
+            self.gateway.reported(&endpoint.id, report);
+        }
+        self.gateway.directory.borrow().get(&endpoint.id).is_none()
+    }
+
     async fn reports<'a>(
         &self,
         endpoints: impl Iterator<Item = &'a Rc<Endpoint>>,
@@ -277,25 +300,37 @@
         endpoints.iter().filter_map(candidate).collect()
     }
 
-    async fn order(&mut self, endpoints: &[Rc<Endpoint>], placements: Vec<Placement>) {
-        let engines = &self.gateway.platform.engines;
-        let known = &self.known;
-        let orders = placements.into_iter().filter_map(|p| {
-            let endpoint = endpoints.iter().find(|e| e.id == p.id)?;
-            let begun = match known.get(&p.id) {
+    /// The orders for placements, of engines that are what they were when they were asked.
+    fn orders(&self, endpoints: &[Rc<Endpoint>], placements: Vec<Placement>) -> Vec<Order> {
+        let directory = self.gateway.directory.borrow();
+        let order = |placement: Placement| {
+            let endpoint = endpoints.iter().find(|e| e.id == placement.id)?;
+            // One that has started again since it was asked counts its orders anew.
+            directory.get(&placement.id)?;
+            let begun = match self.known.get(&placement.id) {
                 Some(Known::Asked(begun)) => Some(*begun),
                 _ => None,
             };
-            Some((p, endpoint.addr, begun))
-        });
+            Some(Order {
+                placement,
+                addr: endpoint.addr,
+                begun,
+            })
+        };
+        placements.into_iter().filter_map(order).collect()
+    }
+
+    async fn order(&mut self, endpoints: &[Rc<Endpoint>], placements: Vec<Placement>) {
+        let engines = &self.gateway.platform.engines;
+        let orders = self.orders(endpoints, placements);
         let outcomes: Vec<(Placement, Result<Ordered, CallError>)> = stream::iter(orders)
-            .map(|(p, addr, begun)| async move {
-                let order = engines.place(addr, p.layers, begun);
+            .map(|o| async move {
+                let order = engines.place(o.addr, o.placement.layers, o.begun);
                 let outcome = match time::timeout(CALL, order).await {
                     Ok(outcome) => outcome,
                     Err(_) => Err(CallError::Unknown("no answer in time".to_owned())),
                 };
-                (p, outcome)
+                (o.placement, outcome)
             })
             .buffer_unordered(AT_ONCE)
             .collect()
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -117,15 +117,17 @@
     limit: Duration,
 ) -> Result<Whole, Failed> {
     let _at = AtEndpoint::new(gateway, &endpoint.id);
+    let leaves = Cell::new(false);
     let target = Target {
         id: &endpoint.id,
+        name: &endpoint.name,
         addr: endpoint.addr,
         chain: &[],
         after_event: None,
-        leaves: &Cell::new(false),
+        leaves: &leaves,
     };
     let until = time::Instant::now() + limit;
-    let result = async {
+    let asked = async {
         let mut begun = send::send(gateway, admitted, &target, limit).await?;
         let body = time::timeout_at(until, begun.connection.whole_body(MOST_ANSWER)).await;
         match body {
@@ -133,8 +135,18 @@
             Ok(Err(e)) => Err(Failed::MayHaveRun(e.to_string())),
             Err(_) => Err(Failed::MayHaveRun("the answer took too long".to_owned())),
         }
-    }
-    .await;
+    };
+    let result = tokio::select! {
+        biased;
+        result = asked => result,
+        () = until_over(gateway, &endpoint.id) => {
+            let why = "the endpoint has ended".to_owned();
+            Err(match leaves.get() {
+                true => Failed::MayHaveRun(why),
+                false => Failed::NotSent(why),
+            })
+        }
+    };
     let mut directory = gateway.directory.borrow_mut();
     match &result {
         Ok(whole) if whole.begun.head.status.is_server_error() => {
@@ -147,6 +159,15 @@
     result
 }
 
+/// Ends when the endpoint is known to have ended: what it was asked is lost.
+async fn until_over(gateway: &Gateway, id: &str) {
+    let mut changed = gateway.examiner.lost();
+    while !gateway.directory.borrow().is_over(id) {
+        // The sender lives as long as the gateway does.
+        let _ = changed.changed().await;
+    }
+}
+
 /// Counts a request at an endpoint while it is there.
 struct AtEndpoint<'a> {
     gateway: &'a Gateway,
--- a/crates/gateway/src/forward/examine.rs
+++ b/crates/gateway/src/forward/examine.rs
@@ -35,7 +35,7 @@
     examinations: RefCell<Examinations>,
     /// Examinations that go on, by the chain's key; true when one has ended.
     going_on: RefCell<FxHashMap<u64, watch::Receiver<bool>>>,
-    /// Grows with each part that is found to be lost.
+    /// Grows with each part that is found to be lost, and each endpoint that has ended.
     lost: watch::Sender<u64>,
 }
 
@@ -55,10 +55,15 @@
         self.examinations.borrow_mut().event(chain, now);
     }
 
-    /// Changes whenever a part is found to be lost.
+    /// Changes whenever a part is found to be lost, or an endpoint to have ended.
     pub(super) fn lost(&self) -> watch::Receiver<u64> {
         self.lost.subscribe()
     }
+
+    /// An endpoint has ended.
+    pub(crate) fn changed(&self) {
+        self.lost.send_modify(|n| *n += 1);
+    }
 }
 
 /// Has a chain in doubt examined where that may tell more; gives the examination that goes on.
@@ -105,6 +110,7 @@
         return;
     }
     if let Some(report) = answer(gateway, part).await {
+        gateway.reported(&part.id, &report);
         let now = gateway.now();
         examiner.examinations.borrow_mut().answered(&part.id, now);
         let mut directory = gateway.directory.borrow_mut();
@@ -117,7 +123,7 @@
     let now = gateway.now();
     if gateway.directory.borrow_mut().lost(&part.id, now) {
         log::info!(target: "fleet", endpoint = &*part.id; "Endpoint does not answer and is avoided.");
-        gateway.examiner.lost.send_modify(|n| *n += 1);
+        gateway.examiner.changed();
         actix_rt::spawn(ask_until_well(gateway.clone(), Asked::of(part), BACK));
     }
 }
@@ -176,6 +182,9 @@
             return;
         }
         let report = ask(&gateway, part.addr).await;
+        if let Some(report) = &report {
+            gateway.reported(&part.id, report);
+        }
         pause = LONGEST_BACK.min(pause * 2).max(BACK);
         let now = gateway.now();
         let mut directory = gateway.directory.borrow_mut();
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -41,6 +41,8 @@
 /// An endpoint and what goes to it.
 pub(super) struct Target<'a> {
     pub(super) id: &'a Rc<str>,
+    /// The name that it answers to.
+    pub(super) name: &'a str,
     pub(super) addr: SocketAddr,
     pub(super) chain: &'a [(SocketAddr, LayerRange)],
     pub(super) after_event: Option<u64>,
@@ -162,7 +164,7 @@
 fn outgoing_head(gateway: &Gateway, admitted: &Admitted, target: &Target<'_>) -> RequestHead {
     let out = Outgoing {
         deadline: admitted.left(),
-        endpoint: target.id,
+        endpoint: target.name,
         workspace: admitted.workspace.as_deref(),
         priority: admitted.priority,
         chain: target.chain,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -234,6 +234,7 @@
         let leaves = Cell::new(false);
         let target = Target {
             id: &chain.first().id,
+            name: &chain.first().name,
             addr: chain.first().addr,
             chain: &hops,
             after_event: self.events.last(),
@@ -248,9 +249,9 @@
         let sent = tokio::select! {
             biased;
             sent = send::send(gateway, self.admitted, &target, watch.run.most()) => sent,
-            why = watch.until_given_up(sent_at) => Err(match leaves.get() {
-                true => Failed::MayHaveRun(why.to_owned()),
-                false => Failed::NotSent(why.to_owned()),
+            given_up = watch.until_given_up(sent_at) => Err(match leaves.get() {
+                true => Failed::MayHaveRun(given_up.why.to_owned()),
+                false => Failed::NotSent(given_up.why.to_owned()),
             }),
         };
         let begun = match sent {
@@ -316,12 +317,13 @@
             let piece = tokio::select! {
                 biased;
                 piece = begun.connection.chunk() => piece,
-                why = watch.until_given_up(since) => {
-                    if out.started() && !self.may_go_on_elsewhere() {
+                given_up = watch.until_given_up(since) => {
+                    // What has ended sends nothing more, and its caller may as well know.
+                    if out.started() && !given_up.over && !self.may_go_on_elsewhere() {
                         watch.run.more = false;
                         continue;
                     }
-                    return Ok(broke_off(why));
+                    return Ok(broke_off(given_up.why));
                 }
             };
             let piece = match piece {
--- a/crates/gateway/src/forward/watch.rs
+++ b/crates/gateway/src/forward/watch.rs
@@ -19,16 +19,37 @@
     pub(super) run: Run,
 }
 
+/// Why a run is given up.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct GivenUp {
+    /// In words.
+    pub(super) why: &'static str,
+    /// Nothing can come of it any more: what ran it has ended.
+    pub(super) over: bool,
+}
+
+impl GivenUp {
+    fn silent(why: &'static str) -> Self {
+        Self { why, over: false }
+    }
+}
+
 impl Watch<'_> {
     /// Ends when a run of which nothing has come since then is to be given up, and says why.
-    pub(super) async fn until_given_up(&self, since: Instant) -> &'static str {
+    pub(super) async fn until_given_up(&self, since: Instant) -> GivenUp {
         let mut lost = self.gateway.examiner.lost();
         let mut examined: Option<Instant> = None;
         loop {
+            if self.over_part() {
+                return GivenUp {
+                    why: "a part of its chain has ended",
+                    over: true,
+                };
+            }
             let silent = since.elapsed();
             match self.run.step(silent, examined.map(|at| at.elapsed())) {
-                Step::GiveUp if self.run.began => return "it stalled",
-                Step::GiveUp => return "no answer in time",
+                Step::GiveUp if self.run.began => return GivenUp::silent("it stalled"),
+                Step::GiveUp => return GivenUp::silent("no answer in time"),
                 Step::Examine => {
                     let doubt = match self.run.began {
                         true => Doubt::Still,
@@ -46,11 +67,16 @@
                 }
             }
             if examined.is_some() && self.run.may_end() && self.lost_part() {
-                return "a part of its chain is lost";
+                return GivenUp::silent("a part of its chain is lost");
             }
         }
     }
 
+    fn over_part(&self) -> bool {
+        let directory = self.gateway.directory.borrow();
+        self.chain.parts.iter().any(|p| directory.is_over(&p.id))
+    }
+
     fn lost_part(&self) -> bool {
         let directory = self.gateway.directory.borrow();
         self.chain.parts.iter().any(|p| directory.is_lost(&p.id))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
     choice::Loads,
     endpoints::{Directory, Endpoint, Put},
     freshness::Freshness,
-    share,
+    incarnations, share,
 };
 use dragonflyrill_protocol::exchange::FleetHost;
 use rustc_hash::FxHashMap;
@@ -33,7 +33,9 @@
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
     peers::Peers,
-    ports::{Dialect, Engines, Mark, ReadCatalogue, Store},
+    ports::{
+        Dialect, EngineReport, Engines, EntryFault, Mark, ReadCatalogue, Store, UnusableEntry,
+    },
     settings::Settings,
 };
 
@@ -45,6 +47,9 @@
 /// 10 ms, and a stream may pause for 200 ms.
 const RECORDED_WITHIN: Duration = Duration::from_millis(60);
 
+/// How long an entry that can't be used is remembered after it was read, so that it is told once.
+const IGNORED: Duration = Duration::from_secs(600);
+
 /// The platform that a host runs on.
 pub struct Platform {
     /// How requests are marked.
@@ -84,6 +89,8 @@
     /// Endpoints whose entries lapsed while the store was in trouble, and until when they may come
     /// back.
     pub doubted: RefCell<FxHashMap<Rc<str>, Duration>>,
+    /// Entries that name no endpoint to use: the version and the fault of each, and when it was read.
+    ignored: RefCell<FxHashMap<Rc<str>, (u64, EntryFault, Duration)>>,
     /// The place in the store's history up to which the list of endpoints is known.
     pub list_mark: Cell<Mark>,
     /// The newest catalogue known.
@@ -136,6 +143,7 @@
             codec,
             heard_at: Cell::default(),
             doubted: RefCell::default(),
+            ignored: RefCell::default(),
             list_mark: Cell::new(0),
             catalogue: RefCell::default(),
             document: RefCell::default(),
@@ -271,19 +279,26 @@
 
     /// Takes an endpoint's entry.
     pub fn list_endpoint(self: &Rc<Self>, endpoint: Endpoint) {
-        let id = endpoint.id.clone();
+        let (id, name) = (endpoint.id.clone(), endpoint.name.clone());
         let mut directory = self.directory.borrow_mut();
         let put = directory.put(endpoint, self.now());
         match &put {
             Put::Nothing => return,
-            Put::Ended => {
+            Put::Late => {
                 log::info!(target: "fleet", endpoint = &*id; "An entry of an endpoint that has ended is not taken.");
                 return;
             }
-            Put::Replaced(before) => {
-                log::info!(target: "fleet", endpoint = &*before.id, by = &*id; "Endpoint has ended: another one listens there.");
-                self.loads.borrow_mut().forget(&before.id);
+            Put::Foreign => {
+                drop(directory);
+                self.ignore_entry(UnusableEntry {
+                    name,
+                    version: 0,
+                    fault: EntryFault::Start,
+                    why: "the start is missing that the endpoint always says".to_owned(),
+                });
+                return;
             }
+            Put::InPlaceOf(ended) => ended.iter().for_each(|e| self.ended(e, &id)),
             Put::Listed | Put::Returned => {}
         }
         let Some(listed) = directory.get(&id) else {
@@ -296,6 +311,62 @@
         }
     }
 
+    /// An endpoint has ended, as another start has taken its place: what ran there is lost, and what is
+    /// open to it.
+    fn ended(&self, endpoint: &Endpoint, by: &str) {
+        log::info!(target: "fleet", endpoint = &*endpoint.id, by = by; "Endpoint has ended: another start is in its place.");
+        self.loads.borrow_mut().forget(&endpoint.id);
+        self.idle.drop_all(endpoint.addr);
+        self.examiner.changed();
+        self.metrics.endpoint_restarts.inc();
+    }
+
+    /// An engine has told when it started: if that is later than its entry says, the entry's start is
+    /// over, and the engine is what it reports.
+    pub fn reported(self: &Rc<Self>, id: &str, report: &EngineReport) {
+        let known = self.directory.borrow().get(id).cloned();
+        let Some(known) = known.filter(|e| e.born.is_some() && report.born > e.born) else {
+            return;
+        };
+        self.list_endpoint(Endpoint {
+            id: incarnations::id(&known.name, report.born),
+            born: report.born,
+            layers: report.layers,
+            leaving: false,
+            ..(*known).clone()
+        });
+    }
+
+    /// An entry names no endpoint to use: what was listed under its name is not used any more. What is
+    /// under way there goes on.
+    pub fn ignore_entry(&self, entry: UnusableEntry) {
+        let listed = self.directory.borrow().named(&entry.name).cloned();
+        if let Some(endpoint) = &listed {
+            self.forget_endpoint(&endpoint.id);
+        }
+        let known = (entry.version, entry.fault);
+        let mut ignored = self.ignored.borrow_mut();
+        ignored.retain(|_, at| at.2 + IGNORED > self.now());
+        let noted = (known.0, known.1, self.now());
+        let before = ignored.insert(entry.name.clone(), noted);
+        if before.is_some_and(|before| (before.0, before.1) == known) {
+            return;
+        }
+        let fault = entry.fault.label();
+        self.metrics
+            .entries_ignored
+            .with_label_values(&[fault])
+            .inc();
+        log::warn!(
+            target: "fleet",
+            endpoint = &*entry.name,
+            fault = fault,
+            used_before = listed.is_some(),
+            why = entry.why.as_str();
+            "An entry names no endpoint to use."
+        );
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget_endpoint(&self, id: &str) {
         if self.directory.borrow_mut().remove(id).is_some() {
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Closes all connections to an address.
+    pub fn drop_all(&self, addr: SocketAddr) {
+        self.by_addr.borrow_mut().remove(&addr);
+    }
+
     /// Closes what has been idle too long.
     pub fn sweep(&self) {
         let mut by_addr = self.by_addr.borrow_mut();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,10 @@
     pub first_event_seconds: Histogram,
     /// Calls to the store, by what they are for.
     pub store_seconds: HistogramVec,
+    /// Endpoints that ended because another start took their place.
+    pub endpoint_restarts: IntCounter,
+    /// Entries that name no endpoint to use, by what is wrong with them.
+    pub entries_ignored: IntCounterVec,
     /// Endpoints, by state.
     pub endpoints: IntGaugeVec,
     /// The version of the catalogue in force.
@@ -143,6 +147,15 @@
                 "From reading a stream's request to its first event",
             ),
             store_seconds: histograms("store_seconds", "Calls to the store", &["call"]),
+            endpoint_restarts: counter(
+                "endpoint_restarts_total",
+                "Endpoints that ended because another start took their place",
+            ),
+            entries_ignored: vector(
+                "entries_ignored_total",
+                "Entries that name no endpoint to use",
+                &["fault"],
+            ),
             endpoints: register(&registry, endpoints.expect("a valid name")),
             catalogue_version: gauge("catalogue_version", "Version of the catalogue in force"),
             hosts: gauge("hosts", "Hosts that are alive"),
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -3,7 +3,12 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dragonflyrill_fleet::{choice::LoadMap, endpoints::Endpoint, layers::LayerRange};
+use dragonflyrill_fleet::{
+    choice::LoadMap,
+    endpoints::Endpoint,
+    incarnations::{self, Born},
+    layers::LayerRange,
+};
 use dragonflyrill_protocol::{
     MAX_FRAME,
     exchange::{ExchangeClient, FleetHost, ListNews, Listed, News, Offer},
@@ -245,9 +250,11 @@
     }
     gateway.list_mark.set(list.store_mark);
     if list.whole {
-        let listed = list.changed.iter().map(|l| &*l.id);
-        let listed = listed.chain(list.doubted.iter().map(|d| &**d));
-        let removed = gateway.directory.borrow().others(listed);
+        let directory = gateway.directory.borrow();
+        let doubted = list.doubted.iter().filter_map(|id| directory.get(id));
+        let listed = list.changed.iter().map(|l| &*l.name);
+        let removed = directory.others(listed.chain(doubted.map(|e| &*e.name)));
+        drop(directory);
         removed.iter().for_each(|id| gateway.forget_endpoint(id));
     } else {
         let removed = list.removed.iter();
@@ -261,8 +268,11 @@
 }
 
 fn endpoint(listed: Listed) -> Endpoint {
+    let born = listed.born_ms.map(Born);
     Endpoint {
-        id: listed.id.into(),
+        id: incarnations::id(&listed.name, born),
+        name: listed.name.into(),
+        born,
         service: listed.service.into(),
         addr: listed.addr,
         data_centre: listed.data_centre.into(),
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -152,7 +152,8 @@
 
 fn listed(endpoint: &Endpoint) -> Listed {
     Listed {
-        id: endpoint.id.to_string(),
+        name: endpoint.name.to_string(),
+        born_ms: endpoint.born.map(|b| b.0),
         service: endpoint.service.to_string(),
         addr: endpoint.addr,
         data_centre: endpoint.data_centre.to_string(),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -5,7 +5,9 @@
 
 use actix_http::{RequestHead, ResponseHead, header::HeaderMap};
 use bytes::Bytes;
-use dragonflyrill_fleet::{catalogue::Catalogue, endpoints::Endpoint, layers::LayerRange};
+use dragonflyrill_fleet::{
+    catalogue::Catalogue, endpoints::Endpoint, incarnations::Born, layers::LayerRange,
+};
 use dragonflyrill_store::PlatformError;
 use futures_util::future::LocalBoxFuture;
 use http::header::HeaderValue;
@@ -34,7 +36,7 @@
 pub struct Outgoing<'a> {
     /// How long the caller still waits.
     pub deadline: Duration,
-    /// The incarnation that is meant; any other refuses.
+    /// The name of the endpoint that is meant; any other refuses.
     pub endpoint: &'a str,
     /// Whose request it is.
     pub workspace: Option<&'a str>,
@@ -115,12 +117,58 @@
     pub whole: bool,
     /// New and changed ones.
     pub changed: Vec<Endpoint>,
-    /// Ids of those whose entries were removed.
+    /// Entries that name no endpoint to use.
+    pub unusable: Vec<UnusableEntry>,
+    /// Names of those whose entries were removed.
     pub removed: Vec<Rc<str>>,
     /// Where to go on.
     pub mark: Mark,
 }
 
+/// An entry in the list of endpoints that was not written by an endpoint, or was harmed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusableEntry {
+    /// The name that it stands under.
+    pub name: Rc<str>,
+    /// The version of the entry.
+    pub version: u64,
+    /// What is wrong with it.
+    pub fault: EntryFault,
+    /// In words, and short.
+    pub why: String,
+}
+
+/// What is wrong with an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryFault {
+    /// The name can't be that of an endpoint.
+    Name,
+    /// The bytes are no message.
+    Bytes,
+    /// A field is missing, or of another type.
+    Field,
+    /// A value is beyond what it may be.
+    Value,
+    /// The state is none that an endpoint has.
+    State,
+    /// The start is missing that the endpoint always says.
+    Start,
+}
+
+impl EntryFault {
+    /// Its label in metrics and logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Name => "name",
+            Self::Bytes => "bytes",
+            Self::Field => "field",
+            Self::Value => "value",
+            Self::State => "state",
+            Self::Start => "start",
+        }
+    }
+}
+
 /// A row of the hosts' own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
@@ -201,6 +249,8 @@
     pub orders: u64,
     /// How many times slower it is than its accelerator should be.
     pub pace: f64,
+    /// When it started, if it says so.
+    pub born: Option<Born>,
 }
 
 /// Orders to model engines.
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -138,8 +138,10 @@
 /// An endpoint of a list.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
-    /// Its id.
-    pub id: String,
+    /// Its name.
+    pub name: String,
+    /// When it started, in milliseconds since the Unix epoch, if it says so.
+    pub born_ms: Option<u64>,
     /// Its service.
     pub service: String,
     /// Where it listens.
@@ -168,7 +170,7 @@
     pub whole: bool,
     /// New and changed ones.
     pub changed: Vec<Listed>,
-    /// Ids of those that are gone.
+    /// Ids of the starts that are gone.
     pub removed: Vec<String>,
     /// Ids of those whose entries lapsed while the store was in trouble: who has them may keep
     /// them for now, nobody else takes them.
--- a/crates/standins/src/engine/config.rs
+++ b/crates/standins/src/engine/config.rs
@@ -87,6 +87,8 @@
     pub fn listing(&self, addr: SocketAddr) -> Endpoint {
         Endpoint {
             id: self.id.as_str().into(),
+            name: self.id.as_str().into(),
+            born: None,
             service: self.model.as_str().into(),
             addr,
             data_centre: self.data_centre.as_str().into(),
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -53,6 +53,8 @@
     pub fn listing(&self, addr: SocketAddr) -> Endpoint {
         Endpoint {
             id: self.id.as_str().into(),
+            name: self.id.as_str().into(),
+            born: None,
             service: self.service.as_str().into(),
             addr,
             data_centre: self.data_centre.as_str().into(),
