fleet: what is known of engines, and which orders that allows, is code of its own

It stood in the gateway's placing among sockets and could not be searched. It is a state machine without them now (fleet::placement::knowledge); an order is built from the start that is listed, so that one to a start that is over can't be given. Behaviour as before.

--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -11,6 +11,7 @@
 //! costs.
 
 mod covers;
+pub mod knowledge;
 mod moves;
 mod target;
 mod value;
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -1,19 +1,19 @@
 //! Has engines load the layers that the planner gives them, on the host that holds the duty.
 //!
-//! What an engine holds is read from itself before an order, so that an order of an earlier holder
-//! that is still being carried out is seen, and engines that are cut off are left alone. An order
-//! without an answer may be carried out seconds later: the engine is left alone until then, and read
-//! again.
+//! What is known of engines, and which orders that allows, is decided in
+//! [`dragonflyrill_fleet::placement::knowledge`]; here engines are asked and ordered.
 //!
 //! When engines that hold layers come back to the list, more will: a data centre that was cut off is
 //! listed again one engine after the other. Nothing moves there until its list stands still.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
     endpoints::Endpoint,
-    layers::LayerRange,
-    placement::{self, Belief, Candidate, Placement},
+    placement::{
+        self, Candidate, Placement,
+        knowledge::{Knowledge, Order, Outcome, Told},
+    },
 };
 use futures_util::{StreamExt, stream};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -31,40 +31,15 @@
 /// The longest that the first plan waits for that, and while requests wait for it.
 const MOST_SETTLE: Duration = Duration::from_millis(5500);
 const MOST_SETTLE_ASKED: Duration = Duration::from_millis(1000);
-/// How long an order that got no answer may still be carried out.
-const LATE_ORDER: Duration = Duration::from_secs(12);
-/// How long an engine that was ordered to load may go without being listed with its layers.
-const LOADING: Duration = Duration::from_secs(20);
 /// How long a call to an engine may take.
 const CALL: Duration = Duration::from_millis(700);
-/// How long an engine is left alone after it refused an order or gave no report.
-const REFUSED: Duration = Duration::from_millis(1500);
 /// Calls to engines at the same time.
 const AT_ONCE: usize = 8;
 
-/// What is known of an engine beyond the list.
-#[derive(Debug, Clone)]
-enum Known {
-    /// It was asked and is as listed; how many orders it had begun.
-    Asked(u64),
-    /// It holds these layers or loads them, until then at the latest.
-    Loading(LayerRange, Duration),
-    /// Nothing can be said before then.
-    Unsure(Duration),
-}
-
-/// An order to an engine.
-struct Order {
-    placement: Placement,
-    addr: SocketAddr,
-    /// How many orders it must have begun.
-    begun: Option<u64>,
-}
-
 /// The work of the host that holds the duty.
 pub(super) struct Placing {
     gateway: Rc<Gateway>,
-    known: FxHashMap<Rc<str>, Known>,
+    known: Knowledge,
     /// How many engines are listed, and since when.
     listed: (usize, Duration),
     first_seen: Option<Duration>,
@@ -89,7 +64,7 @@
     pub(super) fn new(gateway: Rc<Gateway>) -> Self {
         Self {
             gateway,
-            known: FxHashMap::default(),
+            known: Knowledge::default(),
             listed: (0, Duration::ZERO),
             first_seen: None,
             holders: FxHashSet::default(),
@@ -134,17 +109,15 @@
                 continue;
             }
             let unsettled = |centre: &str| situation.unsettled.iter().any(|c| **c == *centre);
-            let mut placements = placement::plan(engine, &situation.candidates, unsettled);
+            let placements = placement::plan(engine, &situation.candidates, unsettled);
             self.planned_for = placements.is_empty().then_some(situation);
             self.ask_movers(&endpoints, &placements).await;
-            placements.retain(|p| matches!(self.known.get(&p.id), Some(Known::Asked(_))));
             if !held() {
                 return;
             }
-            self.order(&endpoints, placements).await;
+            self.order(&placements).await;
         }
-        let directory = self.gateway.directory.borrow();
-        self.known.retain(|id, _| directory.get(id).is_some());
+        self.known.keep_listed(&self.gateway.directory.borrow());
     }
 
     fn endpoints(&self, service: &Rc<str>) -> Vec<Rc<Endpoint>> {
@@ -182,62 +155,25 @@
 
     /// Asks the engines that are listed as empty and of which nothing is known.
     async fn ask(&mut self, endpoints: &[Rc<Endpoint>]) {
-        let now = self.gateway.now();
-        for endpoint in endpoints {
-            let outdated = match self.known.get(&endpoint.id) {
-                Some(Known::Loading(layers, until)) => {
-                    *until <= now || endpoint.layers == Some(*layers)
-                }
-                Some(Known::Unsure(until)) => *until <= now,
-                Some(Known::Asked(_)) => endpoint.layers.is_some(),
-                None => false,
-            };
-            if outdated {
-                self.known.remove(&endpoint.id);
-            }
-        }
-        let unknown = endpoints
-            .iter()
-            .filter(|e| e.layers.is_none() && !self.known.contains_key(&e.id));
-        let reports = self.reports(unknown).await;
+        let asked = self.known.empty_ones(endpoints, self.gateway.now());
+        let reports = self.reports(&asked).await;
         let now = self.gateway.now();
         for (endpoint, report) in reports {
-            if self.started_again(endpoint, report.as_ref()) {
-                continue;
+            if !self.started_again(endpoint, report.as_ref()) {
+                self.known.empty_told(&endpoint.id, report.map(told), now);
             }
-            let known = match report {
-                Some(EngineReport {
-                    layers: Some(layers),
-                    ..
-                }) => Known::Loading(layers, now + LOADING),
-                Some(report) if report.busy => Known::Unsure(now + REFUSED),
-                Some(report) => Known::Asked(report.orders),
-                None => Known::Unsure(now + REFUSED),
-            };
-            self.known.insert(endpoint.id.clone(), known);
         }
     }
 
-    /// Asks the loaded engines that are to move. One that does not answer, or is not as it is
-    /// listed, stays as it is.
+    /// Asks the loaded engines that are to move.
     async fn ask_movers(&mut self, endpoints: &[Rc<Endpoint>], placements: &[Placement]) {
-        let moves = |e: &&Rc<Endpoint>| {
-            let placed = placements.iter().any(|p| p.id == e.id);
-            placed && !self.known.contains_key(&e.id)
-        };
-        let reports = self.reports(endpoints.iter().filter(moves)).await;
+        let asked = self.known.movers(endpoints, placements);
+        let reports = self.reports(&asked).await;
         let now = self.gateway.now();
         for (endpoint, report) in reports {
-            if self.started_again(endpoint, report.as_ref()) {
-                continue;
+            if !self.started_again(endpoint, report.as_ref()) {
+                self.known.mover_told(endpoint, report.map(told), now);
             }
-            let known = match report {
-                Some(report) if !report.busy && report.layers == endpoint.layers => {
-                    Known::Asked(report.orders)
-                }
-                _ => Known::Unsure(now + REFUSED),
-            };
-            self.known.insert(endpoint.id.clone(), known);
         }
     }
 
@@ -252,7 +188,7 @@
 
     async fn reports<'a>(
         &self,
-        endpoints: impl Iterator<Item = &'a Rc<Endpoint>>,
+        endpoints: &'a [Rc<Endpoint>],
     ) -> Vec<(&'a Rc<Endpoint>, Option<EngineReport>)> {
         let engines = &self.gateway.platform.engines;
         stream::iter(endpoints)
@@ -272,7 +208,7 @@
         let mut holders = FxHashSet::default();
         for endpoint in endpoints.iter().filter(|e| e.layers.is_some()) {
             holders.insert(endpoint.id.clone());
-            let ordered = self.known.contains_key(&endpoint.id);
+            let ordered = self.known.knows(&endpoint.id);
             if !self.holders.contains(&endpoint.id) && !ordered {
                 self.came_at.insert(endpoint.data_centre.clone(), now);
             }
@@ -290,76 +226,55 @@
 
     fn candidates(&self, endpoints: &[Rc<Endpoint>]) -> Vec<Candidate> {
         let directory = self.gateway.directory.borrow();
-        let belief = |id: &str| match self.known.get(id) {
-            _ if directory.is_lost(id) => Belief::Lost,
-            Some(Known::Loading(layers, _)) => Belief::Loading(*layers),
-            Some(Known::Unsure(_)) => Belief::Unsure,
-            Some(Known::Asked(_)) | None => Belief::Listed,
-        };
-        let candidate = |e: &Rc<Endpoint>| Candidate::of(e, belief(&e.id));
+        let candidate = |e: &Rc<Endpoint>| Candidate::of(e, self.known.belief(&directory, &e.id));
         endpoints.iter().filter_map(candidate).collect()
     }
 
-    /// The orders for placements, of engines that are what they were when they were asked.
-    fn orders(&self, endpoints: &[Rc<Endpoint>], placements: Vec<Placement>) -> Vec<Order> {
-        let directory = self.gateway.directory.borrow();
-        let order = |placement: Placement| {
-            let endpoint = endpoints.iter().find(|e| e.id == placement.id)?;
-            // One that has started again since it was asked counts its orders anew.
-            directory.get(&placement.id)?;
-            let begun = match self.known.get(&placement.id) {
-                Some(Known::Asked(begun)) => Some(*begun),
-                _ => None,
-            };
-            Some(Order {
-                placement,
-                addr: endpoint.addr,
-                begun,
-            })
-        };
-        placements.into_iter().filter_map(order).collect()
-    }
-
-    async fn order(&mut self, endpoints: &[Rc<Endpoint>], placements: Vec<Placement>) {
+    async fn order(&mut self, placements: &[Placement]) {
         let engines = &self.gateway.platform.engines;
-        let orders = self.orders(endpoints, placements);
-        let outcomes: Vec<(Placement, Result<Ordered, CallError>)> = stream::iter(orders)
+        let orders = self
+            .known
+            .orders(&self.gateway.directory.borrow(), placements);
+        let outcomes: Vec<(Order, Result<Ordered, CallError>)> = stream::iter(orders)
             .map(|o| async move {
-                let order = engines.place(o.addr, o.placement.layers, o.begun);
+                let order = engines.place(o.endpoint.addr, o.layers, Some(o.begun));
                 let outcome = match time::timeout(CALL, order).await {
                     Ok(outcome) => outcome,
                     Err(_) => Err(CallError::Unknown("no answer in time".to_owned())),
                 };
-                (o.placement, outcome)
+                (o, outcome)
             })
             .buffer_unordered(AT_ONCE)
             .collect()
             .await;
-        for (placement, outcome) in outcomes {
-            self.note(&placement, &outcome);
+        for (order, outcome) in outcomes {
+            self.note(&order, &outcome);
         }
     }
 
-    fn note(&mut self, placement: &Placement, outcome: &Result<Ordered, CallError>) {
-        let now = self.gateway.now();
-        let (known, label) = match outcome {
-            Ok(Ordered::Begun | Ordered::Holds) => {
-                (Known::Loading(placement.layers, now + LOADING), "begun")
-            }
-            Ok(Ordered::Refused(_)) | Err(CallError::NotSent(_)) => {
-                (Known::Unsure(now + REFUSED), "refused")
-            }
-            Err(CallError::Unknown(_)) => (Known::Unsure(now + LATE_ORDER), "unknown"),
+    fn note(&mut self, order: &Order, outcome: &Result<Ordered, CallError>) {
+        let (ended, label) = match outcome {
+            Ok(Ordered::Begun | Ordered::Holds) => (Outcome::Taken, "begun"),
+            Ok(Ordered::Refused(_)) | Err(CallError::NotSent(_)) => (Outcome::Refused, "refused"),
+            Err(CallError::Unknown(_)) => (Outcome::Unknown, "unknown"),
         };
         let orders = &self.gateway.metrics.orders;
         orders.with_label_values(&[label]).inc();
         log::info!(
             target: "placing",
-            endpoint = &*placement.id,
-            layers:% = placement.layers,
+            endpoint = &*order.endpoint.id,
+            layers:% = order.layers,
             outcome:? = outcome;
             "Engine was ordered to load layers."
         );
-        self.known.insert(placement.id.clone(), known);
+        self.known.ordered(order, ended, self.gateway.now());
+    }
+}
+
+fn told(report: EngineReport) -> Told {
+    Told {
+        layers: report.layers,
+        busy: report.busy,
+        orders: report.orders,
     }
 }
