--- a/crates/fleet/tests/placing_orders.rs
+++ b/crates/fleet/tests/placing_orders.rs
@@ -68,7 +68,7 @@
         Self {
             rng: Pcg64::seed_from_u64(seed),
             now: ms(0),
-            says_start: seed % 2 == 0,
+            says_start: seed.is_multiple_of(2),
             engines: (0..KINDS.len()).map(engine).collect(),
             directory: Directory::default(),
             known: Knowledge::default(),
