standins: entries name a data centre and an accelerator where settings leave them out

Cause: an entry whose words are empty has named no endpoint to use since entries of other writers are checked. The stand-ins wrote empty words where their settings named no data centre or accelerator, so that hosts of the tests were never ready.

Ruled out: load (the nine tests fail on an idle machine as well, each time).

Change: defaults that are names. An endpoint's entry is taken out by its name.

--- a/crates/standins/src/engine/config.rs
+++ b/crates/standins/src/engine/config.rs
@@ -5,7 +5,7 @@
 use dragonflyrill_engines::wire;
 use dragonflyrill_fleet::{endpoints::Endpoint, layers::LayerRange};
 
-use crate::{number, settings::Settings};
+use crate::{number, register, settings::Settings};
 
 /// The settings of one engine.
 #[derive(Debug, Clone)]
@@ -59,8 +59,8 @@
         Self {
             id: id.to_owned(),
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            data_centre: String::new(),
-            accelerator: String::new(),
+            data_centre: register::DATA_CENTRE.to_owned(),
+            accelerator: register::ACCELERATOR.to_owned(),
             model: model.to_owned(),
             version: "1".to_owned(),
             model_layers,
--- a/crates/standins/src/register.rs
+++ b/crates/standins/src/register.rs
@@ -11,6 +11,12 @@
 /// How often the entries are brought up to date.
 const REFRESH: Duration = Duration::from_millis(500);
 
+/// The data centre in an entry where settings name none. No word of an entry may be empty: one that
+/// has none names no endpoint to use.
+pub(crate) const DATA_CENTRE: &str = "dc";
+/// The kind of accelerator in an engine's entry where settings name none.
+pub(crate) const ACCELERATOR: &str = "generic";
+
 /// Keeps the entries of what `running` serves in the store until `ended` is ready, then takes them
 /// out.
 ///
@@ -31,7 +37,7 @@
         Either::Right((never, _)) => match never {},
     }
     for endpoint in running.listings() {
-        if let Err(err) = registry.remove(&endpoint.id).await {
+        if let Err(err) = registry.remove(&endpoint.name).await {
             log::warn!("register: {err:#}.");
             break;
         }
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -15,7 +15,7 @@
 use dragonflyrill_fleet::endpoints::Endpoint;
 use serde::{Deserialize, Serialize};
 
-use crate::{number, settings::Settings};
+use crate::{number, register, settings::Settings};
 
 pub use server::start;
 
@@ -43,7 +43,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            data_centre: String::new(),
+            data_centre: register::DATA_CENTRE.to_owned(),
             work_ms: 0,
             max_running: 64,
         }
