explain: an entry that is ignored is shown for requests to the endpoint of its name

Where endpoints say their start, lines of requests name an endpoint by name and start, and the line on an entry that is ignored by its name: explain compared the two as they are and left the line out. It goes by names now. Test first: failed.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -7,6 +7,7 @@
 
 use std::{collections::BTreeSet, fmt, fs, path::Path};
 
+use dragonflyrill_fleet::incarnations;
 use serde::{Serialize, Serializer};
 use serde_json::{Map, Value};
 
@@ -65,12 +66,14 @@
         self.text("id") == id
     }
 
-    /// The endpoints that this line names, alone or as the chain `ID=LAYERS,ID=LAYERS`.
+    /// The names of the endpoints that this line is about, alone or as the chain
+    /// `ID=LAYERS,ID=LAYERS`. What is wrong with an entry is told of a name, all else of one start.
     fn endpoints(&self) -> impl Iterator<Item = &str> {
         let texts = NAMING.iter().map(|f| self.text(f));
         let parts = texts.flat_map(|text| text.split(','));
         let ids = parts.map(|part| part.split_once('=').map_or(part, |(id, _)| id));
-        ids.filter(|id| !id.is_empty())
+        let names = ids.map(incarnations::name);
+        names.filter(|name| !name.is_empty())
     }
 }
 
@@ -194,7 +197,7 @@
             return None;
         }
         let own_host = hosts.contains(&line.host);
-        let endpoint = line.text("endpoint");
+        let endpoint = incarnations::name(line.text("endpoint"));
         if !endpoint.is_empty() {
             // Every host writes what the list says; of other hosts the first to know is enough.
             let concerns = endpoints.contains(endpoint) && (told.insert(line.told()) || own_host);
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -52,6 +52,30 @@
     assert!(lines[5].ends_with(r#"Request is not served. why="Stale""#));
 }
 
+/// A host whose endpoints say their start: their ids are a name and a start, and what is wrong with
+/// an entry is told of the name that it stands under.
+const STARTS: &str = r#"{"t":20800,"level":"WARN","part":"fleet","m":"An entry names no endpoint to use.","endpoint":"e-1","fault":"field","used_before":true,"why":"missing field `slots`"}
+{"t":20850,"level":"WARN","part":"fleet","m":"An entry names no endpoint to use.","endpoint":"e-10","fault":"field","used_before":true,"why":"missing field `slots`"}
+{"t":21000,"level":"INFO","part":"forward","m":"Request is sent.","id":"a1","to":"e-1·1700000000000=0-4,e-2·1700000000001=4-8"}
+{"t":21100,"level":"INFO","part":"fleet","m":"Endpoint has ended: another start is in its place.","endpoint":"e-2·1700000000001","by":"e-2·1700000009000"}
+{"t":21200,"level":"INFO","part":"forward","m":"Request is answered.","id":"a1","status":200}
+"#;
+
+#[actix_rt::test]
+async fn an_entry_that_is_ignored_is_shown_for_requests_to_the_endpoint_of_its_name() {
+    let log = File::new("starts-host-a.log", STARTS);
+    let (exit, out) = output(&["explain", "a1", log.path()]).await;
+    assert_eq!(exit, Exit::Ok, "{out}");
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 5, "{out}");
+    assert!(lines[1].starts_with("e    -200 "), "{out}");
+    assert!(
+        lines[1].contains(r#"endpoint="e-1" fault="field""#),
+        "{out}"
+    );
+    assert!(lines[3].contains("e-2·1700000009000"), "{out}");
+}
+
 #[actix_rt::test]
 async fn how_far_back_is_asked() {
     let (own, collected) = logs("back");
--- a/crates/fleet/src/incarnations.rs
+++ b/crates/fleet/src/incarnations.rs
@@ -35,6 +35,11 @@
     }
 }
 
+/// The name of the endpoint of which an id names a start.
+pub fn name(id: &str) -> &str {
+    id.split_once(MARK).map_or(id, |(name, _)| name)
+}
+
 /// What an entry means for the starts that are known.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Verdict {
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -76,6 +76,13 @@
     assert_eq!(directory.named("e"), None, "and it is not used any more");
 }
 
+#[test]
+fn the_name_is_read_back_from_the_id_of_a_start() {
+    for born in [None, Some(Born(0)), Some(Born(u64::MAX))] {
+        assert_eq!(incarnations::name(&incarnations::id("i-1", born)), "i-1");
+    }
+}
+
 #[test]
 fn software_that_begins_to_say_its_start_has_started_again() {
     let mut directory = Directory::default();
