tests: a start at another address, and a lost engine that was ordered

41 safeguards of starts, entries and orders were taken out one by one on a scratch copy. Two were noticed by no test: that a later start ends the earlier one when it listens elsewhere, and that an engine that does not answer is lost whatever it was ordered. Each has a test that fails without it.

--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -51,6 +51,22 @@
     assert_eq!(directory.named("e"), Some(&Rc::new(second)));
 }
 
+#[test]
+fn a_later_start_at_another_address_takes_the_place_of_the_earlier_one_too() {
+    let mut directory = Directory::default();
+    let first = start("e", 1000);
+    directory.put(first.clone(), ms(0));
+    let second = Endpoint {
+        addr: ([127, 0, 0, 1], 9).into(),
+        ..start("e", 2000)
+    };
+    let put = directory.put(second.clone(), ms(10));
+    assert_eq!(put, Put::InPlaceOf(vec![Rc::new(first.clone())]));
+    assert!(directory.is_over(&first.id));
+    assert_eq!(directory.get(&first.id), None);
+    assert_eq!(directory.named("e").map(|e| &e.id), Some(&second.id));
+}
+
 #[test]
 fn an_earlier_start_never_comes_back() {
     let mut directory = Directory::default();
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -2,10 +2,16 @@
 
 mod common;
 
-use common::{candidate, endpoint, engine, fleet, name, today};
+use std::rc::Rc;
+
+use common::{candidate, endpoint, engine, fleet, ms, name, today};
 use dragonflyrill_fleet::{
+    endpoints::Directory,
     layers::LayerRange,
-    placement::{self, Belief, Candidate, Placement},
+    placement::{
+        self, Belief, Candidate, Placement,
+        knowledge::{Knowledge, Order, Outcome},
+    },
 };
 use proptest::prelude::*;
 
@@ -123,6 +129,26 @@
     assert_eq!(of(Belief::Lost), None);
 }
 
+#[test]
+fn an_engine_that_does_not_answer_is_lost_whatever_it_was_ordered() {
+    let mut directory = Directory::default();
+    let listed = endpoint("e", "a", "l40s", 10, 30);
+    directory.put(listed.clone(), ms(0));
+    let mut known = Knowledge::default();
+    let order = Order {
+        endpoint: Rc::new(listed),
+        layers: LayerRange::new(40, 50).expect("layers"),
+        begun: 0,
+    };
+    known.ordered(&order, Outcome::Taken, ms(10));
+    let ordered = Belief::Loading(order.layers);
+    assert_eq!(known.belief(&directory, "e"), ordered);
+    directory.lost("e", ms(20));
+    assert_eq!(known.belief(&directory, "e"), Belief::Lost);
+    directory.succeeded("e");
+    assert_eq!(known.belief(&directory, "e"), ordered, "it answers again");
+}
+
 #[test]
 fn an_endpoint_of_an_unknown_kind_is_left_alone() {
     let candidates = [candidate(0, "a", "tape")];
