New engines wait for one of their kind to leave, and take its layers

Cause: when engines are replaced one by one, the new one first, each was given what helped most when it joined. The layers of the one that left a second later were then missing, and engines that served moved to close the gap, after waiting for all that passed through them.

Ruled out: a rule by the version of the engines' software, which would tell a replacement from one more: it stays the same in a release where it could be looked at.

Change: fleet::placement::succession. Where a data centre has all layers and one of its kind, and has lost none, a new engine waits for up to 1.8 s, and takes the layers of one of its kind that leaves. Nothing loaded moves there meanwhile. Hosts that only watch note what is lost, for when the duty passes to them. What is planned for a service, from one look at the list to the next, is fleet::placement::planner, one for each service: until now two services of engines would have overwritten each other's memory.

--- a/crates/fleet/src/layers.rs
+++ b/crates/fleet/src/layers.rs
@@ -33,6 +33,17 @@
     }
 }
 
+/// Whether ranges hold all layers of a model between them.
+pub fn hold_all(layers: u32, ranges: impl Iterator<Item = LayerRange>) -> bool {
+    let mut ranges: Vec<LayerRange> = ranges.collect();
+    ranges.sort();
+    let reach = |reached: u32, r: &LayerRange| match r.first <= reached {
+        true => reached.max(r.end),
+        false => reached,
+    };
+    ranges.iter().fold(0, reach) >= layers
+}
+
 impl fmt::Display for LayerRange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{}", self.first, self.end)
--- a/crates/fleet/src/placement/knowledge.rs
+++ b/crates/fleet/src/placement/knowledge.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Whether an engine was asked and holds nothing.
+    pub fn is_empty(&self, endpoint: &Endpoint) -> bool {
+        let known = self.known.get(&endpoint.id);
+        endpoint.layers.is_none() && matches!(known, Some(Known::Asked(_)))
+    }
+
     /// What an engine that is listed as empty has told; `None` if it did not answer.
     pub fn empty_told(&mut self, id: &Rc<str>, told: Option<Told>, now: Duration) {
         let known = match told {
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -8,11 +8,17 @@
 //!
 //! What is loaded mostly stays where it is: endpoints that hold nothing are given the layers that
 //! help their data centre most, and a loaded one moves only if that is worth far more than it
-//! costs.
+//! costs. An engine that joins where nothing is missing mostly stands for one that is about to
+//! leave, and takes its layers.
+//!
+//! [`planner`] is the whole of it for one service, [`plan`] the part without memory.
 
 mod covers;
 pub mod knowledge;
 mod moves;
+pub mod planner;
+mod settling;
+pub mod succession;
 mod target;
 mod value;
 
--- a/crates/fleet/tests/placing_orders.rs
+++ b/crates/fleet/tests/placing_orders.rs
@@ -2,8 +2,8 @@
 //! becomes of engines and orders.
 //!
 //! Random schedules of a data centre over the real decisions: engines start again between being asked,
-//! being ordered and being listed, with and without saying when they started; entries come late, of
-//! former starts as well; reports get no answer; orders are lost, refused, or carried out seconds
+//! being ordered and being listed, with and without saying when they started; others are replaced, the
+//! new one first; entries come late, of former starts as well; reports get no answer; orders are lost, refused, or carried out seconds
 //! later, also by a start that they were not meant for; the duty passes to a host that knows nothing.
 
 mod common;
@@ -16,8 +16,8 @@
     incarnations::{self, Born},
     layers::LayerRange,
     placement::{
-        self, Candidate,
         knowledge::{Knowledge, Order, Outcome, Told},
+        planner::{Engines, Planner},
     },
 };
 use rand::{Rng, SeedableRng};
@@ -27,10 +27,20 @@
 /// How long an order that got no answer may still be carried out.
 const LATE: std::ops::Range<u64> = 2000..12_000;
 
+/// How long after its successor an engine that is replaced leaves, and how long it serves then.
+const LEAVES: Duration = Duration::from_millis(1100);
+const SERVES: Duration = Duration::from_millis(2500);
+
+/// How long the entry of an endpoint that is gone stands in the list.
+const LAPSES: Duration = Duration::from_millis(3600);
+
 /// An engine as it is.
 struct Engine {
     /// Its place among all, which is its address.
     place: usize,
+    kind: &'static str,
+    /// When it says that it is leaving.
+    leaves: Option<Duration>,
     starts: u64,
     layers: Option<LayerRange>,
     /// What it is loading, and until when.
@@ -38,6 +48,28 @@
     orders: u64,
 }
 
+impl Engine {
+    fn new(place: usize, kind: &'static str) -> Self {
+        Self {
+            place,
+            kind,
+            leaves: None,
+            starts: 1,
+            layers: None,
+            loads: None,
+            orders: 0,
+        }
+    }
+
+    fn leaving(&self, now: Duration) -> bool {
+        self.leaves.is_some_and(|at| at <= now)
+    }
+
+    fn gone(&self, now: Duration) -> bool {
+        self.leaves.is_some_and(|at| at + SERVES <= now)
+    }
+}
+
 struct World {
     rng: Pcg64,
     now: Duration,
@@ -46,36 +78,36 @@
     engines: Vec<Engine>,
     directory: Directory,
     known: Knowledge,
-    entries: Vec<(Duration, Endpoint)>,
+    planner: Planner,
+    /// Entries on their way; none where the endpoint's entry is removed.
+    entries: Vec<(Duration, Rc<str>, Option<Endpoint>)>,
     /// Orders that are carried out later.
     late: Vec<(Duration, usize, Order)>,
     /// Until when a start that was ordered without an answer is to be left alone by this holder.
     unanswered: BTreeMap<Rc<str>, Duration>,
     ordered: usize,
+    /// Orders to engines that hold layers.
+    moved: usize,
 }
 
 const KINDS: [&str; 6] = ["a100", "a100", "l40s", "l40s", "l4", "l4"];
 
 impl World {
-    fn new(seed: u64) -> Self {
-        let engine = |place| Engine {
-            place,
-            starts: 1,
-            layers: None,
-            loads: None,
-            orders: 0,
-        };
+    fn new(seed: u64, kinds: &[&'static str]) -> Self {
+        let engines = kinds.iter().enumerate();
         Self {
             rng: Pcg64::seed_from_u64(seed),
             now: ms(0),
             says_start: seed.is_multiple_of(2),
-            engines: (0..KINDS.len()).map(engine).collect(),
+            engines: engines.map(|(at, kind)| Engine::new(at, kind)).collect(),
             directory: Directory::default(),
             known: Knowledge::default(),
+            planner: Planner::default(),
             entries: Vec::new(),
             late: Vec::new(),
             unanswered: BTreeMap::new(),
             ordered: 0,
+            moved: 0,
         }
     }
 
@@ -92,7 +124,8 @@
             born,
             addr: ([127, 0, 0, 1], 1000 + engine.place as u16).into(),
             layers: engine.layers,
-            ..endpoint(&name, "a", KINDS[at], 0, 1)
+            leaving: engine.leaving(self.now),
+            ..endpoint(&name, "a", engine.kind, 0, 1)
         }
     }
 
@@ -106,6 +139,7 @@
             self.now += STEP;
             self.engines_go_on(trouble);
             self.deliver_entries();
+            self.ask_lost(trouble);
             self.carry_out_late();
             if self.chance(0.05 * trouble) {
                 self.known.clear();
@@ -115,10 +149,46 @@
         }
     }
 
+    /// Starts an engine of the same kind, which another is to be replaced by.
+    fn replace(&mut self, at: usize) {
+        let new = self.engines.len();
+        let kind = self.engines[at].kind;
+        self.engines.push(Engine::new(new, kind));
+        self.write_entry(new, ms(100));
+        self.engines[at].leaves = Some(self.now + LEAVES);
+    }
+
+    /// An engine of those that stay.
+    fn staying(&mut self) -> usize {
+        let staying = (0..self.engines.len()).filter(|at| self.engines[*at].leaves.is_none());
+        let staying: Vec<usize> = staying.collect();
+        staying[self.rng.random_range(0..staying.len())]
+    }
+
+    fn write_entry(&mut self, at: usize, lag: Duration) {
+        let entry = self.entry(at);
+        let gone = self.engines[at].gone(self.now);
+        let id = entry.id.clone();
+        let entry = (!gone).then_some(entry);
+        self.entries.push((self.now + lag, id, entry));
+    }
+
     fn engines_go_on(&mut self, trouble: f64) {
+        if self.chance(0.02 * trouble) {
+            let at = self.staying();
+            self.replace(at);
+        }
         for at in 0..self.engines.len() {
             let now = self.now;
             let engine = &mut self.engines[at];
+            // Whoever runs it sees to it that the list says so.
+            if engine.leaves == Some(now) || engine.leaves.is_some_and(|at| at + SERVES == now) {
+                self.write_entry(at, ms(500));
+            }
+            let engine = &mut self.engines[at];
+            if engine.gone(now) {
+                continue;
+            }
             if let Some((layers, _)) = engine.loads.filter(|(_, until)| *until <= now) {
                 engine.layers = Some(layers);
                 engine.loads = None;
@@ -130,13 +200,14 @@
                 let lag = ms(self.rng.random_range(0..1500));
                 let late = self.chance(0.1 * trouble);
                 let lag = if late { lag + ms(3000) } else { lag };
-                let entry = self.entry(at);
-                self.entries.push((self.now + lag, entry));
+                self.write_entry(at, lag);
             }
         }
     }
 
     fn start_again(&mut self, at: usize) {
+        let former = self.entry(at).id;
+        self.entries.push((self.now + LAPSES, former, None));
         let engine = &mut self.engines[at];
         engine.starts += 1;
         engine.layers = None;
@@ -147,15 +218,36 @@
     /// Entries come in order of their writing for each start, but for those that are late.
     fn deliver_entries(&mut self) {
         let now = self.now;
-        let (due, later) = self.entries.drain(..).partition(|(at, _)| *at <= now);
+        let (due, later) = self.entries.drain(..).partition(|(at, ..)| *at <= now);
         self.entries = later;
-        let mut due: Vec<(Duration, Endpoint)> = due;
-        due.sort_by_key(|(at, _)| *at);
-        for (_, entry) in due {
+        let mut due: Vec<(Duration, Rc<str>, Option<Endpoint>)> = due;
+        due.sort_by_key(|(at, ..)| *at);
+        for (_, id, entry) in due {
+            let Some(entry) = entry else {
+                self.directory.remove(&id);
+                continue;
+            };
+            let at = usize::from(entry.addr.port() - 1000);
+            // Nobody writes this entry any more.
+            if self.engines[at].gone(now) || self.entry(at).id != id {
+                self.entries.push((now + LAPSES, id, None));
+            }
             self.directory.put(entry, now);
         }
     }
 
+    /// Engines that are lost are asked until they answer and hold what they are listed with.
+    fn ask_lost(&mut self, trouble: f64) {
+        let lost = self.directory.iter();
+        let lost = lost.filter(|e| self.directory.is_lost(&e.id));
+        for endpoint in lost.cloned().collect::<Vec<_>>() {
+            let told = self.ask(&endpoint, trouble);
+            if told.is_some_and(|told| told.layers == endpoint.layers) {
+                self.directory.succeeded(&endpoint.id);
+            }
+        }
+    }
+
     fn carry_out_late(&mut self) {
         let now = self.now;
         let (due, later) = self.late.drain(..).partition(|(at, ..)| *at <= now);
@@ -170,10 +262,10 @@
         let now = self.now;
         let model = engine();
         let engine = &mut self.engines[at];
-        if engine.orders != order.begun || engine.loads.is_some() {
+        if engine.gone(now) || engine.orders != order.begun || engine.loads.is_some() {
             return false;
         }
-        let accelerator = model.accelerator(KINDS[at]).expect("a kind");
+        let accelerator = model.accelerator(engine.kind).expect("a kind");
         assert!(order.layers.count() <= model.most_layers(accelerator));
         engine.orders += 1;
         engine.layers = None;
@@ -188,6 +280,9 @@
             return None;
         }
         let at = usize::from(endpoint.addr.port() - 1000);
+        if self.engines[at].gone(self.now) {
+            return None;
+        }
         let entry = self.entry(at);
         let engine = &self.engines[at];
         let told = Told {
@@ -201,10 +296,11 @@
         Some(told)
     }
 
-    fn listed(&self) -> Vec<Rc<Endpoint>> {
+    /// The engines that are listed: those that stay, and those that leave.
+    fn listed(&self) -> (Vec<Rc<Endpoint>>, Vec<Rc<Endpoint>>) {
         let mut listed: Vec<Rc<Endpoint>> = self.directory.iter().cloned().collect();
         listed.sort_by(|a, b| a.id.cmp(&b.id));
-        listed
+        listed.into_iter().partition(|e| !e.leaving)
     }
 
     fn current(&self, id: &str) -> bool {
@@ -213,8 +309,17 @@
 
     /// One round of the host that places.
     fn place(&mut self, trouble: f64) {
-        let listed = self.listed();
-        for endpoint in self.known.empty_ones(&listed, self.now) {
+        let (staying, leaving) = self.listed();
+        let engines = Engines {
+            staying: &staying,
+            leaving: &leaving,
+            known: &self.known,
+            directory: &self.directory,
+        };
+        if !self.planner.settled(&engines, false, self.now) {
+            return;
+        }
+        for endpoint in self.known.empty_ones(&staying, self.now) {
             let told = self.ask(&endpoint, trouble);
             if self.current(&endpoint.id) {
                 self.known.empty_told(&endpoint.id, told, self.now);
@@ -222,18 +327,21 @@
         }
         // Asking and ordering take their time, in which anything may happen.
         if self.chance(0.02 * trouble) {
-            let at = self.rng.random_range(0..self.engines.len());
+            let at = self.staying();
             self.start_again(at);
             if self.chance(0.5) {
                 let entry = self.entry(at);
                 self.directory.put(entry, self.now);
             }
         }
-        let belief = |e: &Rc<Endpoint>| self.known.belief(&self.directory, &e.id);
-        let candidates = listed.iter().filter_map(|e| Candidate::of(e, belief(e)));
-        let candidates: Vec<Candidate> = candidates.collect();
-        let placements = placement::plan(&engine(), &candidates, |_| false);
-        for endpoint in self.known.movers(&listed, &placements) {
+        let engines = Engines {
+            staying: &staying,
+            leaving: &leaving,
+            known: &self.known,
+            directory: &self.directory,
+        };
+        let placements = self.planner.plan(&engine(), &engines, self.now).placements;
+        for endpoint in self.known.movers(&staying, &placements) {
             let told = self.ask(&endpoint, trouble);
             if self.current(&endpoint.id) {
                 self.known.mover_told(&endpoint, told, self.now);
@@ -255,6 +363,7 @@
         let alone = self.unanswered.get(&id).copied().unwrap_or_default();
         assert!(alone <= self.now, "{id} may still carry out an order");
         self.ordered += 1;
+        self.moved += usize::from(order.endpoint.layers.is_some());
         let at = usize::from(order.endpoint.addr.port() - 1000);
         let outcome = match self.rng.random_range(0.0..1.0) {
             x if x < 0.1 * trouble => {
@@ -272,12 +381,12 @@
         self.known.ordered(&order, outcome, self.now);
     }
 
-    fn covered(&self) -> bool {
-        let holds = |layer| {
-            let layers = self.engines.iter().filter_map(|e| e.layers);
-            layers.into_iter().any(|l| l.contains(layer))
-        };
-        (0..engine().layers).all(holds)
+    /// How many engines hold a layer, for the layer of which that is least.
+    fn held_least(&self) -> usize {
+        let serving = self.engines.iter().filter(|e| !e.gone(self.now));
+        let held: Vec<LayerRange> = serving.filter_map(|e| e.layers).collect();
+        let holders = |layer| held.iter().filter(|l| l.contains(layer)).count();
+        (0..engine().layers).map(holders).min().unwrap_or(0)
     }
 }
 
@@ -285,12 +394,12 @@
 fn whatever_starts_again_the_layout_is_made_good_and_orders_go_where_they_were_meant() {
     let mut restarts = 0;
     let mut orders = 0;
-    for seed in 0..60 {
-        let mut world = World::new(seed);
+    for seed in (0..60).chain([77]) {
+        let mut world = World::new(seed, &KINDS);
         world.run(ms(8000), 0.0);
         world.run(ms(60_000), 1.0);
         world.run(ms(60_000), 0.0);
-        assert!(world.covered(), "seed {seed}");
+        assert!(world.held_least() > 0, "seed {seed}");
         let before = world.ordered;
         world.run(ms(10_000), 0.0);
         assert_eq!(world.ordered, before, "seed {seed}: orders never end");
@@ -299,3 +408,33 @@
     }
     assert!(restarts > 600 && orders > 1200, "{restarts}, {orders}");
 }
+
+/// Engines that are replaced one by one, the new one first, cost nobody else a move. Given the layers
+/// that helped most when they joined, they left a gap each time: 20 moves of loaded engines, and the
+/// second cover incomplete for 3.3 s of each 4 s.
+#[test]
+fn engines_that_are_replaced_one_after_the_other_move_no_other() {
+    const PAUSE_STEPS: usize = 40;
+    /// A load of 3.5 s begins 0.6 s after the old one has said that it leaves, and that serves for 2.5 s.
+    const MISSING_STEPS: usize = 16;
+    let (mut moved, mut missing) = (0, 0);
+    for seed in 0..20 {
+        let mut world = World::new(seed, &["l40s"; 8]);
+        (0..8).for_each(|at| world.write_entry(at, ms(100)));
+        world.run(ms(20_000), 0.0);
+        assert_eq!(world.held_least(), 2, "seed {seed}: two covers");
+        let before = world.moved;
+        for at in 0..8 {
+            world.replace(at);
+            for _ in 0..PAUSE_STEPS {
+                world.run(STEP, 0.0);
+                missing += usize::from(world.held_least() < 2);
+            }
+        }
+        world.run(ms(20_000), 0.0);
+        assert_eq!(world.held_least(), 2, "seed {seed}: two covers again");
+        moved += world.moved - before;
+    }
+    assert_eq!(moved, 0);
+    assert!(missing <= 20 * 8 * MISSING_STEPS, "{missing}");
+}
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -1,22 +1,21 @@
 //! Has engines load the layers that the planner gives them, on the host that holds the duty.
 //!
-//! What is known of engines, and which orders that allows, is decided in
-//! [`dragonflyrill_fleet::placement::knowledge`]; here engines are asked and ordered.
-//!
-//! When engines that hold layers come back to the list, more will: a data centre that was cut off is
-//! listed again one engine after the other. Nothing moves there until its list stands still.
+//! What engines should load is decided in [`dragonflyrill_fleet::placement::planner`], what is known
+//! of them, and which orders that allows, in [`dragonflyrill_fleet::placement::knowledge`]; here
+//! engines are asked and ordered.
 
 use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
     endpoints::Endpoint,
     placement::{
-        self, Candidate, Placement,
+        Placement,
         knowledge::{Knowledge, Order, Outcome, Told},
+        planner::{Engines, Plan, Planner},
     },
 };
 use futures_util::{StreamExt, stream};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use tokio::time;
 
 use crate::{
@@ -25,12 +24,6 @@
     ports::{EngineReport, Ordered},
 };
 
-/// How long the list of engines must stand still before the first plan of a start: a little over the
-/// pause between two entries of one engine, so that all that have started are listed.
-const SETTLE: Duration = Duration::from_millis(1500);
-/// The longest that the first plan waits for that, and while requests wait for it.
-const MOST_SETTLE: Duration = Duration::from_millis(5500);
-const MOST_SETTLE_ASKED: Duration = Duration::from_millis(1000);
 /// How long a call to an engine may take.
 const CALL: Duration = Duration::from_millis(700);
 /// Calls to engines at the same time.
@@ -40,23 +33,14 @@
 pub(super) struct Placing {
     gateway: Rc<Gateway>,
     known: Knowledge,
-    /// How many engines are listed, and since when.
-    listed: (usize, Duration),
-    first_seen: Option<Duration>,
-    /// The engines that held layers when the list was last looked at.
-    holders: FxHashSet<Rc<str>>,
-    /// When an engine that holds layers last came to the list of a data centre.
-    came_at: FxHashMap<Rc<str>, Duration>,
-    /// The state for which there was nothing to order.
-    planned_for: Option<Situation>,
+    /// One for each service of engines.
+    planners: FxHashMap<Rc<str>, Planner>,
 }
 
-/// What is planned for.
-#[derive(PartialEq)]
-struct Situation {
-    candidates: Vec<Candidate>,
-    /// Data centres in which nothing loaded may move.
-    unsettled: Vec<Rc<str>>,
+/// The engines of one service that are listed.
+struct Listed {
+    staying: Vec<Rc<Endpoint>>,
+    leaving: Vec<Rc<Endpoint>>,
 }
 
 impl Placing {
@@ -65,11 +49,7 @@
         Self {
             gateway,
             known: Knowledge::default(),
-            listed: (0, Duration::ZERO),
-            first_seen: None,
-            holders: FxHashSet::default(),
-            came_at: FxHashMap::default(),
-            planned_for: None,
+            planners: FxHashMap::default(),
         }
     }
 
@@ -81,8 +61,10 @@
             return;
         };
         for service in catalogue.engine_services() {
-            let endpoints = self.endpoints(&service.name);
-            self.unsettled(&endpoints);
+            let listed = self.listed(&service.name);
+            self.with_planner(&service.name, &listed, |planner, engines, now| {
+                planner.watch(engines, now);
+            });
         }
     }
 
@@ -96,22 +78,25 @@
             let Some(engine) = &service.engine else {
                 continue;
             };
-            let endpoints = self.endpoints(&service.name);
-            if !self.settled(&endpoints) {
+            let listed = self.listed(&service.name);
+            let asked = self.gateway.asked.get();
+            let settled = self.with_planner(&service.name, &listed, |planner, engines, now| {
+                planner.settled(engines, asked, now)
+            });
+            if !settled {
                 continue;
             }
-            self.ask(&endpoints).await;
-            let situation = Situation {
-                candidates: self.candidates(&endpoints),
-                unsettled: self.unsettled(&endpoints),
-            };
-            if self.planned_for.as_ref() == Some(&situation) {
-                continue;
+            self.ask(&listed.staying).await;
+            let Plan {
+                placements,
+                begin_to_wait,
+            } = self.with_planner(&service.name, &listed, |planner, engines, now| {
+                planner.plan(engine, engines, now)
+            });
+            for id in begin_to_wait {
+                log::info!(target: "placing", endpoint = &*id; "Engine waits for one of its kind to leave.");
             }
-            let unsettled = |centre: &str| situation.unsettled.iter().any(|c| **c == *centre);
-            let placements = placement::plan(engine, &situation.candidates, unsettled);
-            self.planned_for = placements.is_empty().then_some(situation);
-            self.ask_movers(&endpoints, &placements).await;
+            self.ask_movers(&listed.staying, &placements).await;
             if !held() {
                 return;
             }
@@ -120,37 +105,30 @@
         self.known.keep_listed(&self.gateway.directory.borrow());
     }
 
-    fn endpoints(&self, service: &Rc<str>) -> Vec<Rc<Endpoint>> {
+    fn listed(&self, service: &Rc<str>) -> Listed {
         let directory = self.gateway.directory.borrow();
-        let mut endpoints: Vec<Rc<Endpoint>> = directory
-            .iter()
-            .filter(|e| e.service == *service && !e.leaving)
-            .cloned()
-            .collect();
-        endpoints.sort_by(|a, b| a.id.cmp(&b.id));
-        endpoints
+        let engines = directory.iter().filter(|e| e.service == *service);
+        let mut engines: Vec<Rc<Endpoint>> = engines.cloned().collect();
+        engines.sort_by(|a, b| a.id.cmp(&b.id));
+        let (leaving, staying) = engines.into_iter().partition(|e| e.leaving);
+        Listed { staying, leaving }
     }
 
-    /// Whether the list has stood still for long enough to plan with.
-    fn settled(&mut self, endpoints: &[Rc<Endpoint>]) -> bool {
-        let now = self.gateway.now();
-        let listed = endpoints.len();
-        if listed == 0 {
-            return false;
-        }
-        // Later plans change little, and what is missing then is missed by requests.
-        if endpoints.iter().any(|e| e.layers.is_some()) {
-            return true;
-        }
-        let first = *self.first_seen.get_or_insert(now);
-        if listed != self.listed.0 {
-            self.listed = (listed, now);
-        }
-        let most = match self.gateway.asked.get() {
-            true => MOST_SETTLE_ASKED,
-            false => MOST_SETTLE,
+    /// Has a service's planner do something with the engines as they are known now.
+    fn with_planner<T>(
+        &mut self,
+        service: &Rc<str>,
+        listed: &Listed,
+        act: impl FnOnce(&mut Planner, &Engines<'_>, Duration) -> T,
+    ) -> T {
+        let engines = Engines {
+            staying: &listed.staying,
+            leaving: &listed.leaving,
+            known: &self.known,
+            directory: &self.gateway.directory.borrow(),
         };
-        self.listed.1 + SETTLE <= now || first + most <= now
+        let planner = self.planners.entry(service.clone()).or_default();
+        act(planner, &engines, self.gateway.now())
     }
 
     /// Asks the engines that are listed as empty and of which nothing is known.
@@ -201,35 +179,6 @@
             .await
     }
 
-    /// The data centres to whose list engines that hold layers have come a short time ago, or in which
-    /// one does not answer: it may be back in a moment, and is taken from the list if it is not.
-    fn unsettled(&mut self, endpoints: &[Rc<Endpoint>]) -> Vec<Rc<str>> {
-        let now = self.gateway.now();
-        let mut holders = FxHashSet::default();
-        for endpoint in endpoints.iter().filter(|e| e.layers.is_some()) {
-            holders.insert(endpoint.id.clone());
-            let ordered = self.known.knows(&endpoint.id);
-            if !self.holders.contains(&endpoint.id) && !ordered {
-                self.came_at.insert(endpoint.data_centre.clone(), now);
-            }
-        }
-        self.holders = holders;
-        self.came_at.retain(|_, at| *at + SETTLE > now);
-        let directory = self.gateway.directory.borrow();
-        let lost = endpoints.iter().filter(|e| directory.is_lost(&e.id));
-        let lost = lost.map(|e| e.data_centre.clone());
-        let mut unsettled: Vec<Rc<str>> = self.came_at.keys().cloned().chain(lost).collect();
-        unsettled.sort();
-        unsettled.dedup();
-        unsettled
-    }
-
-    fn candidates(&self, endpoints: &[Rc<Endpoint>]) -> Vec<Candidate> {
-        let directory = self.gateway.directory.borrow();
-        let candidate = |e: &Rc<Endpoint>| Candidate::of(e, self.known.belief(&directory, &e.id));
-        endpoints.iter().filter_map(candidate).collect()
-    }
-
     async fn order(&mut self, placements: &[Placement]) {
         let engines = &self.gateway.platform.engines;
         let orders = self
