--- a/crates/fleet/tests/settling.rs
+++ b/crates/fleet/tests/settling.rs
@@ -1,10 +1,10 @@
-//! Nothing is planned while a list of engines is only coming up.
+//! Nothing is planned while a list of engines is only coming up, and nothing moves while it returns.
 
 mod common;
 
 use std::{rc::Rc, time::Duration};
 
-use common::{endpoint, ms};
+use common::{endpoint, engine, ms};
 use dragonflyrill_fleet::{
     endpoints::{Directory, Endpoint},
     placement::{
@@ -60,3 +60,52 @@
     let held = [Rc::new(endpoint("e1", "a", "l40s", 0, 40)), empty("e2")];
     assert!(settled(&mut Planner::default(), &held, false, ms(0)));
 }
+
+/// Engines that hold all layers once, and the first of them four times: a second cover is due.
+fn uneven() -> Vec<Rc<Endpoint>> {
+    let held = [0, 20, 40, 60, 0, 0, 0];
+    let one =
+        |(at, first): (usize, &u32)| endpoint(&format!("e{at}"), "a", "l40s", *first, first + 20);
+    held.iter().enumerate().map(one).map(Rc::new).collect()
+}
+
+/// How many engines are to move.
+fn moves(
+    planner: &mut Planner,
+    staying: &[Rc<Endpoint>],
+    directory: &Directory,
+    now: Duration,
+) -> usize {
+    let engines = Engines {
+        staying,
+        leaving: &[],
+        known: &Knowledge::default(),
+        directory,
+    };
+    let plan = planner.plan(&engine(), &engines, now);
+    plan.placements.len()
+}
+
+#[test]
+fn nothing_moves_where_a_list_returns() {
+    let mut planner = Planner::default();
+    let (directory, engines) = (Directory::default(), uneven());
+    assert_eq!(moves(&mut planner, &engines[..6], &directory, ms(0)), 0);
+    assert_eq!(moves(&mut planner, &engines, &directory, ms(1000)), 0);
+    assert_eq!(moves(&mut planner, &engines, &directory, ms(2400)), 0);
+    assert_ne!(moves(&mut planner, &engines, &directory, ms(2500)), 0);
+}
+
+#[test]
+fn nothing_moves_where_an_engine_does_not_answer() {
+    let mut planner = Planner::default();
+    let (mut directory, engines) = (Directory::default(), uneven());
+    let spare = endpoint("e7", "a", "l40s", 0, 20);
+    directory.put(spare.clone(), ms(0));
+    directory.lost("e7", ms(0));
+    let engines = [engines, vec![Rc::new(spare)]].concat();
+    assert_eq!(moves(&mut planner, &engines, &directory, ms(0)), 0);
+    assert_eq!(moves(&mut planner, &engines, &directory, ms(5000)), 0);
+    directory.succeeded("e7");
+    assert_ne!(moves(&mut planner, &engines, &directory, ms(5100)), 0);
+}
