--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod events;
 mod examine;
+mod on_chain;
 mod refusal;
 mod send;
 mod stream;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -19,6 +19,7 @@
     Admitted, Ended, call,
     events::{Events, Taken},
     examine,
+    on_chain::OnChain,
     refusal::Refusal,
     send::{self, Begun, Failed, Target},
     success,
@@ -228,7 +229,7 @@
     ) -> Result<RunEnd, Ended> {
         let gateway = self.gateway;
         let chain = &planned.chain;
-        let on = OnChain::new(gateway, planned);
+        let on = OnChain::new(gateway, chain, &planned.want);
         let hops: Vec<(SocketAddr, LayerRange)> =
             chain.parts.iter().map(|p| (p.addr, p.layers)).collect();
         let leaves = Cell::new(false);
@@ -397,43 +398,3 @@
 fn ms(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1000.0
 }
-
-/// Counts a request on a chain while it runs there, and its prompt while that is being read.
-struct OnChain<'a> {
-    gateway: &'a Gateway,
-    chain: &'a Chain,
-    prompt: Cell<f64>,
-    tokens: f64,
-}
-
-impl<'a> OnChain<'a> {
-    fn new(gateway: &'a Gateway, planned: &'a Planned) -> Self {
-        let Planned { chain, want, .. } = planned;
-        let tokens = want.prompt + want.answer;
-        let mut loads = gateway.loads.borrow_mut();
-        loads.begin(chain, tokens);
-        loads.begin_reading(chain, want.prompt);
-        Self {
-            gateway,
-            chain,
-            prompt: Cell::new(want.prompt),
-            tokens,
-        }
-    }
-
-    /// Its prompt has been read.
-    fn read(&self) {
-        let prompt = self.prompt.take();
-        if prompt > 0.0 {
-            let mut loads = self.gateway.loads.borrow_mut();
-            loads.end_reading(self.chain, prompt);
-        }
-    }
-}
-
-impl Drop for OnChain<'_> {
-    fn drop(&mut self) {
-        self.read();
-        self.gateway.loads.borrow_mut().end(self.chain, self.tokens);
-    }
-}
