--- a/crates/fleet/src/placement/planner.rs
+++ b/crates/fleet/src/placement/planner.rs
@@ -95,7 +95,7 @@
             return Plan::default();
         }
         let Succession {
-            heirs,
+            successors,
             waiting,
             candidates,
         } = &situation.succession;
@@ -104,7 +104,7 @@
         let begin_to_wait = new.cloned().collect();
         let unsettled = |centre: &str| situation.unsettled.iter().any(|c| **c == *centre);
         let mut placements = plan(engine, candidates, unsettled);
-        placements.extend(heirs.iter().cloned());
+        placements.extend(successors.iter().cloned());
         self.planned_for = placements.is_empty().then_some(situation);
         Plan {
             placements,
--- a/crates/fleet/src/placement/succession.rs
+++ b/crates/fleet/src/placement/succession.rs
@@ -31,10 +31,10 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Succession {
     /// These take the layers of engines that leave.
-    pub heirs: Vec<Placement>,
+    pub successors: Vec<Placement>,
     /// These wait for one of their kind to leave.
     pub waiting: Vec<Rc<str>>,
-    /// What else is planned with: heirs count as loading, and those that wait are left out.
+    /// What else is planned with: successors count as loading, and those that wait are left out.
     pub candidates: Vec<Candidate>,
 }
 
@@ -47,7 +47,7 @@
     /// Until when each engine that holds nothing waits at the longest.
     waits_until: FxHashMap<Rc<str>, Duration>,
     /// The engine that has taken over from each that leaves or has left.
-    heir_of: FxHashMap<Rc<str>, Rc<str>>,
+    successor_of: FxHashMap<Rc<str>, Rc<str>>,
     /// The engines that stayed and held layers when the list was last looked at.
     held: Vec<Rc<Endpoint>>,
     /// Engines that are lost, since when: what joins stands for them first.
@@ -72,11 +72,11 @@
         let empty: Vec<&Rc<Endpoint>> = empty.filter(|e| engines.known.is_empty(e)).collect();
         let serving = serving(engines.staying, &candidates);
         self.remember(&empty, &serving, engines, now);
-        let mut heirs = Vec::new();
+        let mut successors = Vec::new();
         let mut waiting = Vec::new();
         for endpoint in empty {
-            if let Some(given_up) = self.inherits(endpoint, engines.leaving) {
-                heirs.push(Placement {
+            if let Some(given_up) = self.takes_over(endpoint, engines.leaving) {
+                successors.push(Placement {
                     id: endpoint.id.clone(),
                     layers: given_up,
                 });
@@ -89,13 +89,13 @@
         }
         candidates.retain(|c| !waiting.contains(&c.id));
         for candidate in &mut candidates {
-            if let Some(heir) = heirs.iter().find(|p| p.id == candidate.id) {
-                candidate.holds = Some(heir.layers);
+            if let Some(successor) = successors.iter().find(|p| p.id == candidate.id) {
+                candidate.holds = Some(successor.layers);
                 candidate.loading = true;
             }
         }
         Succession {
-            heirs,
+            successors,
             waiting,
             candidates,
         }
@@ -116,20 +116,23 @@
         }
         let stays = |id: &Rc<str>| engines.staying.iter().any(|e| e.id == *id);
         // Also of what has gone: its entry may have been on its way for long, and list it once more.
-        self.heir_of.retain(|_, to| stays(to));
+        self.successor_of.retain(|_, to| stays(to));
         self.miss(serving, engines.leaving, now);
     }
 
-    /// The layers of one of its kind and data centre that leaves and has no other heir.
-    fn inherits(&mut self, heir: &Endpoint, leaving: &[Rc<Endpoint>]) -> Option<LayerRange> {
+    /// The layers of one of its kind and data centre that leaves and has no other successor.
+    fn takes_over(&mut self, successor: &Endpoint, leaving: &[Rc<Endpoint>]) -> Option<LayerRange> {
         let fits = |from: &&Rc<Endpoint>| {
-            let taken = self.heir_of.get(&from.id);
-            alike(from, heir) && from.layers.is_some() && taken.is_none_or(|to| *to == heir.id)
+            let taken = self.successor_of.get(&from.id);
+            alike(from, successor)
+                && from.layers.is_some()
+                && taken.is_none_or(|to| *to == successor.id)
         };
-        let known = |from: &&Rc<Endpoint>| self.heir_of.get(&from.id) == Some(&heir.id);
+        let known = |from: &&Rc<Endpoint>| self.successor_of.get(&from.id) == Some(&successor.id);
         let from = leaving.iter().find(known);
         let from = from.or_else(|| leaving.iter().find(fits))?;
-        self.heir_of.insert(from.id.clone(), heir.id.clone());
+        self.successor_of
+            .insert(from.id.clone(), successor.id.clone());
         from.layers
     }
 
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -65,7 +65,7 @@
 /// What follows for new engines.
 #[derive(Debug, Default, PartialEq)]
 struct Follows {
-    heirs: Vec<Placement>,
+    successors: Vec<Placement>,
     /// They are not planned with.
     waiting: Vec<Rc<str>>,
 }
@@ -96,12 +96,12 @@
     let planned = |id: &Rc<str>| succession.candidates.iter().any(|c| c.id == *id);
     assert!(!succession.waiting.iter().any(planned));
     Follows {
-        heirs: succession.heirs,
+        successors: succession.successors,
         waiting: succession.waiting,
     }
 }
 
-fn heir(id: &str, first: u32, end: u32) -> Placement {
+fn successor(id: &str, first: u32, end: u32) -> Placement {
     Placement {
         id: id.into(),
         layers: range(first, end),
@@ -113,10 +113,13 @@
     let mut successions = Successions::default();
     let (new, serving) = ([empty("n", "l40s")], serving());
     let waits = plan(&mut successions, &new, &serving, &[], ms(0));
-    assert_eq!((waits.heirs.len(), waits.waiting), (0, vec!["n".into()]));
+    assert_eq!(
+        (waits.successors.len(), waits.waiting),
+        (0, vec!["n".into()])
+    );
     let left = [leaving("s3", "l40s", 60, 80)];
     let takes = plan(&mut successions, &new, &serving[..2], &left, ms(1100));
-    assert_eq!(takes.heirs, [heir("n", 60, 80)]);
+    assert_eq!(takes.successors, [successor("n", 60, 80)]);
     assert!(takes.waiting.is_empty());
 }
 
@@ -171,7 +174,7 @@
 }
 
 #[test]
-fn each_engine_that_leaves_has_one_heir() {
+fn each_engine_that_leaves_has_one_successor() {
     let mut successions = Successions::default();
     let left = [leaving("s2", "l40s", 41, 60), leaving("s3", "l40s", 60, 80)];
     let new = [
@@ -181,18 +184,21 @@
     ];
     let serving = serving();
     let first = plan(&mut successions, &new, &serving[..1], &left, ms(0));
-    assert_eq!(first.heirs, [heir("n1", 41, 60), heir("n2", 60, 80)]);
+    assert_eq!(
+        first.successors,
+        [successor("n1", 41, 60), successor("n2", 60, 80)]
+    );
     // The first has its order; the others are asked for once more.
     let loading = [serving[0].clone(), engine("n1", "l40s", 41, 60)];
     let again = plan(&mut successions, &new[1..], &loading, &left, ms(100));
-    assert_eq!(again.heirs, [heir("n2", 60, 80)]);
-    // An heir that is gone leaves its place to another.
+    assert_eq!(again.successors, [successor("n2", 60, 80)]);
+    // A successor that is gone leaves its place to another.
     let third = plan(&mut successions, &new[2..], &loading, &left, ms(200));
-    assert_eq!(third.heirs, [heir("n3", 60, 80)]);
+    assert_eq!(third.successors, [successor("n3", 60, 80)]);
 }
 
 #[test]
-fn an_engine_that_left_and_is_listed_once_more_has_no_second_heir() {
+fn an_engine_that_left_and_is_listed_once_more_has_no_second_successor() {
     let mut successions = Successions::default();
     let left = [leaving("s3", "l40s", 60, 80)];
     let serving = serving();
@@ -207,7 +213,7 @@
     // Its last entry was on its way for long.
     let second = [empty("n2", "l40s")];
     let again = plan(&mut successions, &second, &loading, &left, ms(4000));
-    assert_eq!(again.heirs, []);
+    assert_eq!(again.successors, []);
 }
 
 #[test]
