placement: what is planned with is derived in one place, and looked up without scans over all engines

Decisions as before: succession, settling and placing_orders pass unchanged but for the argument that is gone.

--- a/crates/fleet/src/placement/planner.rs
+++ b/crates/fleet/src/placement/planner.rs
@@ -27,13 +27,17 @@
     pub directory: &'a Directory,
 }
 
-impl Engines<'_> {
-    fn candidates(&self) -> Vec<Candidate> {
-        let belief = |e: &Rc<Endpoint>| self.known.belief(self.directory, &e.id);
-        let candidates = self.staying.iter();
-        candidates
-            .filter_map(|e| Candidate::of(e, belief(e)))
-            .collect()
+impl<'a> Engines<'a> {
+    /// Those that stay, with what is planned with of each.
+    pub(super) fn candidates(&self) -> impl Iterator<Item = (&'a Rc<Endpoint>, Candidate)> {
+        let Self {
+            known, directory, ..
+        } = *self;
+        let candidate = move |e: &'a Rc<Endpoint>| {
+            let belief = known.belief(directory, &e.id);
+            Some((e, Candidate::of(e, belief)?))
+        };
+        self.staying.iter().filter_map(candidate)
     }
 }
 
@@ -68,7 +72,7 @@
     /// Watches the list while another host gives the orders.
     pub fn watch(&mut self, engines: &Engines<'_>, now: Duration) {
         self.settling.unsettled(engines, now);
-        self.successions.watch(engines, &engines.candidates(), now);
+        self.successions.watch(engines, now);
     }
 
     /// Whether the list has stood still for long enough; `asked` says that requests wait for it.
@@ -78,10 +82,7 @@
 
     /// What engines should load now. Those that hold nothing have been asked.
     pub fn plan(&mut self, engine: &Engine, engines: &Engines<'_>, now: Duration) -> Plan {
-        let candidates = engines.candidates();
-        let succession = self
-            .successions
-            .plan(engine.layers, engines, candidates, now);
+        let succession = self.successions.plan(engine.layers, engines, now);
         let mut unsettled = self.settling.unsettled(engines, now);
         // An engine that waits may be what a move would make up for.
         let waiting = engines.staying.iter();
--- a/crates/fleet/src/placement/succession.rs
+++ b/crates/fleet/src/placement/succession.rs
@@ -9,7 +9,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::{Candidate, Placement, planner::Engines};
 use crate::{
@@ -56,21 +56,17 @@
 
 impl Successions {
     /// Notes what is lost while another host gives the orders.
-    pub fn watch(&mut self, engines: &Engines<'_>, candidates: &[Candidate], now: Duration) {
-        self.miss(&serving(engines.staying, candidates), engines.leaving, now);
+    pub fn watch(&mut self, engines: &Engines<'_>, now: Duration) {
+        let candidates: Vec<_> = engines.candidates().collect();
+        self.miss(&serving(&candidates), engines.leaving, now);
     }
 
     /// What follows for the engines that hold nothing and were asked.
-    pub fn plan(
-        &mut self,
-        layers: u32,
-        engines: &Engines<'_>,
-        mut candidates: Vec<Candidate>,
-        now: Duration,
-    ) -> Succession {
+    pub fn plan(&mut self, layers: u32, engines: &Engines<'_>, now: Duration) -> Succession {
         let empty = engines.staying.iter();
         let empty: Vec<&Rc<Endpoint>> = empty.filter(|e| engines.known.is_empty(e)).collect();
-        let serving = serving(engines.staying, &candidates);
+        let candidates: Vec<_> = engines.candidates().collect();
+        let serving = serving(&candidates);
         self.remember(&empty, &serving, engines, now);
         let mut successors = Vec::new();
         let mut waiting = Vec::new();
@@ -87,7 +83,8 @@
                 }
             }
         }
-        candidates.retain(|c| !waiting.contains(&c.id));
+        let planned = candidates.into_iter().map(|(_, candidate)| candidate);
+        let mut candidates: Vec<Candidate> = planned.filter(|c| !waiting.contains(&c.id)).collect();
         for candidate in &mut candidates {
             if let Some(successor) = successors.iter().find(|p| p.id == candidate.id) {
                 candidate.holds = Some(successor.layers);
@@ -108,15 +105,15 @@
         engines: &Engines<'_>,
         now: Duration,
     ) {
-        let joins = |id: &Rc<str>| empty.iter().any(|e| e.id == *id);
-        self.waits_until.retain(|id, _| joins(id));
+        let joins = ids(empty.iter().copied());
+        self.waits_until.retain(|id, _| joins.contains(id));
         for endpoint in empty {
             let until = self.waits_until.entry(endpoint.id.clone());
             until.or_insert(now + WAIT);
         }
-        let stays = |id: &Rc<str>| engines.staying.iter().any(|e| e.id == *id);
+        let stays = ids(engines.staying);
         // Also of what has gone: its entry may have been on its way for long, and list it once more.
-        self.successor_of.retain(|_, to| stays(to));
+        self.successor_of.retain(|_, to| stays.contains(to));
         self.miss(serving, engines.leaving, now);
     }
 
@@ -138,14 +135,11 @@
 
     /// Notes the engines that went without having said so, and forgets those that are back.
     fn miss(&mut self, serving: &[Serving<'_>], leaving: &[Rc<Endpoint>], now: Duration) {
-        let there = |id: &Rc<str>| {
-            let serves = serving.iter().any(|(e, _)| e.id == *id);
-            serves || leaving.iter().any(|e| e.id == *id)
-        };
-        let lost = self.held.iter().filter(|e| !there(&e.id));
+        let there = ids(serving.iter().map(|(e, _)| *e).chain(leaving));
+        let lost = self.held.iter().filter(|e| !there.contains(&e.id));
         self.missed.extend(lost.map(|e| (e.clone(), now)));
         self.missed
-            .retain(|(e, since)| *since + MISSED > now && !there(&e.id));
+            .retain(|(e, since)| *since + MISSED > now && !there.contains(&e.id));
         let held = serving.iter().filter(|(e, _)| e.layers.is_some());
         self.held = held.map(|(e, _)| Rc::clone(e)).collect();
     }
@@ -178,13 +172,17 @@
     }
 }
 
-/// The engines that hold or load layers, of those that stay.
-fn serving<'a>(staying: &'a [Rc<Endpoint>], candidates: &[Candidate]) -> Vec<Serving<'a>> {
-    let held = |e: &Rc<Endpoint>| candidates.iter().find(|c| c.id == e.id)?.holds;
-    let serving = staying.iter().filter_map(|e| Some((e, held(e)?)));
+/// The engines that hold or load layers.
+fn serving<'a>(candidates: &[(&'a Rc<Endpoint>, Candidate)]) -> Vec<Serving<'a>> {
+    let serving = candidates.iter().filter_map(|(e, c)| Some((*e, c.holds?)));
     serving.collect()
 }
 
+/// The ids of engines, to look many of them up: each host does so with each look at the list.
+fn ids<'a>(engines: impl IntoIterator<Item = &'a Rc<Endpoint>>) -> FxHashSet<&'a Rc<str>> {
+    engines.into_iter().map(|e| &e.id).collect()
+}
+
 /// Whether one engine can stand for another.
 fn alike(one: &Endpoint, other: &Endpoint) -> bool {
     one.data_centre == other.data_centre && one.accelerator == other.accelerator
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -13,7 +13,7 @@
     endpoints::{Directory, Endpoint},
     layers::{self, LayerRange},
     placement::{
-        Belief, Candidate, Placement,
+        Placement,
         knowledge::{Knowledge, Told},
         planner::{Engines, Planner},
         succession::Successions,
@@ -90,9 +90,7 @@
         known: &known,
         directory: &directory,
     };
-    let belief = |e: &Rc<Endpoint>| known.belief(&directory, &e.id);
-    let candidates = staying.iter().filter_map(|e| Candidate::of(e, belief(e)));
-    let succession = successions.plan(LAYERS, &engines, candidates.collect(), now);
+    let succession = successions.plan(LAYERS, &engines, now);
     let planned = |id: &Rc<str>| succession.candidates.iter().any(|c| c.id == *id);
     assert!(!succession.waiting.iter().any(planned));
     Follows {
@@ -265,9 +263,7 @@
             known: &known,
             directory: &directory,
         };
-        let candidates = staying.iter();
-        let candidates = candidates.filter_map(|e| Candidate::of(e, Belief::Listed));
-        successions.watch(&engines, &candidates.collect::<Vec<_>>(), ms(0));
+        successions.watch(&engines, ms(0));
     }
     let new = [empty("n1", "l40s")];
     let follows = plan(&mut successions, &new, &all[..3], &[], ms(1000));
