gateway: what a send that is given up may have done is said once; an ignored entry is a type

Calls and streams each worked out from a cell whether a byte had left; the send's target owns that and says it. What is remembered of an entry that is not used was a tuple that was taken apart and put together again.

Behaviour as before: tests of the adapter and the gateway pass unchanged.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -117,14 +117,13 @@
     limit: Duration,
 ) -> Result<Whole, Failed> {
     let _at = AtEndpoint::new(gateway, &endpoint.id);
-    let leaves = Cell::new(false);
     let target = Target {
         id: &endpoint.id,
         name: &endpoint.name,
         addr: endpoint.addr,
         chain: &[],
         after_event: None,
-        leaves: &leaves,
+        leaves: Cell::new(false),
     };
     let until = time::Instant::now() + limit;
     let asked = async {
@@ -139,13 +138,7 @@
     let result = tokio::select! {
         biased;
         result = asked => result,
-        () = until_over(gateway, &endpoint.id) => {
-            let why = "the endpoint has ended".to_owned();
-            Err(match leaves.get() {
-                true => Failed::MayHaveRun(why),
-                false => Failed::NotSent(why),
-            })
-        }
+        () = until_over(gateway, &endpoint.id) => Err(target.given_up("the endpoint has ended")),
     };
     let mut directory = gateway.directory.borrow_mut();
     match &result {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -47,7 +47,17 @@
     pub(super) chain: &'a [(SocketAddr, LayerRange)],
     pub(super) after_event: Option<u64>,
     /// Becomes true before the first byte of the request leaves.
-    pub(super) leaves: &'a Cell<bool>,
+    pub(super) leaves: Cell<bool>,
+}
+
+impl Target<'_> {
+    /// What becomes of a send that is given up on the way: it may have run as soon as a byte has left.
+    pub(super) fn given_up(&self, why: &str) -> Failed {
+        match self.leaves.get() {
+            true => Failed::MayHaveRun(why.to_owned()),
+            false => Failed::NotSent(why.to_owned()),
+        }
+    }
 }
 
 /// An answer whose body is still to come.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -232,14 +232,13 @@
         let on = OnChain::new(gateway, chain, &planned.want);
         let hops: Vec<(SocketAddr, LayerRange)> =
             chain.parts.iter().map(|p| (p.addr, p.layers)).collect();
-        let leaves = Cell::new(false);
         let target = Target {
             id: &chain.first().id,
             name: &chain.first().name,
             addr: chain.first().addr,
             chain: &hops,
             after_event: self.events.last(),
-            leaves: &leaves,
+            leaves: Cell::new(false),
         };
         let mut watch = Watch {
             gateway,
@@ -250,10 +249,7 @@
         let sent = tokio::select! {
             biased;
             sent = send::send(gateway, self.admitted, &target, watch.run.most()) => sent,
-            given_up = watch.until_given_up(sent_at) => Err(match leaves.get() {
-                true => Failed::MayHaveRun(given_up.why.to_owned()),
-                false => Failed::NotSent(given_up.why.to_owned()),
-            }),
+            given_up = watch.until_given_up(sent_at) => Err(target.given_up(given_up.why)),
         };
         let begun = match sent {
             Ok(begun) => begun,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,13 +29,14 @@
     time::{self, Instant},
 };
 
+use self::listing::Ignored;
 use crate::{
     bounds::Bounds,
     forward::{Examiner, LineBudget},
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
     peers::Peers,
-    ports::{Dialect, Engines, EntryFault, Mark, ReadCatalogue, Store},
+    ports::{Dialect, Engines, Mark, ReadCatalogue, Store},
     settings::Settings,
 };
 
@@ -86,8 +87,8 @@
     /// Endpoints whose entries lapsed while the store was in trouble, and until when they may come
     /// back.
     pub doubted: RefCell<FxHashMap<Rc<str>, Duration>>,
-    /// Entries that name no endpoint to use: the version and the fault of each, and when it was read.
-    ignored: RefCell<FxHashMap<Rc<str>, (u64, EntryFault, Duration)>>,
+    /// Entries that name no endpoint to use, by the name that they stand under.
+    ignored: RefCell<FxHashMap<Rc<str>, Ignored>>,
     /// The place in the store's history up to which the list of endpoints is known.
     pub list_mark: Cell<Mark>,
     /// The newest catalogue known.
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -16,6 +16,15 @@
 /// How long an entry that can't be used is remembered after it was read, so that it is told once.
 const IGNORED: Duration = Duration::from_secs(600);
 
+/// An entry that names no endpoint to use.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ignored {
+    version: u64,
+    fault: EntryFault,
+    /// When it was last read.
+    read_at: Duration,
+}
+
 impl Gateway {
     /// Takes an endpoint's entry.
     pub fn list_endpoint(self: &Rc<Self>, endpoint: Endpoint) {
@@ -84,15 +93,20 @@
         if let Some(endpoint) = &listed {
             self.forget_endpoint(&endpoint.id);
         }
-        let known = (entry.version, entry.fault);
+        let UnusableEntry { version, fault, .. } = entry;
+        let read_at = self.now();
         let mut ignored = self.ignored.borrow_mut();
-        ignored.retain(|_, at| at.2 + IGNORED > self.now());
-        let noted = (known.0, known.1, self.now());
-        let before = ignored.insert(entry.name.clone(), noted);
-        if before.is_some_and(|before| (before.0, before.1) == known) {
+        ignored.retain(|_, known| known.read_at + IGNORED > read_at);
+        let read = Ignored {
+            version,
+            fault,
+            read_at,
+        };
+        let before = ignored.insert(entry.name.clone(), read);
+        if before.is_some_and(|known| known.version == version && known.fault == fault) {
             return;
         }
-        let fault = entry.fault.label();
+        let fault = fault.label();
         self.metrics
             .entries_ignored
             .with_label_values(&[fault])
