A store that does not answer is asked by data centre, not by host

Cause: as soon as the host that reads for a data centre had no fresh news, each other host asked the store by itself, by four kinds of call: catalogue, list, rows, and the duty of placing layers, which all hosts believed abandoned as its row stood still. 295 hosts made 1,000 calls a second at a store that refused them.

Change: what a host does about the store is decided in fleet::store_access. The first host of a data centre goes on trying and hands out turns to the others, one each 0.7 s; a host that has an answer reads, the first host asks it and tells the rest. A host for which the store is away makes the one call that shows its return, and no writes; what fell due meanwhile is spread. Only hosts that read the store compete for the duty. Hosts that wait hear at once when one has news again. Calls to the store are counted by purpose and outcome.

A killed host of the tests' fleets now also ends its connections: it went on answering with ever older news.

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -174,7 +174,8 @@
         self.seen.as_ref().map(|s| &*s.holder)
     }
 
-    fn mine(&self) -> bool {
+    /// Whether the row names this host, as far as is known.
+    pub fn mine(&self) -> bool {
         self.holder() == Some(&self.me)
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`examination`] says when the parts of a chain are asked how they are.
 //! - [`patience`] says for how long a run is waited for, and when its chain is examined.
 //! - [`freshness`] says for how long a catalogue may be acted on without news from the store.
+//! - [`store_access`] says which hosts of a data centre ask a store that does not answer.
 //! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
 //!   bound a host may use.
 
@@ -31,3 +32,4 @@
 pub mod patience;
 pub mod placement;
 pub mod share;
+pub mod store_access;
--- /dev/null
+++ b/crates/fleet/src/store_access.rs
@@ -0,0 +1,124 @@
+//! Which hosts of a data centre ask the platform's store, and how often while it does not answer.
+//!
+//! One host of a data centre reads the store and tells the others. When that host has no answer, the
+//! store is away for all, or for this host alone, and nobody can tell which without asking. If each of
+//! the others found out by itself, the calls would grow with the number of hosts just when the store is
+//! least able to bear them: 295 hosts made 1,000 calls a second at a store that refused them all, and
+//! 160 in calm. So
+//!
+//! - each host notes how its own calls ended ([`Access`]), and while they fail it asks for one thing
+//!   only, which shows whether the store is back;
+//! - the host that is asked hands out the turns to try ([`Turns`]), one at a time;
+//! - a host that is told that the store does not answer waits for its turn ([`role`]).
+//!
+//! Whoever has an answer reads from then on, and tells the host that all ask.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+/// Failures in a row from which on the store counts as away: single calls fail on links that lose
+/// packets, and each of the three kinds of read fails once when it goes away.
+const FAILURES: u32 = 3;
+
+/// The least time between two turns. With the tries of the host that hands them out a data centre
+/// makes some four calls a second, and hears within half a second of a store that is back.
+const BETWEEN_TURNS: Duration = Duration::from_millis(700);
+
+/// How this host's own reads of the store have ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Access {
+    /// Failures since the last answer.
+    failures: u32,
+}
+
+impl Access {
+    /// The store has answered, this host or one that tells it.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// A read has failed.
+    pub fn failed(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Another host has no answer: whether this one would get one is not known.
+    pub fn doubted(&mut self) {
+        self.failures = self.failures.max(FAILURES);
+    }
+
+    /// Whether the store counts as away for this host.
+    pub fn away(&self) -> bool {
+        self.failures >= FAILURES
+    }
+}
+
+/// Hands out the turns to try the store while it does not answer the host that is asked.
+#[derive(Debug, Default)]
+pub struct Turns {
+    /// When each host last had one.
+    had: FxHashMap<String, Duration>,
+    last: Option<Duration>,
+}
+
+impl Turns {
+    /// Whether a host that asks is to try now. `others` are the hosts that ask as well: the turn goes
+    /// to one that has waited longest.
+    pub fn give<'a>(
+        &mut self,
+        host: &str,
+        mut others: impl Iterator<Item = &'a str>,
+        now: Duration,
+    ) -> bool {
+        if self.last.is_some_and(|at| now < at + BETWEEN_TURNS) {
+            return false;
+        }
+        let had = self.had.get(host);
+        if others.any(|other| self.had.get(other) < had) {
+            return false;
+        }
+        self.had.insert(host.to_owned(), now);
+        self.last = Some(now);
+        true
+    }
+
+    /// The store answers again: the next time begins anew.
+    pub fn over(&mut self) {
+        self.had.clear();
+        self.last = None;
+    }
+}
+
+/// What another host of the data centre has told of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// It has heard of the store lately, by itself or through others.
+    pub fresh: bool,
+    /// It has that from this host.
+    pub from_here: bool,
+    /// It leaves the next try to this host.
+    pub turn: bool,
+}
+
+/// What a host does about the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It reads the store.
+    Reads,
+    /// It is told what another host reads.
+    IsTold,
+    /// The store answers nobody here: it waits for its turn to try.
+    Waits,
+}
+
+/// What a host does about the store, by what the one that it asks has told, if any did, and whether
+/// it reads the store itself and has fresh news of it.
+pub fn role(told: Option<Told>, reads_well: bool) -> Role {
+    match told {
+        None => Role::Reads,
+        Some(told) if told.fresh && !told.from_here => Role::IsTold,
+        Some(told) if reads_well || told.turn => Role::Reads,
+        Some(_) => Role::Waits,
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/store_access.rs
@@ -0,0 +1,111 @@
+//! Who asks a store that does not answer.
+
+use std::time::Duration;
+
+use dragonflyrill_fleet::store_access::{self, Access, Role, Told, Turns};
+use proptest::prelude::*;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn names(n: usize) -> Vec<String> {
+    (0..n).map(|i| format!("h{i}")).collect()
+}
+
+#[test]
+fn a_store_is_away_after_some_failures_in_a_row() {
+    let mut access = Access::default();
+    access.failed();
+    access.failed();
+    access.answered();
+    access.failed();
+    access.failed();
+    assert!(!access.away(), "links lose single calls");
+    access.failed();
+    assert!(access.away());
+    access.answered();
+    assert!(!access.away());
+    access.doubted();
+    assert!(access.away(), "until it has answered");
+}
+
+#[test]
+fn a_host_that_is_told_that_the_store_is_away_waits_for_its_turn() {
+    let told = |fresh, from_here, turn| {
+        Some(Told {
+            fresh,
+            from_here,
+            turn,
+        })
+    };
+    let role = store_access::role;
+    assert_eq!(role(None, false), Role::Reads, "it reaches nobody");
+    assert_eq!(role(told(true, false, false), false), Role::IsTold);
+    assert_eq!(role(told(true, false, false), true), Role::IsTold);
+    assert_eq!(role(told(false, false, false), false), Role::Waits);
+    assert_eq!(role(told(false, false, true), false), Role::Reads);
+    assert_eq!(role(told(false, false, false), true), Role::Reads);
+    // What the other one knows it has from here.
+    assert_eq!(role(told(true, true, false), true), Role::Reads);
+    assert_eq!(role(told(true, true, false), false), Role::Waits);
+}
+
+/// Hosts ask in a random order every few ms; gives who had turns, and when.
+fn turns(hosts: usize, asks: &[(usize, u64)]) -> Vec<(usize, Duration)> {
+    let names = names(hosts);
+    let mut turns = Turns::default();
+    let mut now = Duration::ZERO;
+    let mut given = Vec::new();
+    for (host, pause) in asks {
+        now += ms(*pause);
+        let host = host % hosts;
+        let others = names.iter().map(String::as_str);
+        if turns.give(&names[host], others, now) {
+            given.push((host, now));
+        }
+    }
+    given
+}
+
+proptest! {
+    /// However many hosts ask, and however often: the calls to the store don't grow with them.
+    #[test]
+    fn turns_are_as_few_for_many_hosts(
+        hosts in 1..300_usize,
+        asks in proptest::collection::vec((0..300_usize, 0..20_u64), 0..2000),
+    ) {
+        let given = turns(hosts, &asks);
+        for pair in given.windows(2) {
+            prop_assert!(pair[1].1 - pair[0].1 >= ms(700));
+        }
+    }
+
+    /// A host whose calls would be answered is not kept from trying by others: no host has a turn
+    /// twice before each other one that asks has had one.
+    #[test]
+    fn each_host_has_its_turn(
+        hosts in 1..12_usize,
+        asks in proptest::collection::vec((0..12_usize, 0..400_u64), 0..2000),
+    ) {
+        let given = turns(hosts, &asks);
+        let mut had = vec![0; hosts];
+        for (host, _) in given {
+            had[host] += 1;
+            let most = had.iter().max();
+            let least = had.iter().min();
+            prop_assert!(most <= least.map(|n| n + 1).as_ref(), "{had:?}");
+        }
+    }
+}
+
+#[test]
+fn the_first_turn_comes_at_once_and_again_after_the_store_was_back() {
+    let mut turns = Turns::default();
+    let now = ms(5000);
+    let others = || ["h1", "h2"].into_iter();
+    assert!(turns.give("h1", others(), now));
+    assert!(!turns.give("h2", others(), now));
+    turns.over();
+    assert!(turns.give("h1", others(), now));
+}
--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -222,6 +222,11 @@
         self.written.send_replace(());
     }
 
+    /// The row can be written again, as far as is known.
+    pub fn write_again(&self) {
+        self.failing.set(false);
+    }
+
     /// Whether a write of the row is worth waiting for.
     pub fn writes_row(&self) -> bool {
         self.row.get().is_some() && !self.failing.get()
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -30,6 +30,12 @@
             gateway.until_reading().await;
         }
         let sent_at = gateway.now();
+        // While the store is away this is the one call that shows that it is back, so that it does
+        // not wait for news.
+        let wait = match gateway.store_away() {
+            true => Duration::ZERO,
+            false => wait,
+        };
         let read = gateway.platform.store.catalogue(mark, wait);
         let read = StoreCall::Catalogue
             .made(&gateway, wait + SLACK, read)
@@ -49,18 +55,31 @@
                 if matches!(e, PlatformError::Malformed(_)) {
                     mark = None;
                 }
-                backoff.failed(&gateway).await;
+                // The next turn to try may come before the pause is over.
+                tokio::select! {
+                    () = backoff.failed(&gateway) => {}
+                    () = gateway.until_told() => {}
+                }
             }
         }
     }
 }
 
 /// How long a read waits for news.
-pub(crate) fn wait(settings: &Settings) -> Duration {
+fn wait(settings: &Settings) -> Duration {
     let by_proof = settings.key_revocation.mul_f64(PROOF_PART);
     by_proof.min(settings.config_apply.mul_f64(APPLY_PART))
 }
 
+/// How long the store may be silent to another host beyond the wait of its reads, as a part of the
+/// time in which a change must be in force, before its news are no longer fresh.
+const SILENT_PART: f64 = 0.2;
+
+/// For how long a host that reads the store may have no answer before its news are no longer fresh.
+pub(crate) fn longest_silence(settings: &Settings) -> Duration {
+    wait(settings) + settings.config_apply.mul_f64(SILENT_PART)
+}
+
 /// Takes what a read has brought; gives where to go on.
 fn take(gateway: &Gateway, news: CatalogueNews, sent_at: Duration, before: Option<Mark>) -> Mark {
     if let Some(new) = news.catalogue {
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -25,7 +25,7 @@
 struct Follower {
     gateway: Rc<Gateway>,
     mark: Option<Mark>,
-    /// A read has failed and none has succeeded since.
+    /// A read has failed, or the store was away, and none has succeeded since.
     troubled: bool,
     /// When the store last answered again after trouble.
     returned_at: Option<Duration>,
@@ -44,8 +44,9 @@
     loop {
         if !follower.gateway.reads_store() {
             follower.mark = None;
-            follower.gateway.until_reading().await;
         }
+        // Entries lapse while the store is away, whether or not a read of the list has met that.
+        follower.troubled |= follower.gateway.until_store_answers().await;
         let began = time::Instant::now();
         match follower.read().await {
             Ok(()) => backoff.succeeded(&follower.gateway),
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -99,6 +99,8 @@
     left: bool,
     /// By how many it last divided.
     divisor: Option<u32>,
+    /// The store was away when it was last looked.
+    away: bool,
 }
 
 /// Keeps the row for as long as the process lives.
@@ -110,9 +112,11 @@
         record_at: None,
         left: false,
         divisor: None,
+        away: false,
     };
     let mut backoff = Backoff::default();
     loop {
+        keeper.see_store();
         if keeper.due() {
             match keeper.write().await {
                 Ok(()) => backoff.succeeded(&gateway),
@@ -147,6 +151,9 @@
             self.left = true;
             return true;
         }
+        if self.away {
+            return false;
+        }
         self.join_at = match (bounds.awaited(), self.join_at) {
             (false, _) => None,
             (true, Some(at)) => Some(at),
@@ -162,6 +169,23 @@
         records || (!self.left && (self.beat_at <= now || joins))
     }
 
+    /// Looks whether the store is away: nothing is written then, and nothing waits for it. What has
+    /// become due meanwhile is spread when it is back, as it is due on all hosts.
+    fn see_store(&mut self) {
+        let gateway = &self.gateway;
+        let away = gateway.store_away();
+        match (self.away, away) {
+            (false, true) => gateway.bounds.write_failed(),
+            (true, false) => {
+                gateway.bounds.write_again();
+                let spread = gateway.now() + self.join_spread();
+                self.beat_at = self.beat_at.max(spread);
+            }
+            _ => {}
+        }
+        self.away = away;
+    }
+
     fn record_spread(&self) -> Duration {
         let others = self.gateway.hosts.get().saturating_sub(AT_ONCE);
         (PAUSE_PER_HOST * others).mul_f64(rand::rng().random())
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use dragonflyrill_fleet::store_access::Access;
 use dragonflyrill_store::PlatformError;
 use rand::Rng;
 use tokio::time;
@@ -59,8 +60,10 @@
     List,
     /// Reads the hosts' own rows.
     Rows,
-    /// Writes one of them.
+    /// Writes this host's own row.
     Write,
+    /// Writes the row of the duty of placing layers.
+    Duty,
 }
 
 impl StoreCall {
@@ -70,6 +73,7 @@
             Self::List => "list",
             Self::Rows => "rows",
             Self::Write => "write",
+            Self::Duty => "duty",
         }
     }
 
@@ -86,17 +90,65 @@
             Err(_) => {
                 let why = "no answer in time".to_owned();
                 Err(match self {
-                    Self::Write => PlatformError::Unknown(why),
+                    Self::Write | Self::Duty => PlatformError::Unknown(why),
                     Self::Catalogue | Self::List | Self::Rows => PlatformError::Unavailable(why),
                 })
             }
         };
         let metrics = &gateway.metrics;
-        let answered = matches!(result, Ok(_) | Err(PlatformError::HistoryGone));
-        let outcome = if answered { "ok" } else { "failed" };
-        metrics.store_calls.with_label_values(&[outcome]).inc();
+        let outcome = Outcome::of(&result);
+        let labels = [self.label(), outcome.label()];
+        metrics.store_calls.with_label_values(&labels).inc();
         let seconds = metrics.store_seconds.with_label_values(&[self.label()]);
         seconds.observe(began.elapsed().as_secs_f64());
+        self.note_access(gateway, outcome);
         result
     }
+
+    /// Notes what the end of a call says of the store. A write says nothing: one that is refused for
+    /// its rate may have met too many others of the same part of a table.
+    fn note_access(self, gateway: &Gateway, outcome: Outcome) {
+        match (self, outcome) {
+            (Self::Write | Self::Duty, _) => {}
+            (_, Outcome::Answered | Outcome::Unusable) => gateway.note_access(Access::answered),
+            (_, Outcome::Refused | Outcome::Failed) => gateway.note_access(Access::failed),
+        }
+    }
+}
+
+/// How a call to the store ended, as an operator tells ends apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// With an answer.
+    Answered,
+    /// With an answer that can't be used.
+    Unusable,
+    /// Refused for its rate, or turned away: nothing was done.
+    Refused,
+    /// Without an answer.
+    Failed,
+}
+
+impl Outcome {
+    fn of<T>(result: &Result<T, PlatformError>) -> Self {
+        match result {
+            Ok(_) | Err(PlatformError::HistoryGone) => Self::Answered,
+            Err(PlatformError::Malformed(_) | PlatformError::Rejected { .. }) => Self::Unusable,
+            Err(PlatformError::Refused { .. }) => Self::Refused,
+            Err(
+                PlatformError::NotSent(_)
+                | PlatformError::Unavailable(_)
+                | PlatformError::Unknown(_),
+            ) => Self::Failed,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "ok",
+            Self::Unusable => "unusable",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+        }
+    }
 }
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -89,6 +89,7 @@
             self.duty.leave();
         }
         match self.duty.step(now) {
+            Step::Read | Step::Write { .. } if !self.may_ask(now) => {}
             Step::Read => self.read().await?,
             Step::Write { expected } => {
                 let me = self.me.clone();
@@ -117,11 +118,21 @@
         }
     }
 
+    /// Whether this host may ask the store for the duty. Else all hosts would take a duty over at once
+    /// that stands still because the store is away, or because its holder is gone: those that read the
+    /// store for others do, and who holds the duty.
+    fn may_ask(&self, now: Duration) -> bool {
+        let first = self.read_at.is_none();
+        let reads = self.gateway.reads_store() && !self.gateway.store_away();
+        first || reads || self.duty.mine() || self.duty.held(now)
+    }
+
     /// Whether the rows are to be read although the duty does not ask for it: by the hosts that
     /// read for others.
     fn rows_due(&self, now: Duration) -> bool {
         let due = |at: Duration| at + ROWS_LOOK <= now;
-        self.read_at.is_none() || (self.gateway.reads_store() && self.read_at.is_some_and(due))
+        let reads = self.gateway.reads_store() && !self.gateway.store_away();
+        self.read_at.is_none() || (reads && self.read_at.is_some_and(due))
     }
 
     async fn read(&mut self) -> Result<(), PlatformError> {
@@ -161,7 +172,7 @@
             .platform
             .store
             .write(DUTY_ROW, holder, Some(expected));
-        let written = StoreCall::Write.made(gateway, CALL, write).await;
+        let written = StoreCall::Duty.made(gateway, CALL, write).await;
         let now = self.gateway.now();
         let (outcome, result) = match written {
             Ok(Written::Done(version)) => (Wrote::Done(version), Ok(())),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
     endpoints::Directory,
     freshness::Freshness,
     share,
+    store_access::Access,
 };
 use dragonflyrill_protocol::exchange::FleetHost;
 use rustc_hash::FxHashMap;
@@ -32,6 +33,7 @@
 use self::listing::Ignored;
 use crate::{
     bounds::Bounds,
+    control::catalogue,
     forward::{Examiner, LineBudget},
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
@@ -84,6 +86,8 @@
     pub codec: ServiceConfig,
     /// When the store last answered on the catalogue, and on the list of endpoints.
     heard_at: Cell<[Option<Duration>; 2]>,
+    /// How this host's own reads of the store have ended.
+    access: Cell<Access>,
     /// Endpoints whose entries lapsed while the store was in trouble, and until when they may come
     /// back.
     pub doubted: RefCell<FxHashMap<Rc<str>, Duration>>,
@@ -117,6 +121,8 @@
     leaving_since: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
     reading: watch::Sender<bool>,
+    /// Whether the store counts as away.
+    away: watch::Sender<bool>,
     /// The other hosts.
     pub peers: Peers,
     /// Whether any request has come.
@@ -140,6 +146,7 @@
             platform,
             codec,
             heard_at: Cell::default(),
+            access: Cell::default(),
             doubted: RefCell::default(),
             ignored: RefCell::default(),
             list_mark: Cell::new(0),
@@ -158,6 +165,7 @@
             leaving_since: Cell::new(None),
             closing: watch::Sender::new(false),
             reading: watch::Sender::new(true),
+            away: watch::Sender::new(false),
             peers: Peers::default(),
             asked: Cell::new(false),
             open: Cell::new(0),
@@ -220,9 +228,64 @@
 
     /// The store has answered on something, this host or the one that it asks.
     pub fn heard(&self, on: On, at: Duration) {
+        let fresh = self.hears();
         let mut heard = self.heard_at.get();
         heard[on as usize] = heard[on as usize].max(Some(at));
         self.heard_at.set(heard);
+        if !fresh && self.reads_well() {
+            // The hosts that wait hear of it at once, and not with the next call.
+            self.peers.hurry();
+        }
+    }
+
+    /// Whether the news of the store are fresh, this host's own or those of the one that it asks.
+    pub fn hears(&self) -> bool {
+        let silent = catalogue::longest_silence(&self.settings);
+        self.heard_age().is_some_and(|age| age <= silent)
+    }
+
+    /// Whether this host reads the store itself and has fresh news of it.
+    pub fn reads_well(&self) -> bool {
+        self.reads_store() && !self.store_away() && self.hears()
+    }
+
+    /// Whether this host reads the store itself and has no answer any more.
+    pub fn reads_in_vain(&self) -> bool {
+        let stale = self.heard_age().is_some() && !self.hears();
+        self.reads_store() && (self.store_away() || stale)
+    }
+
+    /// Notes how a call to the store has ended, or what another host tells of it.
+    pub fn note_access(&self, note: impl FnOnce(&mut Access)) {
+        let mut access = self.access.get();
+        note(&mut access);
+        self.access.set(access);
+        let away = access.away();
+        let changed = self
+            .away
+            .send_if_modified(|a| std::mem::replace(a, away) != away);
+        if changed {
+            log::info!(target: "store", away = away; "Whether the store is away changed.");
+        }
+    }
+
+    /// Whether the store counts as away: only what shows that it is back is asked for then.
+    pub fn store_away(&self) -> bool {
+        *self.away.borrow()
+    }
+
+    /// Waits until this host reads the store itself and the store answers it; true if the store was
+    /// away meanwhile.
+    pub async fn until_store_answers(&self) -> bool {
+        let mut was_away = false;
+        while !self.reads_store() || self.store_away() {
+            was_away |= self.store_away();
+            self.until_reading().await;
+            let mut away = self.away.subscribe();
+            // The sender lives as long as this does.
+            let _ = away.wait_for(|away| !*away).await;
+        }
+        was_away
     }
 
     /// How long ago the store last answered, on whichever is longer ago.
@@ -297,6 +360,13 @@
         let _ = reading.wait_for(|r| *r).await;
     }
 
+    /// Waits until this host does not read the store itself.
+    pub async fn until_told(&self) {
+        let mut reading = self.reading.subscribe();
+        // The sender lives as long as this does.
+        let _ = reading.wait_for(|r| !*r).await;
+    }
+
     /// How many hosts do what this one does, at least; `None` until that is known. What all of them
     /// together should keep to is divided by this: a host that has just started is not alone.
     pub fn counted_hosts(&self) -> Option<u32> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,7 +55,7 @@
     pub relayed: IntCounter,
     /// Callers that left before their answer was complete.
     pub abandoned: IntCounter,
-    /// Calls to the store, by outcome.
+    /// Calls to the store, by what they are for and outcome.
     pub store_calls: IntCounterVec,
     /// Orders to engines, by outcome.
     pub orders: IntCounterVec,
@@ -131,7 +131,11 @@
             resumed: counter("resumed_streams_total", "Streams resumed at another chain"),
             relayed: counter("relayed_bytes_total", "Bytes of events relayed"),
             abandoned: counter("abandoned_total", "Callers that left early"),
-            store_calls: vector("store_calls_total", "Calls to the store", &["outcome"]),
+            store_calls: vector(
+                "store_calls_total",
+                "Calls to the store",
+                &["call", "outcome"],
+            ),
             orders: vector("orders_total", "Orders to engines", &["outcome"]),
             unlogged: counter(
                 "unlogged_requests_total",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -8,6 +8,7 @@
     endpoints::Endpoint,
     incarnations::{self, Born},
     layers::LayerRange,
+    store_access::{self, Access, Role, Told},
 };
 use dragonflyrill_protocol::{
     MAX_FRAME,
@@ -17,10 +18,11 @@
 use tokio::time;
 
 use super::{
-    FIRST_HOSTS, avoided_from_wire, avoided_to_wire, from_wire, serve::own_data_centre, to_wire,
+    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, from_wire, serve::own_data_centre,
+    to_wire,
 };
 use crate::{
-    control::catalogue::wait,
+    control::catalogue,
     gateway::{Gateway, On},
 };
 
@@ -28,9 +30,6 @@
 pub const PERIOD: Duration = Duration::from_millis(250);
 /// How long a call may take: hosts are a fraction of a millisecond away, but may be busy.
 const CALL: Duration = Duration::from_millis(350);
-/// The part of the time in which a change must be in force that the store may be silent to another
-/// host beyond the wait of its reads before it is passed over.
-const SILENT_PART: f64 = 0.2;
 
 struct Follower {
     gateway: Rc<Gateway>,
@@ -49,7 +48,8 @@
     loop {
         let began = time::Instant::now();
         follower.round().await;
-        time::sleep_until(began + PERIOD).await;
+        let hurry = follower.gateway.peers.hurry.notified();
+        let _ = time::timeout_at(began + PERIOD, hurry).await;
     }
 }
 
@@ -58,30 +58,66 @@
         let gateway = self.gateway.clone();
         let me = gateway.settings.host.clone();
         let near = gateway.settings.data_centre.clone();
-        let told = self.ask_first(&near, &me).await;
-        gateway.set_reading(!told);
-        if !told {
+        let first = self.ask_first(&near, &me).await;
+        let told = match first {
+            Some(told) => Some(told),
+            None => self.ask_reader(&near).await,
+        };
+        if told.is_none() {
             self.asked = None;
+        }
+        self.take_role(told);
+        if first.is_none() {
             self.exchange_loads(&near).await;
         }
     }
 
-    /// Asks the first hosts of this data centre that work; true if one had fresh news.
-    async fn ask_first(&mut self, near: &str, me: &str) -> bool {
+    /// Reads the store or not, by what the other hosts told of it.
+    fn take_role(&self, told: Option<Told>) {
+        let gateway = &self.gateway;
+        let role = store_access::role(told, gateway.reads_well());
+        match (role, told) {
+            (Role::IsTold, _) => gateway.note_access(Access::answered),
+            // A host that tries for the others asks for one thing only, too.
+            (Role::Waits, _) | (Role::Reads, Some(Told { turn: true, .. })) => {
+                gateway.note_access(Access::doubted);
+            }
+            (Role::Reads, _) => {}
+        }
+        gateway.set_reading(role == Role::Reads);
+        if gateway.hears() {
+            gateway.peers.no_turns();
+        }
+    }
+
+    /// Asks the first hosts of this data centre until one answers.
+    async fn ask_first(&mut self, near: &str, me: &str) -> Option<Told> {
         let gateway = self.gateway.clone();
         for _ in 0..FIRST_HOSTS {
-            let Some(host) = gateway.peers.first(near, Some(me), gateway.now()) else {
-                return false;
-            };
-            if self.ask_near(&host).await {
-                return true;
+            let host = gateway.peers.first(near, Some(me), gateway.now())?;
+            let news = self.ask_near(&host).await;
+            if news.is_some() {
+                return news;
             }
         }
-        false
+        None
     }
 
-    /// Asks a host of this data centre; true if its news are fresh.
-    async fn ask_near(&mut self, host: &FleetHost) -> bool {
+    /// Asks another host of this data centre that reads the store, while the store does not answer
+    /// this one, which all others ask.
+    async fn ask_reader(&mut self, near: &str) -> Option<Told> {
+        let gateway = self.gateway.clone();
+        if gateway.reads_well() {
+            return None;
+        }
+        let silent = catalogue::longest_silence(&gateway.settings);
+        let since = gateway.now().saturating_sub(silent);
+        let host = gateway.peers.reader_near(near, since)?;
+        self.ask_near(&host).await.filter(|told| told.fresh)
+    }
+
+    /// Asks a host of this data centre; `None` if it does not answer.
+    async fn ask_near(&mut self, host: &FleetHost) -> Option<Told> {
         let gateway = self.gateway.clone();
         let peers = &gateway.peers;
         if self.asked.as_ref() != Some(&host.host) {
@@ -91,27 +127,29 @@
         let loads = gateway.loads.borrow().own().clone();
         let offer = self.offer(&loads, true);
         let sent_at = gateway.now();
-        let Some(news) = self.call(host, offer).await else {
-            return false;
-        };
+        let news = self.call(host, offer).await?;
+        peers.works(&host.host);
         let age = news.proof_age_us.map(Duration::from_micros);
         let heard = news.heard_age_us.map(Duration::from_micros);
-        let settings = &gateway.settings;
-        let silent = wait(settings) + settings.config_apply.mul_f64(SILENT_PART);
-        let fresh = heard.is_some_and(|age| age <= silent);
-        match fresh {
-            true => peers.works(&host.host),
-            false => peers.pass_over(&host.host, gateway.now()),
-        }
+        let silent = catalogue::longest_silence(&gateway.settings);
+        let told = Told {
+            fresh: heard.is_some_and(|age| age <= silent),
+            from_here: news.reader.as_ref() == Some(&gateway.settings.host),
+            turn: news.turn,
+        };
         if let Some(at) = heard.and_then(|age| sent_at.checked_sub(age)) {
             gateway.heard(On::Catalogue, at);
             gateway.heard(On::List, at);
         }
-        self.take(news, sent_at, age);
-        fresh
+        let reader = news.reader.clone().unwrap_or_else(|| host.host.clone());
+        *peers.reader.borrow_mut() = Some(reader);
+        // The first host of a data centre is told the loads by all the others.
+        let first = host.host > gateway.settings.host;
+        self.take(news, sent_at, age, !first);
+        Some(told)
     }
 
-    fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>) {
+    fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>, loads: bool) {
         let gateway = &self.gateway;
         let peers = &gateway.peers;
         let now = gateway.now();
@@ -141,8 +179,10 @@
         if news.duty.is_some() {
             peers.set_duty(news.duty);
         }
-        let loads = from_wire(&news.loads);
-        gateway.loads.borrow_mut().told(loads, now);
+        if loads {
+            let loads = from_wire(&news.loads);
+            gateway.loads.borrow_mut().told(loads, now);
+        }
         let told = avoided_from_wire(&news.avoided);
         gateway.directory.borrow_mut().told_avoided(told, now);
     }
@@ -157,14 +197,14 @@
             };
             let offer = self.offer(&own_data_centre(&gateway), false);
             if let Some(news) = self.call(&host, offer).await {
-                let now = gateway.now();
-                peers.hear(
-                    &host.host,
-                    &host.data_centre,
-                    from_wire(&news.loads),
-                    Vec::new(),
-                    now,
-                );
+                let told = Heard {
+                    data_centre: host.data_centre.clone(),
+                    loads: from_wire(&news.loads),
+                    avoided: Vec::new(),
+                    read_at: None,
+                    at: gateway.now(),
+                };
+                peers.hear(&host.host, told);
             }
         }
         let now = gateway.now();
@@ -184,6 +224,7 @@
             },
             list: near.then(|| gateway.peers.list.get()),
             fleet: gateway.peers.fleet_hash.get(),
+            read_age_us: self.read_age_us(),
             loads: to_wire(loads),
             avoided: match near {
                 true => avoided_to_wire(&gateway.directory.borrow().avoided(gateway.now())),
@@ -192,6 +233,13 @@
         }
     }
 
+    /// How long ago the store last answered this host itself, if it reads the store.
+    fn read_age_us(&self) -> Option<u64> {
+        let gateway = &self.gateway;
+        let age = gateway.heard_age().filter(|_| gateway.reads_well())?;
+        Some(age.as_micros() as u64)
+    }
+
     /// Calls a host; one that does not answer is passed over for a while.
     async fn call(&mut self, host: &FleetHost, offer: Offer) -> Option<News> {
         let called = time::timeout(CALL, self.exchange(host.addr, offer)).await;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,9 +1,10 @@
 //! The other entry hosts, so that one host of a data centre reads the store for all of it.
 //!
-//! The hosts of a data centre are ranked by name. Each takes the first that works as the one to
-//! ask; the one that finds itself first reads the store. Nobody is elected: if a host can't be
-//! reached, or its own news are old, those who asked it go on to the next, and at the end of the
-//! list to the store. The hosts that read exchange the loads of their data centres.
+//! The hosts of a data centre are ranked by name. Each takes the first that can be reached as the one
+//! to ask; the one that finds itself first reads the store. Nobody is elected: if a host can't be
+//! reached, those who asked it go on to the next, and then to the store. If the first has no answer
+//! from the store, it has the others try in turn ([`dragonflyrill_fleet::store_access`]), and asks
+//! the one that has an answer. The first hosts exchange the loads of their data centres.
 //!
 //! [`Peers`] is what is known of the others; [`serve`] answers them and [`follow`] asks them.
 
@@ -20,9 +21,11 @@
 use dragonflyrill_fleet::{
     choice::{Load, LoadMap},
     endpoints::Avoided,
+    store_access::Turns,
 };
 use dragonflyrill_protocol::exchange::{self, DutyRow, EndpointLoad, FleetHost, ListMark};
 use rustc_hash::{FxHashMap, FxHasher};
+use tokio::sync::Notify;
 
 use crate::settings::Settings;
 
@@ -41,6 +44,8 @@
     loads: LoadMap,
     /// What it avoided then.
     avoided: Vec<Avoided>,
+    /// When the store last answered it, if it reads the store itself.
+    read_at: Option<Duration>,
     at: Duration,
 }
 
@@ -60,6 +65,12 @@
     duty: RefCell<Option<DutyRow>>,
     /// This incarnation of this host.
     incarnation: Cell<u64>,
+    /// The host whose reading of the store this one is told.
+    reader: RefCell<Option<String>>,
+    /// Hands out turns to try a store that does not answer.
+    turns: RefCell<Turns>,
+    /// News that the other hosts wait for.
+    hurry: Notify,
 }
 
 impl Peers {
@@ -156,26 +167,42 @@
         self.passed_over.borrow_mut().remove(host);
     }
 
+    /// The next call is made at once.
+    pub fn hurry(&self) {
+        self.hurry.notify_one();
+    }
+
     /// Another host told of its loads, or of those of its data centre.
-    fn hear(
-        &self,
-        host: &str,
-        data_centre: &str,
-        loads: LoadMap,
-        avoided: Vec<Avoided>,
-        now: Duration,
-    ) {
+    fn hear(&self, host: &str, told: Heard) {
         let mut heard = self.heard.borrow_mut();
-        heard.retain(|_, h| h.at + LOADS_AGE > now);
-        let told = Heard {
-            data_centre: data_centre.to_owned(),
-            loads,
-            avoided,
-            at: now,
-        };
+        heard.retain(|_, h| h.at + LOADS_AGE > told.at);
         heard.insert(host.to_owned(), told);
     }
 
+    /// Whether a host that asks is to try the store now, which does not answer this one.
+    fn turn(&self, host: &str, data_centre: &str, now: Duration) -> bool {
+        let heard = self.heard.borrow();
+        let near = heard.iter().filter(|(_, h)| h.data_centre == data_centre);
+        let others = near.map(|(name, _)| &**name);
+        self.turns.borrow_mut().give(host, others, now)
+    }
+
+    /// The store is heard of again.
+    fn no_turns(&self) {
+        self.turns.borrow_mut().over();
+    }
+
+    /// A host of a data centre that has told that it reads the store, and when last, at the latest
+    /// `since`.
+    fn reader_near(&self, data_centre: &str, since: Duration) -> Option<FleetHost> {
+        let heard = self.heard.borrow();
+        let read_at = |h: &FleetHost| heard.get(&h.host)?.read_at.filter(|at| *at >= since);
+        let fleet = self.fleet.borrow();
+        let near = fleet.iter().filter(|h| h.data_centre == data_centre);
+        let newest = near.filter_map(|h| Some((read_at(h)?, h)));
+        newest.max_by_key(|(at, _)| *at).map(|(_, h)| h.clone())
+    }
+
     /// The sum of what was heard from hosts that `of` accepts, by name and data centre.
     fn sum(&self, now: Duration, of: impl Fn(&str, &str) -> bool) -> LoadMap {
         let mut sum = LoadMap::default();
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,6 +1,6 @@
 //! Answers the other hosts.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
     choice::LoadMap,
@@ -17,17 +17,25 @@
     tokio_serde::formats::Bincode,
     tokio_util::codec::LengthDelimitedCodec,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
 
-use super::{add, avoided_from_wire, avoided_to_wire, from_wire, to_wire};
+use super::{Heard, add, avoided_from_wire, avoided_to_wire, from_wire, to_wire};
 use crate::gateway::Gateway;
 
-/// Serves the other hosts for as long as the process lives.
+/// Serves the other hosts for as long as the process lives. Connections end with it.
 pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>) {
+    let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        match accepted {
             Ok((io, _)) => {
-                actix_rt::spawn(connection(io, gateway.clone()));
+                connections.spawn_local(connection(io, gateway.clone()));
             }
             Err(e) => {
                 log::warn!(target: "peers", why:% = e; "A connection was not accepted.");
@@ -70,13 +78,24 @@
     let peers = &gateway.peers;
     let near = &*gateway.settings.data_centre;
     let same = offer.data_centre == near;
-    peers.hear(
-        &offer.host,
-        &offer.data_centre,
-        from_wire(&offer.loads),
-        avoided_from_wire(&offer.avoided),
-        now,
-    );
+    let read_age = offer.read_age_us.map(Duration::from_micros);
+    let told = Heard {
+        data_centre: offer.data_centre.clone(),
+        loads: from_wire(&offer.loads),
+        avoided: avoided_from_wire(&offer.avoided),
+        read_at: read_age.and_then(|age| now.checked_sub(age)),
+        at: now,
+    };
+    peers.hear(&offer.host, told);
+    let waits = gateway.reads_in_vain();
+    if waits && same && read_age.is_some() {
+        // It may have an answer from the store that this host lacks.
+        peers.hurry();
+    }
+    let turn = waits && same && read_age.is_none() && peers.turn(&offer.host, near, now);
+    if turn {
+        log::info!(target: "peers", host = &*offer.host; "A host is to try the store.");
+    }
     let told = peers.avoided_but(&gateway.settings.host, now);
     gateway.directory.borrow_mut().told_avoided(told, now);
     let loads = match same {
@@ -89,6 +108,11 @@
     News {
         proof_age_us: age.map(|a| a.as_micros() as u64),
         heard_age_us: gateway.heard_age().map(|a| a.as_micros() as u64),
+        reader: match gateway.reads_store() {
+            true => None,
+            false => peers.reader.borrow().clone(),
+        },
+        turn,
         catalogue: newer.map(|c| (c.version, gateway.document.borrow().to_vec())),
         list: offer.list.and_then(|mark| list_news(gateway, mark)),
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -50,6 +50,9 @@
     pub list: Option<ListMark>,
     /// The hash of the fleet that it knows.
     pub fleet: u64,
+    /// How long ago the store last answered the host itself, in microseconds; `None` if it does not
+    /// read the store, or never had an answer.
+    pub read_age_us: Option<u64>,
     /// The load of the host, or of its whole data centre if it calls another one's.
     pub loads: Vec<EndpointLoad>,
     /// What the host avoids by what it saw itself; nothing if it calls another data centre's.
@@ -195,6 +198,10 @@
     /// How long ago the store last answered, in microseconds, on the catalogue or on the list,
     /// whichever is longer ago; `None` if it never did on one of them.
     pub heard_age_us: Option<u64>,
+    /// The host that reads the store for the one that answers; `None` if that reads it itself.
+    pub reader: Option<String>,
+    /// The store does not answer, and the host that asks is to try it now.
+    pub turn: bool,
     /// A newer catalogue: its version and its document, as the store holds it.
     pub catalogue: Option<(u64, Vec<u8>)>,
     /// What has changed among the endpoints; `None` if the host knows no list, or none was wanted.
