Idle connections are kept for as long as their endpoints say, and swept by each host

Cause: a host gave each idle connection up after 2.5 s, whatever its endpoint stated in Keep-Alive (ten seconds here); where a host meets the same endpoint every few seconds nearly each request opened a new one. Found on the way: only hosts that read the store swept idle connections, all others kept closed ones until they were taken. Ruled out: the limit of idle connections to an endpoint (4 here, 16 on small sites) as the main part.

--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -56,7 +56,6 @@
             }
         }
         follower.drop_doubted();
-        follower.gateway.idle.sweep();
         time::sleep_until(began + pace).await;
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -23,6 +23,8 @@
 const BACKLOG: u32 = 1024;
 /// What is kept of the time between the signal and the kill, for the process to end by itself.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
 /// How often it is looked whether the last request has ended.
 const DRAIN_TICK: Duration = Duration::from_millis(50);
 
@@ -45,6 +47,7 @@
     actix_rt::spawn(accept(callers, forwarder, gateway.clone()));
     actix_rt::spawn(accept(readiness, status.clone(), gateway.clone()));
     actix_rt::spawn(accept(metrics, status, gateway.clone()));
+    actix_rt::spawn(sweep(gateway.clone()));
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM can't be watched")?;
     let mut reload = signal(SignalKind::hangup()).context("SIGHUP can't be watched")?;
     loop {
@@ -57,6 +60,15 @@
     Ok(())
 }
 
+/// Closes connections to endpoints that have been idle too long. On each host: a host that does not
+/// read the store opens as many as one that does.
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        time::sleep(SWEEP).await;
+        gateway.idle.sweep();
+    }
+}
+
 /// A number for this start, above that of earlier ones as far as the time of day allows.
 fn incarnation() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -15,6 +15,8 @@
 
 /// How long a peer may leave sent bytes unacknowledged before the connection counts as broken.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+/// The header by which a server states for how long it keeps an idle connection.
+const KEEP_ALIVE: &str = "keep-alive";
 /// How much is read at once.
 const READ_BYTES: usize = 8 * 1024;
 /// The largest chunk of a body that is waited for whole; the codec hands out smaller ones.
@@ -60,6 +62,8 @@
     head_only: bool,
     /// Whether the server lets another request follow.
     keep: bool,
+    /// For how long the server keeps the connection while it is idle, if it says so.
+    kept_for: Option<Duration>,
     config: ServiceConfig,
 }
 
@@ -84,6 +88,7 @@
             sent_whole: true,
             head_only: false,
             keep: true,
+            kept_for: None,
             config: config.clone(),
         })
     }
@@ -100,6 +105,11 @@
         done && self.quiet()
     }
 
+    /// For how long the server keeps the connection while it is idle, if it has said so.
+    pub fn kept_for(&self) -> Option<Duration> {
+        self.kept_for
+    }
+
     /// Whether the peer has neither sent anything nor closed.
     fn quiet(&self) -> bool {
         let mut byte = [0];
@@ -184,6 +194,7 @@
 
     fn begin_body(&mut self, head: &ResponseHead) {
         self.keep = head.connection_type() == ConnectionType::KeepAlive;
+        self.kept_for = kept_for(head);
         let next = self.new_codec();
         let Codec::Head(codec) = std::mem::replace(&mut self.codec, next) else {
             return;
@@ -290,6 +301,15 @@
     }
 }
 
+/// The idle timeout that an answer states, in whole seconds.
+fn kept_for(head: &ResponseHead) -> Option<Duration> {
+    let stated = head.headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut parameters = stated.split(',').filter_map(|p| p.split_once('='));
+    let timeout = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    let seconds = timeout?.1.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
 /// Opens a connection within a time.
 pub async fn open_within(
     addr: SocketAddr,
