A host that starts again writes its row when the one before would have

Ruled out: that another host needs the new incarnation in the row (nothing reads it).

Change: the first write follows when the row found would have been renewed, or as soon as more is to be taken of the budget of repeats, or another host waits to be counted. What was recorded stays counted as taken, as before.

--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -48,6 +48,8 @@
     /// The version of this host's row as far as it is known, 0 if there is none; `None` until the
     /// rows were read, and with it what a process before this one may have taken.
     row: Cell<Option<u64>>,
+    /// How old the row was that an earlier process of this host has written, when this one read it.
+    found_age: Cell<Option<Duration>>,
     /// The last write of the row failed: it is not waited for.
     failing: Cell<bool>,
     wanted: Notify,
@@ -61,6 +63,7 @@
             share: RefCell::new(Share::new(terms.span())),
             budgets: RefCell::new(Budgets::new(terms)),
             row: Cell::new(None),
+            found_age: Cell::new(None),
             failing: Cell::new(false),
             wanted: Notify::new(),
             written: watch::Sender::new(()),
@@ -84,6 +87,7 @@
             self.row.set(Some(own.map_or(0, |(version, _)| *version)));
             if let Some(row) = own.and_then(claimed) {
                 share.take_over(&row, &view, sent_at);
+                self.found_age.set(clock.checked_sub(row.claim.read_at));
             }
             let before: Vec<Recorded> = own.into_iter().flat_map(|(_, r)| recorded(r)).collect();
             self.budgets.borrow_mut().inherit(&before, now);
@@ -168,6 +172,11 @@
         self.row.get()
     }
 
+    /// How old the row of an earlier process of this host was when it was read, if there was one.
+    pub fn found_age(&self) -> Option<Duration> {
+        self.found_age.get()
+    }
+
     /// Whether another host waits for this one's row to count it.
     pub fn awaited(&self) -> bool {
         self.share.borrow().awaited()
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -92,8 +92,8 @@
 
 struct Keeper {
     gateway: Rc<Gateway>,
-    /// When the row is written next although nothing has changed.
-    beat_at: Duration,
+    /// When the row is written next although nothing has changed; `None` until the rows were read.
+    beat_at: Option<Duration>,
     /// When it is written for a host that waits to be counted.
     join_at: Option<Duration>,
     /// When it is written for repeats, if it is to allow more.
@@ -110,7 +110,7 @@
 pub async fn keep(gateway: Rc<Gateway>) {
     let mut keeper = Keeper {
         gateway: gateway.clone(),
-        beat_at: Duration::ZERO,
+        beat_at: None,
         join_at: None,
         record_at: None,
         left: false,
@@ -125,7 +125,7 @@
                 Ok(()) => backoff.succeeded(&gateway),
                 Err(e) => {
                     gateway.bounds.write_failed();
-                    keeper.beat_at = gateway.now() + keeper.beat().mul_f64(RETRY_PART);
+                    keeper.beat_at = Some(gateway.now() + keeper.beat().mul_f64(RETRY_PART));
                     log::warn!(target: "roster", why:% = e; "This host's row can't be written.");
                     backoff.failed(&gateway).await;
                 }
@@ -157,6 +157,7 @@
         if self.away {
             return false;
         }
+        let first_beat = self.first_beat();
         self.join_at = match (bounds.awaited(), self.join_at) {
             (false, _) => None,
             (true, Some(at)) => Some(at),
@@ -169,7 +170,8 @@
             (true, None) => Some(now + self.record_spread()),
         };
         let records = self.record_at.is_some_and(|at| at <= now);
-        records || (!self.left && (self.beat_at <= now || joins))
+        let beat_at = *self.beat_at.get_or_insert(now + first_beat);
+        records || (!self.left && (beat_at <= now || joins))
     }
 
     /// Looks whether the store is away: nothing is written then, and nothing waits for it. What has
@@ -181,7 +183,8 @@
             (false, true) => gateway.bounds.write_failed(),
             (true, false) => {
                 gateway.bounds.write_again();
-                self.beat_at = self.beat_at.max(gateway.now() + self.join_pause());
+                let spread = gateway.now() + self.join_pause();
+                self.beat_at = self.beat_at.map(|at| at.max(spread));
             }
             _ => {}
         }
@@ -198,6 +201,13 @@
         longest.mul_f64(rand::rng().random_range(JOIN_PAUSE..1.0))
     }
 
+    /// When the row is written for the first time: what a process of this host wrote before stands until
+    /// it would have written it again. 295 hosts that were all killed wrote 295 rows at once without this.
+    fn first_beat(&self) -> Duration {
+        let found = self.gateway.bounds.found_age();
+        found.map_or(Duration::ZERO, |age| self.beat().saturating_sub(age))
+    }
+
     /// How often this host writes its row.
     fn beat(&self) -> Duration {
         beat(self.gateway.hosts.get() as usize)
@@ -206,7 +216,7 @@
     async fn write(&mut self) -> Result<(), PlatformError> {
         let gateway = &self.gateway;
         let bounds = &gateway.bounds;
-        self.beat_at = gateway.now() + self.beat();
+        self.beat_at = Some(gateway.now() + self.beat());
         let catalogue = gateway.catalogue.borrow().clone();
         let services = catalogue.iter().flat_map(|c| c.services());
         let names = services.map(|s| s.name.clone());
@@ -227,7 +237,7 @@
             Written::Done(version) => bounds.wrote(&draft, version, gateway.now()),
             Written::Conflict(row) => {
                 bounds.found_row(row.map_or(0, |r| r.version));
-                self.beat_at = Duration::ZERO;
+                self.beat_at = Some(Duration::ZERO);
             }
         }
         self.join_at = None;
