A host that starts again does not wait for hosts that have started again as well

Ruled out: the rows, which all had 20 ms after their start.

Change: a host whose row was found asks the first host only whether it has fresh news, for 40 ms at most, and reads the store if not. A host that starts again alone is still told all by the others.

--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -32,12 +32,29 @@
 const FIRST_PERIOD: Duration = Duration::from_millis(50);
 /// How long a call may take: hosts are a fraction of a millisecond away, but may be busy.
 const CALL: Duration = Duration::from_millis(350);
+/// How long a host that starts again waits to hear whether the first host of its data centre has fresh
+/// news: what callers have open ended with the process before, and they come back at once. If all hosts
+/// have started again, the first is busy with the calls of all others, which it can't answer yet: with
+/// waits of 350 ms each, half of 87 hosts served 0.33 s after their start and the last 1.1 s after it.
+const HASTY_CALL: Duration = Duration::from_millis(40);
+
+/// How a host comes by its first news.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Beginning {
+    /// Nobody was asked yet.
+    Unasked,
+    /// It starts again and nobody nearby had news at once: it reads the store.
+    Hasty,
+    /// As at any other time.
+    Usual,
+}
 
 struct Follower {
     gateway: Rc<Gateway>,
     clients: HashMap<SocketAddr, ExchangeClient>,
     /// The host that was asked last.
     asked: Option<String>,
+    beginning: Beginning,
 }
 
 /// Asks for news for as long as the process lives.
@@ -46,6 +63,7 @@
         gateway,
         clients: HashMap::new(),
         asked: None,
+        beginning: Beginning::Unasked,
     };
     loop {
         let began = time::Instant::now();
@@ -67,6 +85,11 @@
         }
         let me = gateway.settings.host.clone();
         let near = gateway.settings.data_centre.clone();
+        self.beginning = self.begin(&near, &me).await;
+        if self.beginning == Beginning::Hasty {
+            gateway.set_reading(true);
+            return;
+        }
         let first = self.ask_first(&near, &me).await;
         let told = match first {
             Some(told) => Some(told),
@@ -81,6 +104,33 @@
         }
     }
 
+    /// How this host comes by its first news.
+    async fn begin(&mut self, near: &str, me: &str) -> Beginning {
+        let gateway = self.gateway.clone();
+        let starts_again = gateway.bounds.found_age().is_some();
+        let has_news = gateway.heard_age().is_some();
+        match self.beginning {
+            _ if has_news || !starts_again || gateway.store_away() => Beginning::Usual,
+            Beginning::Unasked => {
+                let first = gateway.peers.first(near, Some(me), gateway.now());
+                match first {
+                    Some(host) if !self.has_news(&host).await => Beginning::Hasty,
+                    _ => Beginning::Usual,
+                }
+            }
+            beginning => beginning,
+        }
+    }
+
+    /// Whether a host says at once that it has fresh news.
+    async fn has_news(&mut self, host: &FleetHost) -> bool {
+        let offer = self.offer(&LoadMap::default(), false);
+        let asked = time::timeout(HASTY_CALL, self.exchange(host.addr, offer)).await;
+        let heard = asked.ok().flatten().and_then(|news| news.heard_age_us);
+        let silent = catalogue::longest_silence(&self.gateway.settings);
+        heard.is_some_and(|age| Duration::from_micros(age) <= silent)
+    }
+
     /// Reads the store or not, by what the other hosts told of it.
     fn take_role(&self, told: Option<Told>) {
         let gateway = &self.gateway;
