--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -126,9 +126,14 @@
     async fn has_news(&mut self, host: &FleetHost) -> bool {
         let offer = self.offer(&LoadMap::default(), false);
         let asked = time::timeout(HASTY_CALL, self.exchange(host.addr, offer)).await;
-        let heard = asked.ok().flatten().and_then(|news| news.heard_age_us);
+        asked.ok().flatten().is_some_and(|news| self.fresh(&news))
+    }
+
+    /// Whether news are of a store that was heard of lately.
+    fn fresh(&self, news: &News) -> bool {
         let silent = catalogue::longest_silence(&self.gateway.settings);
-        heard.is_some_and(|age| Duration::from_micros(age) <= silent)
+        let heard = news.heard_age_us.map(Duration::from_micros);
+        heard.is_some_and(|age| age <= silent)
     }
 
     /// Reads the store or not, by what the other hosts told of it.
@@ -191,9 +196,8 @@
         peers.works(&host.host);
         let age = news.proof_age_us.map(Duration::from_micros);
         let heard = news.heard_age_us.map(Duration::from_micros);
-        let silent = catalogue::longest_silence(&gateway.settings);
         let told = Told {
-            fresh: heard.is_some_and(|age| age <= silent),
+            fresh: self.fresh(&news),
             from_here: news.reader.as_ref() == Some(&gateway.settings.host),
             away: news.away,
             turn: news.turn,
@@ -204,13 +208,16 @@
         }
         let reader = news.reader.clone().unwrap_or_else(|| host.host.clone());
         *peers.reader.borrow_mut() = Some(reader);
-        // The first host of a data centre is told the loads by all the others.
-        let first = host.host > gateway.settings.host;
-        self.take(news, sent_at, age, !first);
+        // A host that comes later knows less of the loads: the first is told them by all the others.
+        if host.host < gateway.settings.host {
+            let loads = from_wire(&news.loads);
+            gateway.loads.borrow_mut().told(loads, gateway.now());
+        }
+        self.take(news, sent_at, age);
         Some(told)
     }
 
-    fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>, loads: bool) {
+    fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>) {
         let gateway = &self.gateway;
         let peers = &gateway.peers;
         let now = gateway.now();
@@ -240,10 +247,6 @@
         if news.duty.is_some() {
             peers.set_duty(news.duty);
         }
-        if loads {
-            let loads = from_wire(&news.loads);
-            gateway.loads.borrow_mut().told(loads, now);
-        }
         let told = avoided_from_wire(&news.avoided);
         gateway.directory.borrow_mut().told_avoided(told, now);
     }
