Long lists are told by their changes, and a whole read takes longer when it failed

The first host of each data centre told its whole list to all others at once, over a link that takes seconds for it; no call had it within its 350 ms. Ruled out: the turns and the store itself (the same with the store at hand).

Change: a host that has read the list itself says up to which place in the store's history, and is told what has changed since; lists of more than 100 endpoints are never told whole, a host without one reads it from the store. The limit of a read of the whole list doubles when it failed, to 11 s, as it does not grow faster by being begun again.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -50,6 +50,9 @@
 
 /// Endpoints that went which are remembered one by one.
 const MOST_REMOVED: usize = 256;
+/// Places in the store's history that are remembered: one a second, for about the time for which the
+/// store keeps its own.
+const MOST_MARKS: usize = 64;
 
 /// Errors in a row from which on an endpoint is avoided.
 const ERRORS_IN_A_ROW: u32 = 2;
@@ -111,6 +114,8 @@
     generation: u64,
     /// Grows with each change of the list.
     list_version: u64,
+    /// Places in the store's history up to which the list was known, in order, and its version then.
+    marks: VecDeque<(u64, u64)>,
     /// The change with which each endpoint became what it is.
     changed_at: FxHashMap<Rc<str>, u64>,
     /// The last endpoints that went, with the change of each.
@@ -237,6 +242,24 @@
         Some(gone)
     }
 
+    /// All changes of the store up to `mark` are known now.
+    pub fn known_up_to(&mut self, mark: u64) {
+        if self.marks.back().is_some_and(|(known, _)| *known >= mark) {
+            return;
+        }
+        self.marks.push_back((mark, self.list_version));
+        if self.marks.len() > MOST_MARKS {
+            self.marks.pop_front();
+        }
+    }
+
+    /// The version of the list at a place in the store's history, or before; `None` if that is too long
+    /// ago.
+    pub fn version_at(&self, mark: u64) -> Option<u64> {
+        let before = self.marks.iter().rev().find(|(known, _)| *known <= mark);
+        before.map(|(_, version)| *version)
+    }
+
     /// What has changed in the list since `version`; all of it for one that is not known.
     pub fn changes_since(&self, version: Option<u64>) -> ListChanges {
         let known = version.filter(|v| *v >= self.forgotten && *v <= self.list_version);
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -5,7 +5,7 @@
 use dragonflyrill_store::PlatformError;
 use tokio::time;
 
-use super::{Backoff, StoreCall};
+use super::{Backoff, StoreCall, WholeRead};
 use crate::{
     gateway::{Gateway, On},
     ports::{EndpointNews, Mark},
@@ -25,6 +25,7 @@
 struct Follower {
     gateway: Rc<Gateway>,
     mark: Option<Mark>,
+    whole: WholeRead,
     /// A read has failed, or the store was away, and none has succeeded since.
     troubled: bool,
     /// When the store last answered again after trouble.
@@ -37,6 +38,7 @@
     let mut follower = Follower {
         gateway,
         mark: None,
+        whole: WholeRead::default(),
         troubled: false,
         returned_at: None,
     };
@@ -63,9 +65,9 @@
 impl Follower {
     async fn read(&mut self) -> Result<(), PlatformError> {
         let read = self.gateway.platform.store.endpoints(self.mark, WAIT);
-        let read = StoreCall::List
-            .made(&self.gateway, WAIT + SLACK, read)
-            .await;
+        let limit = self.whole.limit(self.mark.is_none(), WAIT + SLACK);
+        let read = StoreCall::List.made(&self.gateway, limit, read).await;
+        self.whole.ended(&read);
         match read {
             Ok(news) => {
                 self.take(news);
@@ -114,6 +116,10 @@
                 None => self.gateway.forget_endpoint(&id),
             }
         }
+        self.gateway
+            .directory
+            .borrow_mut()
+            .known_up_to(self.gateway.list_mark.get());
     }
 
     /// The ids of the starts that are listed under names.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -51,6 +51,34 @@
     }
 }
 
+/// How long a read of all there is may take: as long as any read at first, and twice as long each time that
+/// it failed, as a long list takes longer on a narrow link. With the same limit each time, hosts read the
+/// list of 3,000 endpoints again and again without ever having it whole.
+#[derive(Debug, Default)]
+struct WholeRead {
+    failures: u32,
+}
+
+impl WholeRead {
+    /// How often the limit is doubled at most: 1.4 s become 11 s.
+    const MOST_DOUBLED: u32 = 3;
+
+    /// The limit of a read, whole or not, that usually takes less than `usual`.
+    fn limit(&self, whole: bool, usual: Duration) -> Duration {
+        match whole {
+            true => usual * 2u32.pow(self.failures.min(Self::MOST_DOUBLED)),
+            false => usual,
+        }
+    }
+
+    fn ended<T>(&mut self, result: &Result<T, PlatformError>) {
+        self.failures = match result {
+            Ok(_) => 0,
+            Err(_) => self.failures + 1,
+        };
+    }
+}
+
 /// What a call to the store is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreCall {
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -139,7 +139,11 @@
     /// Reads the store or not, by what the other hosts told of it.
     fn take_role(&self, told: Option<Told>) {
         let gateway = &self.gateway;
-        let role = store_access::role(told, gateway.reads_well());
+        let role = match store_access::role(told, gateway.reads_well()) {
+            // The list was too long to be told whole: it is read from the store once.
+            Role::IsTold if !gateway.endpoints_known.get() => Role::Reads,
+            role => role,
+        };
         match (role, told) {
             (Role::IsTold, _) => gateway.note_access(Access::answered),
             // A host that tries for the others asks for one thing only, too.
@@ -287,6 +291,10 @@
                 false => u64::MAX,
             },
             list: near.then(|| gateway.peers.list.get()),
+            list_known_to: gateway
+                .endpoints_known
+                .get()
+                .then(|| gateway.list_mark.get()),
             fleet: gateway.peers.fleet_hash.get(),
             read_age_us: self.read_age_us(),
             loads: to_wire(loads),
@@ -377,6 +385,10 @@
     }
     gateway.endpoints_known.set(true);
     gateway.peers.list.set(list.mark);
+    gateway
+        .directory
+        .borrow_mut()
+        .known_up_to(gateway.list_mark.get());
 }
 
 fn endpoint(listed: Listed) -> Endpoint {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -61,6 +61,10 @@
     }
 }
 
+/// The most endpoints of a list that is told whole: 15 KB, which a link of 20 Mbit/s takes to 60 hosts in
+/// 0.4 s. Hosts read longer ones from the store, each by its own link.
+const MOST_TOLD_WHOLE: usize = 100;
+
 #[derive(Clone)]
 struct Answers {
     gateway: Rc<Gateway>,
@@ -115,7 +119,9 @@
         away: waits || gateway.store_away(),
         turn,
         catalogue: newer.map(|c| (c.version, gateway.document.borrow().to_vec())),
-        list: offer.list.and_then(|mark| list_news(gateway, mark)),
+        list: offer
+            .list
+            .and_then(|mark| list_news(gateway, mark, offer.list_known_to)),
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
         duty: peers.duty(),
         claims: gateway.bounds.to_tell(now),
@@ -150,13 +156,22 @@
     sum
 }
 
-fn list_news(gateway: &Gateway, mark: ListMark) -> Option<ListNews> {
+/// What a host lacks of the list that knows it up to a mark of this host's or of another one's, and up to
+/// a place in the store's history if it has read the list itself. A long list is not told whole.
+fn list_news(gateway: &Gateway, mark: ListMark, known_to: Option<u64>) -> Option<ListNews> {
     if !gateway.endpoints_known.get() {
         return None;
     }
     let origin = gateway.peers.list_origin(&gateway.settings.host);
-    let known = (mark.origin == origin).then_some(mark.version);
-    let changes = gateway.directory.borrow().changes_since(known);
+    let directory = gateway.directory.borrow();
+    let known = match mark.origin == origin {
+        true => Some(mark.version),
+        false => known_to.and_then(|at| directory.version_at(at)),
+    };
+    let changes = directory.changes_since(known);
+    if changes.whole && changes.changed.len() > MOST_TOLD_WHOLE {
+        return None;
+    }
     let doubted = gateway.doubted.borrow();
     let certain = changes
         .changed
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -48,6 +48,8 @@
     pub catalogue: u64,
     /// Up to where it knows the list of the host that it calls; `None` if it wants none of it.
     pub list: Option<ListMark>,
+    /// Up to which place in the store's history it knows the list, if it does.
+    pub list_known_to: Option<u64>,
     /// The hash of the fleet that it knows.
     pub fleet: u64,
     /// How long ago the store last answered the host itself, in microseconds; `None` if it does not
