--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -115,7 +115,7 @@
             self.duty.leave();
         }
         match self.duty.step(now) {
-            Step::Read | Step::Write { .. } if self.alone_no_more(now) => self.read().await?,
+            Step::Read | Step::Write { .. } if self.looks_once_more(now) => self.read().await?,
             Step::Read | Step::Write { .. } if !self.may_ask(now) => {}
             Step::Read => self.read().await?,
             Step::Write { expected } => {
@@ -123,7 +123,7 @@
                 self.write(&me, expected).await?;
             }
             Step::Release { expected } => self.write(NOBODY, expected).await?,
-            Step::Wait if self.rows_due(now) || self.alone_no_more(now) => self.read().await?,
+            Step::Wait if self.rows_due(now) || self.looks_once_more(now) => self.read().await?,
             Step::Wait => {}
         }
         let now = self.gateway.now();
@@ -171,12 +171,12 @@
         self.duty.read(now, duty.map(seen));
         gateway.peers.set_duty(duty.map(duty_row));
         self.count_hosts(now, hosts);
-        self.look_round(now);
+        self.note_others(now);
         Ok(())
     }
 
-    /// Looks after a read of the rows whether the others are known.
-    fn look_round(&mut self, now: Duration) {
+    /// Notes after a read of the rows whether the others are known.
+    fn note_others(&mut self, now: Duration) {
         let gateway = &self.gateway;
         let new = gateway.bounds.row() == Some(0);
         let one_before = gateway.peers.one_before(&gateway.settings, now);
@@ -193,7 +193,7 @@
     }
 
     /// Whether a host that was alone reads the rows once more.
-    fn alone_no_more(&self, now: Duration) -> bool {
+    fn looks_once_more(&self, now: Duration) -> bool {
         let written = self.gateway.bounds.row().is_some_and(|version| version > 0);
         self.newcomer == Newcomer::Alone && (written || now >= NEWCOMER_WAIT)
     }
