Log lines on failed sends name the request over all its attempts and hosts

Each attempt of a caller has an id of its own, so that the logs of an incident in which one request ended thirteen engines could not show which attempts were the same request. No decision depends on it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`store_access`] says which hosts of a data centre ask a store that does not answer.
 //! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
 //!   bound a host may use.
+//! - [`fingerprint`] tells whether two requests are the same one, asked for again.
 
 pub mod budget;
 pub mod catalogue;
@@ -26,6 +27,7 @@
 pub mod duty;
 pub mod endpoints;
 pub mod examination;
+pub mod fingerprint;
 pub mod freshness;
 pub mod incarnations;
 pub mod layers;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -84,7 +84,14 @@
             }
             Err(failed) => {
                 admitted.trail.show();
-                log::info!(target: "forward", id = admitted.trail.id(), endpoint = &*endpoint.id, why:? = failed; "A call failed.");
+                log::info!(
+                    target: "forward",
+                    id = admitted.trail.id(),
+                    request:% = admitted.fingerprint(),
+                    endpoint = &*endpoint.id,
+                    why:? = failed;
+                    "A call failed."
+                );
                 tries.failed(failed);
             }
         }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -14,11 +14,14 @@
 mod tries;
 mod watch;
 
-use std::{io, rc::Rc, time::Duration};
+use std::{cell::OnceCell, io, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, header};
 use bytes::Bytes;
-use dragonflyrill_fleet::catalogue::{CallerLimits, Route, RouteKind, Service, Workspace};
+use dragonflyrill_fleet::{
+    catalogue::{CallerLimits, Route, RouteKind, Service, Workspace},
+    fingerprint::{Asked, Fingerprint},
+};
 use http::StatusCode;
 use rand::Rng;
 use tokio::time::Instant;
@@ -55,6 +58,8 @@
     due: Instant,
     /// What was decided for it.
     trail: Trail,
+    /// Made when it is first needed: most requests are answered without it.
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Admitted {
@@ -79,6 +84,21 @@
         self.route.kind.repeatable() && tries.sent() + 1 < self.most_sends()
     }
 
+    /// Names it, whichever attempt of it this is.
+    fn fingerprint(&self) -> Fingerprint {
+        let made = || {
+            let path = self.head.uri.path_and_query();
+            Fingerprint::of(&Asked {
+                host: asked_host(&self.head),
+                method: self.head.method.as_str(),
+                path: path.map_or("", |p| p.as_str()),
+                workspace: self.workspace.as_deref(),
+                body: &self.body,
+            })
+        };
+        *self.fingerprint.get_or_init(made)
+    }
+
     /// Takes one repeat of it out of the budget; false if none is left.
     async fn take_repeat(&self, gateway: &Gateway) -> bool {
         let service = &self.service.name;
@@ -98,6 +118,13 @@
     }
 }
 
+/// The host that a request names, without the port.
+fn asked_host(head: &RequestHead) -> &str {
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
 fn kind_label(kind: RouteKind) -> &'static str {
     match kind {
         RouteKind::Idempotent => "idempotent",
@@ -168,6 +195,7 @@
                 Ok(Admitted {
                     due,
                     trail,
+                    fingerprint: OnceCell::new(),
                     priority: priority.unwrap_or(route.priority).min(9),
                     workspace: workspace.map(|w| w.name),
                     head,
@@ -194,10 +222,7 @@
         let Some(catalogue) = catalogue.as_ref().filter(|_| gateway.fresh()) else {
             return Err(Refusal::Stale);
         };
-        let host = head.headers.get(header::HOST);
-        let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
-        let host = host.split(':').next().unwrap_or_default();
-        let Some(route) = catalogue.route(host, head.uri.path()) else {
+        let Some(route) = catalogue.route(asked_host(head), head.uri.path()) else {
             return Err(Refusal::NoRoute);
         };
         let workspace = incoming.key.as_deref().and_then(|k| catalogue.workspace(k));
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -150,6 +150,7 @@
         log::info!(
             target: "forward",
             id = self.admitted.trail.id(),
+            request:% = self.admitted.fingerprint(),
             chain = chain.to_string(),
             started = started,
             after_event:? = self.events.last(),
