--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -3,7 +3,7 @@
 //! Callers give each attempt an id of its own, and may come back to any host. What stays is what they
 //! ask for: the route's host, the method, the path with its query, whose request it is and its body.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use sha2::{Digest, Sha256};
 
@@ -64,6 +64,31 @@
     }
 }
 
+/// A text is no fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoFingerprint;
+
+impl fmt::Display for NoFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} hexadecimal digits are needed", 2 * BYTES)
+    }
+}
+
+impl std::error::Error for NoFingerprint {}
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, NoFingerprint> {
+        let digits = text.len() == 2 * BYTES && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = digits.then(|| u128::from_str_radix(text, 16));
+        match number {
+            Some(Ok(number)) => Ok(Self(number.to_be_bytes())),
+            _ => Err(NoFingerprint),
+        }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,8 @@
 //! - [`store_access`] says which hosts of a data centre ask a store that does not answer.
 //! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
 //!   bound a host may use.
-//! - [`fingerprint`] tells whether two requests are the same one, asked for again.
+//! - [`fingerprint`] tells whether two requests are the same one, asked for again; [`quarantine`] holds
+//!   back those under which endpoints end.
 
 pub mod budget;
 pub mod catalogue;
@@ -33,5 +34,6 @@
 pub mod layers;
 pub mod patience;
 pub mod placement;
+pub mod quarantine;
 pub mod share;
 pub mod store_access;
--- /dev/null
+++ b/crates/fleet/src/quarantine.rs
@@ -0,0 +1,453 @@
+//! Requests that are held back, as endpoints have ended under them.
+//!
+//! A request that crashes whatever runs it must not go from endpoint to endpoint: with each break off all
+//! requests that run there. One end proves nothing, as all that ran there saw it; a request under which
+//! several starts of endpoints ended one after the other, and which none has answered meanwhile, is held:
+//! no host sends it any more.
+//!
+//! It comes back as attempts with ids of their own, at any host, so that what one host has seen is told to
+//! all ([`Quarantine::changes_since`], [`Quarantine::told`]), and holds are kept where they outlive the
+//! process ([`Quarantine::to_keep`], [`Quarantine::found`]). In whatever order, and however often, hosts
+//! tell each other the same, they come to hold the same requests.
+//!
+//! A hold lapses after a while, as nobody can show that an innocent request is one while it isn't sent.
+//! After that a single end is enough, and the next hold is twice as long: of a request that goes on ending
+//! endpoints each next one costs twice the time of the one before.
+
+use std::{rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+
+use crate::fingerprint::Fingerprint;
+
+/// Starts of endpoints that may end under a request before it is held. Streams that run beside such a
+/// request break off with it: one in five of them twice in a row, none three times.
+const ENDS: usize = 3;
+/// How often a hold doubles at most.
+const MOST_DOUBLED: u32 = 8;
+/// Requests that are remembered. Beyond that those are forgotten that were heard of longest ago and are
+/// not held.
+const MOST_REMEMBERED: usize = 1024;
+/// Holds that are kept in one place: some 25 KB.
+const MOST_KEPT: usize = 256;
+/// News of one moment differ by what they were on their way, from each host that passes them on to the
+/// next. Later news of the same are new from here on, so that hosts don't tell each other for ever.
+const SAME_MOMENT: Duration = Duration::from_secs(1);
+/// How long before its own start this process can place what it is told.
+const BEFORE_START: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// A start of an endpoint that ended while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct End {
+    /// The start's id.
+    pub endpoint: Rc<str>,
+    /// How long ago.
+    pub age: Duration,
+}
+
+/// A request that is held, or was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// How often it has been held by now, at least 1.
+    pub times: u32,
+    /// How long ago it began.
+    pub age: Duration,
+    /// How long it lasts from its beginning on.
+    pub lasts: Duration,
+}
+
+impl Hold {
+    /// For how long it lasts still; zero once it has lapsed.
+    pub fn left(&self) -> Duration {
+        self.lasts.saturating_sub(self.age)
+    }
+}
+
+/// What a host knows of a request, as it tells others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// The request.
+    pub request: Fingerprint,
+    /// Ends that count towards its next hold.
+    pub ends: Vec<End>,
+    /// How long ago an endpoint last answered it, if one did since it was suspected first.
+    pub survived: Option<Duration>,
+    /// Its hold.
+    pub hold: Option<Hold>,
+}
+
+/// A hold, as it is kept for the process that starts next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kept {
+    /// The request.
+    pub request: Fingerprint,
+    /// Its hold.
+    pub hold: Hold,
+}
+
+/// A state of what is to be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct KeepMark(u64);
+
+/// A moment, counted from [`BEFORE_START`] before this process started.
+type Moment = Duration;
+
+#[derive(Debug, Clone)]
+struct Ended {
+    endpoint: Rc<str>,
+    at: Moment,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    times: u32,
+    since: Moment,
+    until: Moment,
+    /// This host found it, or a process before it did, and keeps it.
+    own: bool,
+}
+
+/// Invariants: all ends are later than `survived` and than the end of the hold; the hold began after
+/// `survived`.
+#[derive(Debug, Default)]
+struct Record {
+    ends: Vec<Ended>,
+    survived: Option<Moment>,
+    held: Option<Held>,
+    /// The change with which it became what it is.
+    changed: u64,
+    /// When it was last heard of.
+    heard: Moment,
+}
+
+impl Record {
+    /// Ends up to then count no more.
+    fn settled(&self) -> Option<Moment> {
+        self.survived.max(self.held.map(|h| h.until))
+    }
+
+    /// Takes an end, if it is new and counts.
+    fn end(&mut self, endpoint: &Rc<str>, at: Moment) -> bool {
+        let counts = self.settled().is_none_or(|settled| settled < at);
+        let known = self.ends.iter().any(|e| e.endpoint == *endpoint);
+        if !counts || known {
+            return false;
+        }
+        self.ends.push(Ended {
+            endpoint: endpoint.clone(),
+            at,
+        });
+        true
+    }
+
+    /// Begins a hold if enough has ended.
+    fn hold(&mut self, first: Duration, now: Moment) -> bool {
+        let times = self.held.map_or(0, |h| h.times);
+        let enough = if times == 0 { ENDS } else { 1 };
+        if self.ends.len() < enough {
+            return false;
+        }
+        self.held = Some(Held {
+            times: times + 1,
+            since: now,
+            until: now + first * 2u32.pow(times.min(MOST_DOUBLED)),
+            own: true,
+        });
+        self.ends.clear();
+        true
+    }
+
+    /// An endpoint has answered it: what was held against it before says nothing.
+    fn survive(&mut self, at: Moment) {
+        self.survived = self.survived.max(Some(at));
+        self.ends.retain(|e| e.at > at);
+        self.held = self.held.filter(|h| h.since > at);
+    }
+
+    /// Takes a hold that is further than the one known.
+    fn take(&mut self, told: Held) -> bool {
+        let over = self.survived.is_some_and(|at| told.since <= at);
+        let further = self.held.is_none_or(|own| {
+            let longer = told.until > own.until + SAME_MOMENT;
+            told.times > own.times || (told.times == own.times && longer)
+        });
+        if over || !further {
+            return false;
+        }
+        let own = self.held.is_some_and(|h| h.own) || told.own;
+        self.held = Some(Held { own, ..told });
+        self.ends.retain(|e| e.at > told.until);
+        true
+    }
+
+    fn is_held(&self, now: Moment) -> bool {
+        self.held.is_some_and(|h| h.until > now)
+    }
+}
+
+/// The requests that a host knows of under which endpoints have ended.
+#[derive(Debug)]
+pub struct Quarantine {
+    /// How long the first hold of a request lasts.
+    first: Duration,
+    records: FxHashMap<Fingerprint, Record>,
+    /// Grows with each change.
+    version: u64,
+    /// Grows with each change of what is to be kept.
+    keep: KeepMark,
+    kept: KeepMark,
+}
+
+impl Quarantine {
+    /// Knows of none. A request is held for so long the first time.
+    pub fn new(first: Duration) -> Self {
+        Self {
+            first,
+            records: FxHashMap::default(),
+            version: 0,
+            keep: KeepMark::default(),
+            kept: KeepMark::default(),
+        }
+    }
+
+    /// Whether no endpoint has ended under any request that is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// For how long still a request is held; `None` if it may be sent.
+    pub fn held(&self, request: &Fingerprint, now: Duration) -> Option<Duration> {
+        let now = moment(now);
+        let held = self.records.get(request)?.held?;
+        Some(held.until.saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
+    /// How many requests are held.
+    pub fn held_now(&self, now: Duration) -> usize {
+        let now = moment(now);
+        self.records.values().filter(|r| r.is_held(now)).count()
+    }
+
+    /// A start of an endpoint has ended while it ran a request; gives the hold that begins with that.
+    pub fn ended(
+        &mut self,
+        request: Fingerprint,
+        endpoint: &Rc<str>,
+        now: Duration,
+    ) -> Option<Hold> {
+        let now = moment(now);
+        self.forget(now);
+        let first = self.first;
+        let record = self.remembered(request, now);
+        if !record.end(endpoint, now) {
+            return None;
+        }
+        let begins = record.hold(first, now);
+        let held = record.held.filter(|_| begins);
+        self.changed(&request);
+        let held = held?;
+        self.keep.0 += 1;
+        Some(spelled(held, now))
+    }
+
+    /// An endpoint has answered a request; true if it was held.
+    pub fn survived(&mut self, request: &Fingerprint, now: Duration) -> bool {
+        let now = moment(now);
+        let Some(record) = self.records.get_mut(request) else {
+            return false;
+        };
+        if record.ends.is_empty() && record.held.is_none() {
+            return false;
+        }
+        let held = record.held;
+        record.survive(now);
+        self.changed(request);
+        self.keep.0 += u64::from(held.is_some_and(|h| h.own));
+        held.is_some_and(|h| h.until > now)
+    }
+
+    /// Grows with each change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What has changed since a version of this host's.
+    pub fn changes_since(&self, version: u64, now: Duration) -> Vec<Told> {
+        let now = moment(now);
+        let changed = self.records.iter().filter(|(_, r)| r.changed > version);
+        let told = changed.map(|(request, record)| Told {
+            request: *request,
+            ends: record.ends.iter().map(|e| spelled_end(e, now)).collect(),
+            survived: record.survived.map(|at| now.saturating_sub(at)),
+            hold: record.held.map(|held| spelled(held, now)),
+        });
+        told.collect()
+    }
+
+    /// Takes what another host tells; gives the requests that are held from now on.
+    pub fn told(&mut self, news: Vec<Told>, now: Duration) -> Vec<Fingerprint> {
+        let now = moment(now);
+        self.forget(now);
+        let mut held = Vec::new();
+        for told in news {
+            let before = self.is_held(&told.request, now);
+            self.take(&told, now);
+            if !before && self.is_held(&told.request, now) {
+                held.push(told.request);
+            }
+        }
+        held
+    }
+
+    fn take(&mut self, told: &Told, now: Moment) {
+        let unknown = !self.records.contains_key(&told.request);
+        if unknown && told.ends.is_empty() && told.hold.is_none() {
+            return;
+        }
+        let first = self.first;
+        let record = self.remembered(told.request, now);
+        let own = record.held.is_some_and(|h| h.own);
+        let survived = told.survived.map(|age| before(now, age));
+        let later = survived.filter(|at| record.survived.is_none_or(|own| own + SAME_MOMENT < *at));
+        if let Some(at) = later {
+            record.survive(at);
+        }
+        let hold = told.hold.map(|hold| placed(hold, now));
+        let mut changed = later.is_some();
+        changed |= hold.is_some_and(|hold| record.take(hold));
+        for end in &told.ends {
+            changed |= record.end(&end.endpoint, before(now, end.age));
+        }
+        let begins = record.hold(first, now);
+        let kept = record.held.filter(|h| h.own);
+        if changed || begins {
+            self.changed(&told.request);
+        }
+        if begins || own != kept.is_some() {
+            self.keep.0 += 1;
+        }
+    }
+
+    /// The holds that this host found, or a process before it, and that last: the newest ones.
+    pub fn to_keep(&self, now: Duration) -> (KeepMark, Vec<Kept>) {
+        let now = moment(now);
+        let held = self.records.iter().filter(|(_, r)| r.is_held(now));
+        let own = held.filter_map(|(request, r)| Some((request, r.held.filter(|h| h.own)?)));
+        let mut kept: Vec<(Moment, Kept)> = own
+            .map(|(request, held)| {
+                let hold = spelled(held, now);
+                let request = *request;
+                (held.since, Kept { request, hold })
+            })
+            .collect();
+        kept.sort_by_key(|(since, kept)| (std::cmp::Reverse(*since), kept.request));
+        kept.truncate(MOST_KEPT);
+        (self.keep, kept.into_iter().map(|(_, kept)| kept).collect())
+    }
+
+    /// What was to be kept has been.
+    pub fn kept(&mut self, mark: KeepMark) {
+        self.kept = self.kept.max(mark);
+    }
+
+    /// Whether what is to be kept has changed since.
+    pub fn keep_due(&self) -> bool {
+        self.keep > self.kept
+    }
+
+    /// Takes what a host has kept; `own` if that was this one. Gives the requests that are held from now
+    /// on.
+    pub fn found(&mut self, kept: Vec<Kept>, own: bool, now: Duration) -> Vec<Fingerprint> {
+        let at = moment(now);
+        let mut held = Vec::new();
+        let lasting = kept.into_iter().filter(|kept| !kept.hold.left().is_zero());
+        for Kept { request, hold } in lasting {
+            let before = self.is_held(&request, at);
+            let record = self.remembered(request, at);
+            let placed = placed(hold, at);
+            if record.take(Held { own, ..placed }) {
+                self.changed(&request);
+            }
+            if !before && self.is_held(&request, at) {
+                held.push(request);
+            }
+        }
+        held
+    }
+
+    /// What is known of a request, which is heard of now.
+    fn remembered(&mut self, request: Fingerprint, now: Moment) -> &mut Record {
+        if !self.records.contains_key(&request) {
+            self.make_room(now);
+        }
+        let record = self.records.entry(request).or_default();
+        record.heard = now;
+        record
+    }
+
+    fn is_held(&self, request: &Fingerprint, now: Moment) -> bool {
+        self.records.get(request).is_some_and(|r| r.is_held(now))
+    }
+
+    fn changed(&mut self, request: &Fingerprint) {
+        self.version += 1;
+        if let Some(record) = self.records.get_mut(request) {
+            record.changed = self.version;
+        }
+    }
+
+    /// Forgets what has been quiet for as long as its last hold, or as the first hold of any.
+    fn forget(&mut self, now: Moment) {
+        let first = self.first;
+        self.records.retain(|_, r| {
+            let long = r.held.map_or(first, |h| h.until.saturating_sub(h.since));
+            r.heard.max(r.settled().unwrap_or_default()) + long > now
+        });
+    }
+
+    /// Forgets a request where too many are remembered.
+    fn make_room(&mut self, now: Moment) {
+        if self.records.len() < MOST_REMEMBERED {
+            return;
+        }
+        let free = self.records.iter().filter(|(_, r)| !r.is_held(now));
+        let oldest = free.min_by_key(|(request, r)| (r.heard, **request));
+        // Where all are held, the hold that lapses first gives way.
+        let first = || self.records.iter().min_by_key(|(_, r)| r.settled());
+        let forgotten = oldest.or_else(first).map(|(request, _)| *request);
+        forgotten.map(|request| self.records.remove(&request));
+    }
+}
+
+fn moment(now: Duration) -> Moment {
+    now + BEFORE_START
+}
+
+fn before(now: Moment, age: Duration) -> Moment {
+    now.saturating_sub(age)
+}
+
+fn spelled(held: Held, now: Moment) -> Hold {
+    Hold {
+        times: held.times,
+        age: now.saturating_sub(held.since),
+        lasts: held.until.saturating_sub(held.since),
+    }
+}
+
+fn placed(hold: Hold, now: Moment) -> Held {
+    let since = before(now, hold.age);
+    Held {
+        times: hold.times,
+        since,
+        until: since + hold.lasts,
+        own: false,
+    }
+}
+
+fn spelled_end(ended: &Ended, now: Moment) -> End {
+    End {
+        endpoint: ended.endpoint.clone(),
+        age: now.saturating_sub(ended.at),
+    }
+}
--- a/crates/fleet/tests/fingerprint.rs
+++ b/crates/fleet/tests/fingerprint.rs
@@ -102,4 +102,13 @@
     assert_eq!(spelled.len(), 32);
     assert!(spelled.bytes().all(|b| b.is_ascii_hexdigit()), "{spelled}");
     assert_eq!(Fingerprint::from(it.bytes()), it);
+    assert_eq!(spelled.parse(), Ok(it));
+    for wrong in [
+        "",
+        "00",
+        "+0000000000000000000000000000000",
+        "zz000000000000000000000000000000",
+    ] {
+        assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
+    }
 }
--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -135,6 +135,12 @@
         })
     }
 
+    /// What the store's clock says now, as far as a read of the rows tells.
+    pub fn store_clock(&self, now: Duration) -> Option<Duration> {
+        let share = self.share.borrow();
+        Some(share.view()?.clock + share.view_age(now)?)
+    }
+
     /// Hosts that may use bounds over all of them; `None` until that is known.
     pub fn hosts(&self) -> Option<u32> {
         self.share.borrow().view().map(|v| v.hosts)
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -1,5 +1,6 @@
 //! Keeps this host's row in the store: that it is alive, its claim of a share of the bounds over all
-//! hosts, and what the process that starts next on it must count as taken.
+//! hosts, what the process that starts next on it must count as taken, and the requests that this host
+//! found no host should send any more.
 //!
 //! The row is written only at the version that this process knows, so that no late write of an
 //! earlier process, or of its own, can take the place of a newer row.
@@ -11,7 +12,7 @@
 use rand::Rng;
 use tokio::time;
 
-use super::{Backoff, StoreCall};
+use super::{Backoff, StoreCall, held_requests};
 use crate::{
     gateway::Gateway,
     ports::{HostRows, Row, Written},
@@ -71,6 +72,7 @@
     gateway
         .bounds
         .read(&hosts, own, as_of, sent_at, gateway.now());
+    held_requests::take(gateway, &hosts, read.clock);
     Ok(AllRows {
         rows: read.rows,
         hosts,
@@ -171,7 +173,9 @@
         };
         let records = self.record_at.is_some_and(|at| at <= now);
         let beat_at = *self.beat_at.get_or_insert(now + first_beat);
-        records || (!self.left && (beat_at <= now || joins))
+        // Each moment counts in which the hosts may all end.
+        let holds = gateway.quarantine.borrow().keep_due();
+        records || holds || (!self.left && (beat_at <= now || joins))
     }
 
     /// Looks whether the store is away: nothing is written then, and nothing waits for it. What has
@@ -224,17 +228,23 @@
         else {
             return Ok(());
         };
+        let clock = bounds.store_clock(gateway.now()).unwrap_or_default();
+        let (mark, holds) = gateway.holds_to_keep();
         let row = HostRow {
             host: myself(gateway),
             claim: Some(draft.claim()),
             repeats: draft.repeats(),
+            held_requests: held_requests::spelled(&holds, clock),
         };
         let row = serde_json::to_string(&row);
         let row = row.map_err(|e| PlatformError::Malformed(e.to_string()))?;
         let key = format!("{HOST_ROW}{}", gateway.settings.host);
         let write = gateway.platform.store.write(&key, &row, Some(expected));
         match StoreCall::Write.made(gateway, CALL, write).await? {
-            Written::Done(version) => bounds.wrote(&draft, version, gateway.now()),
+            Written::Done(version) => {
+                bounds.wrote(&draft, version, gateway.now());
+                gateway.quarantine.borrow_mut().kept(mark);
+            }
             Written::Conflict(row) => {
                 bounds.found_row(row.map_or(0, |r| r.version));
                 self.beat_at = Some(Duration::ZERO);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod catalogue;
 pub mod endpoints;
+mod held_requests;
 pub mod host_row;
 mod placing;
 pub mod roster;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use super::{
-    Admitted, Ended,
+    Admitted, Ended, ended,
     refusal::Refusal,
     send::{self, Begun, Failed, Target},
     success,
@@ -62,6 +62,10 @@
         if admitted.left().is_zero() || !admitted.may_send(&tries) {
             break;
         }
+        if let Some(refusal) = admitted.held(gateway) {
+            tries.not_sent(refusal);
+            break;
+        }
         let Some(endpoint) = pick(gateway, admitted, &tried) else {
             break;
         };
@@ -76,9 +80,11 @@
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
         match attempt_at(gateway, admitted, &endpoint, limit).await {
             Ok(whole) if success(whole.begun.head.status) || !may_improve(&whole, more) => {
+                gateway.survived(|| admitted.fingerprint());
                 return Ok(whole);
             }
             Ok(whole) => {
+                gateway.survived(|| admitted.fingerprint());
                 failure = Some(whole);
                 tries.answered();
             }
@@ -92,6 +98,11 @@
                     why:? = failed;
                     "A call failed."
                 );
+                let ran = ended::Ran {
+                    id: &endpoint.id,
+                    addr: endpoint.addr,
+                };
+                ended::note(gateway, admitted, &[ran], &failed).await;
                 tries.failed(failed);
             }
         }
@@ -138,7 +149,7 @@
         let body = time::timeout_at(until, begun.connection.whole_body(MOST_ANSWER)).await;
         match body {
             Ok(Ok(body)) => Ok(Whole { begun, body }),
-            Ok(Err(e)) => Err(Failed::MayHaveRun(e.to_string())),
+            Ok(Err(e)) => Err(Failed::BrokeOff(e.to_string())),
             Err(_) => Err(Failed::MayHaveRun("the answer took too long".to_owned())),
         }
     };
@@ -153,7 +164,9 @@
             directory.erred(&endpoint.id, gateway.now());
         }
         Ok(_) => directory.succeeded(&endpoint.id),
-        Err(Failed::MayHaveRun(_)) => directory.failed(&endpoint.id, gateway.now()),
+        Err(Failed::MayHaveRun(_) | Failed::BrokeOff(_)) => {
+            directory.failed(&endpoint.id, gateway.now())
+        }
         _ => {}
     }
     result
--- /dev/null
+++ b/crates/gateway/src/forward/ended.rs
@@ -0,0 +1,84 @@
+//! Whether endpoints have ended while they ran a request.
+//!
+//! A connection that ends in the midst of an answer may have been reset on the way, or the endpoint may
+//! have dropped this request only. A process that has ended is told by its address: nobody listens there
+//! any more, and whoever asks hears so at once. Silence proves nothing: a cut link is as silent.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::ServiceConfig;
+use futures_util::{
+    FutureExt,
+    future::{LocalBoxFuture, Shared},
+};
+use rustc_hash::FxHashMap;
+
+use super::{Admitted, send::Failed};
+use crate::{gateway::Gateway, http::connection};
+
+/// How long it may take to hear that nobody listens: the network needs a ms at most, and the request waits
+/// meanwhile.
+const REFUSED_WITHIN: Duration = Duration::from_millis(60);
+
+/// A look at the address of an endpoint: true if nobody listens there.
+type Look = Shared<LocalBoxFuture<'static, bool>>;
+
+/// Looks at endpoints that may have ended. All requests that ran at one end together: one looks for all.
+#[derive(Default)]
+pub struct Looks(RefCell<FxHashMap<Rc<str>, Look>>);
+
+impl Looks {
+    fn look(&self, gateway: &Gateway, id: &Rc<str>, addr: SocketAddr) -> Look {
+        let mut looks = self.0.borrow_mut();
+        // One that found nothing may find more the next time; an end is for good.
+        let directory = gateway.directory.borrow();
+        looks.retain(|id, look| look.peek() != Some(&false) && directory.get(id).is_some());
+        let new = || {
+            nobody_listens(addr, gateway.codec.clone())
+                .boxed_local()
+                .shared()
+        };
+        looks.entry(id.clone()).or_insert_with(new).clone()
+    }
+}
+
+async fn nobody_listens(addr: SocketAddr, config: ServiceConfig) -> bool {
+    let opened = connection::open_within(addr, &config, REFUSED_WITHIN).await;
+    opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// An endpoint that ran a part of a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ran<'a> {
+    pub(super) id: &'a Rc<str>,
+    pub(super) addr: SocketAddr,
+}
+
+/// A run at these endpoints has failed, of which the first was sent the request: notes if one of them has
+/// ended.
+pub(super) async fn note(gateway: &Gateway, admitted: &Admitted, ran: &[Ran<'_>], failed: &Failed) {
+    if let Some(id) = ended(gateway, ran, failed).await {
+        gateway.ended_under(admitted.fingerprint(), &id);
+    }
+}
+
+async fn ended(gateway: &Gateway, ran: &[Ran<'_>], failed: &Failed) -> Option<Rc<str>> {
+    let over = |r: &&Ran<'_>| gateway.directory.borrow().is_over(r.id);
+    let lost = |r: &Ran<'_>| gateway.directory.borrow().is_lost(r.id);
+    match failed {
+        Failed::NotSent(_) | Failed::NotRun(_) => return None,
+        Failed::MayHaveRun(_) => return ran.iter().find(over).map(|r| r.id.clone()),
+        Failed::BrokeOff(_) => {}
+    }
+    if let Some(ran) = ran.iter().find(over) {
+        return Some(ran.id.clone());
+    }
+    for (place, part) in ran.iter().enumerate() {
+        // A later part that has ended has the first one break off after a while; it is lost by then.
+        let suspected = place == 0 || lost(part);
+        if suspected && gateway.looks.look(gateway, part.id, part.addr).await {
+            return Some(part.id.clone());
+        }
+    }
+    None
+}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! `call` or `stream`. What is refused there is said in one place, `refusal`.
 
 mod call;
+mod ended;
 mod events;
 mod examine;
 mod on_chain;
@@ -33,6 +34,7 @@
     ports::Incoming,
 };
 
+pub use ended::Looks;
 pub use events::{Events, Taken};
 pub use examine::Examiner;
 pub(crate) use examine::prove;
@@ -99,6 +101,12 @@
         *self.fingerprint.get_or_init(made)
     }
 
+    /// Why it is not sent, if endpoints have ended under it, at whichever host.
+    fn held(&self, gateway: &Gateway) -> Option<Refusal> {
+        let left = gateway.request_held(|| self.fingerprint())?;
+        Some(Refusal::EndsEndpoints(left))
+    }
+
     /// Takes one repeat of it out of the budget; false if none is left.
     async fn take_repeat(&self, gateway: &Gateway) -> bool {
         let service = &self.service.name;
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -35,6 +35,8 @@
     NoWorkspace,
     /// No endpoint can take it; it was not run.
     NoEndpoint(&'static str),
+    /// Endpoints have ended under it, and it is not sent for so long; this attempt was not run.
+    EndsEndpoints(Duration),
     /// All endpoints that were asked refused it; it was not run.
     NotRun(String),
     /// It was sent and may have run; nothing usable came back.
@@ -49,9 +51,11 @@
     fn status(&self) -> StatusCode {
         match self {
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
-            Self::Leaving | Self::Stale | Self::NoEndpoint(_) | Self::NotRun(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Leaving
+            | Self::Stale
+            | Self::NoEndpoint(_)
+            | Self::EndsEndpoints(_)
+            | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoWorkspace => StatusCode::UNAUTHORIZED,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
@@ -65,6 +69,7 @@
         match self {
             // Another host takes it at once.
             Self::Leaving => Some(ELSEWHERE.mul_f64(draw)),
+            Self::EndsEndpoints(left) => Some(*left),
             // Layers have to be loaded first, or requests to end.
             Self::NoEndpoint(_) => Some(LATER + LATER_SPREAD.mul_f64(draw)),
             _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -36,6 +36,8 @@
     NotRun(String),
     /// It may have run, or may be running.
     MayHaveRun(String),
+    /// The same, and the connection ended in the midst: the endpoint may have ended.
+    BrokeOff(String),
 }
 
 /// An endpoint and what goes to it.
@@ -84,6 +86,10 @@
     if !gateway.fresh() {
         return Err(Failed::NotSent("the catalogue may be outdated".to_owned()));
     }
+    // The same for what other hosts have found out meanwhile.
+    if admitted.held(gateway).is_some() {
+        return Err(Failed::NotSent("endpoints have ended under it".to_owned()));
+    }
     target.leaves.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
@@ -91,12 +97,12 @@
     match sent {
         Ok(Ok(())) => {}
         Ok(Err((0, e))) => return Err(Failed::NotSent(format!("nothing was sent: {e}"))),
-        Ok(Err((_, e))) => return Err(Failed::MayHaveRun(format!("sending failed: {e}"))),
+        Ok(Err((_, e))) => return Err(Failed::BrokeOff(format!("sending failed: {e}"))),
         Err(_) => return Err(Failed::MayHaveRun("sending took too long".to_owned())),
     }
     let head = match time::timeout(limit, connection.head()).await {
         Ok(Ok(head)) => head,
-        Ok(Err(e)) => return Err(Failed::MayHaveRun(e.to_string())),
+        Ok(Err(e)) => return Err(Failed::BrokeOff(e.to_string())),
         Err(_) => return Err(Failed::MayHaveRun("no answer in time".to_owned())),
     };
     let facts = gateway.platform.dialect.answer(&head);
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -16,7 +16,7 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    Admitted, Ended, call,
+    Admitted, Ended, call, ended,
     events::{Events, Taken},
     examine,
     on_chain::OnChain,
@@ -116,6 +116,10 @@
             if !self.admitted.may_send(&self.tries) {
                 break;
             }
+            if let Some(refusal) = self.admitted.held(self.gateway) {
+                self.tries.not_sent(refusal);
+                break;
+            }
             let Some(planned) = self.choose(&engine) else {
                 break;
             };
@@ -138,6 +142,7 @@
                 RunEnd::Complete(status) => return Ok(status),
                 RunEnd::Failed(failed) => {
                     self.note(&planned.chain, &failed, out.started());
+                    self.note_end(&planned.chain, &failed).await;
                     self.tries.failed(failed);
                 }
             }
@@ -159,6 +164,18 @@
         );
     }
 
+    /// Notes if an endpoint has ended under a run that failed, before another one gets it.
+    async fn note_end(&self, chain: &Chain, failed: &Failed) {
+        let parts = chain.parts.iter();
+        let ran: Vec<ended::Ran<'_>> = parts
+            .map(|part| ended::Ran {
+                id: &part.id,
+                addr: part.addr,
+            })
+            .collect();
+        ended::note(self.gateway, self.admitted, &ran, failed).await;
+    }
+
     /// The next run, if a chain can take it.
     fn choose(&mut self, engine: &Engine) -> Option<Planned> {
         let gateway = self.gateway;
@@ -255,7 +272,7 @@
         let begun = match sent {
             Ok(begun) => begun,
             Err(failed) => {
-                if matches!(failed, Failed::MayHaveRun(_)) {
+                if matches!(failed, Failed::MayHaveRun(_) | Failed::BrokeOff(_)) {
                     examine::after_break(gateway, chain).await;
                 }
                 return Ok(RunEnd::Failed(failed));
@@ -274,6 +291,7 @@
         }
         let end = self.relay(&mut watch, &on, begun, sent_at, out).await?;
         if let RunEnd::Complete(_) = end {
+            gateway.survived(|| self.admitted.fingerprint());
             let mut directory = gateway.directory.borrow_mut();
             chain.parts.iter().for_each(|p| directory.succeeded(&p.id));
         }
@@ -321,7 +339,7 @@
                         watch.run.more = false;
                         continue;
                     }
-                    return Ok(broke_off(given_up.why));
+                    return Ok(given_up_on(given_up.why));
                 }
             };
             let piece = match piece {
@@ -335,7 +353,7 @@
             };
             match self.events.take(piece) {
                 Taken::Nothing => continue,
-                Taken::Gap => return Ok(broke_off("events are missing")),
+                Taken::Gap => return Ok(given_up_on("events are missing")),
                 Taken::Events(events) => self.pass_on(&mut begun, events, out).await?,
             }
             on.read();
@@ -357,6 +375,9 @@
     /// Whether another chain has room for the rest of the stream now. One that is as good as full may
     /// refuse it, and an answer that was cut for that is worse than one that pauses.
     fn may_go_on_elsewhere(&mut self) -> bool {
+        if self.admitted.held(self.gateway).is_some() {
+            return false;
+        }
         let Some(engine) = self.admitted.service.engine.clone() else {
             return false;
         };
@@ -388,10 +409,14 @@
     }
 }
 
-fn broke_off(why: &str) -> RunEnd {
+fn given_up_on(why: &str) -> RunEnd {
     RunEnd::Failed(Failed::MayHaveRun(why.to_owned()))
 }
 
+fn broke_off(why: &str) -> RunEnd {
+    RunEnd::Failed(Failed::BrokeOff(why.to_owned()))
+}
+
 fn ms(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1000.0
 }
--- a/crates/gateway/src/forward/tries.rs
+++ b/crates/gateway/src/forward/tries.rs
@@ -43,7 +43,7 @@
     pub(super) fn failed(&mut self, failed: Failed) {
         self.sent += u32::from(!matches!(failed, Failed::NotSent(_)));
         match failed {
-            Failed::MayHaveRun(why) => {
+            Failed::MayHaveRun(why) | Failed::BrokeOff(why) => {
                 self.may_have_run = true;
                 self.refusal = Refusal::MayHaveRun(why);
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 //! All tasks run on one thread, so that nothing here needs a lock; no borrow is held over a wait.
 
 mod listing;
+mod suspects;
 
 use std::{
     cell::{Cell, RefCell},
@@ -20,6 +21,7 @@
     choice::Loads,
     endpoints::Directory,
     freshness::Freshness,
+    quarantine::Quarantine,
     share,
     store_access::Access,
 };
@@ -34,7 +36,7 @@
 use crate::{
     bounds::Bounds,
     control::catalogue,
-    forward::{Examiner, LineBudget},
+    forward::{Examiner, LineBudget, Looks},
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
     peers::Peers,
@@ -131,6 +133,10 @@
     pub lines: LineBudget,
     /// Asks the parts of chains that stand still.
     pub examiner: Examiner,
+    /// Requests under which endpoints have ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Looks whether endpoints have ended over which runs broke off.
+    pub looks: Looks,
 }
 
 impl Gateway {
@@ -139,6 +145,7 @@
         let freshness = Freshness::new(settings.key_revocation);
         let lines = LineBudget::new(settings.logged_per_s);
         let bounds = Bounds::new(settings.retries);
+        let quarantine = Quarantine::new(settings.request_hold);
         Rc::new(Self {
             settings,
             platform,
@@ -168,6 +175,8 @@
             open: Cell::new(0),
             lines,
             examiner: Examiner::default(),
+            quarantine: RefCell::new(quarantine),
+            looks: Looks::default(),
         })
     }
 
@@ -217,6 +226,8 @@
         let divisor = self.bounds.divisor(now);
         metrics.share_hosts.set(i64::from(divisor.unwrap_or(0)));
         metrics.open.set(i64::from(self.open.get()));
+        let held = self.quarantine.borrow().held_now(now);
+        metrics.held_requests.set(held as i64);
         // Never proven is as old as can be.
         let seconds = |age: Option<Duration>| age.map_or(f64::INFINITY, |a| a.as_secs_f64());
         metrics.proof_age_seconds.set(seconds(self.proof_age()));
--- /dev/null
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -0,0 +1,73 @@
+//! Requests under which endpoints end, as this host knows them.
+
+use std::{rc::Rc, time::Duration};
+
+use dragonflyrill_fleet::{
+    fingerprint::Fingerprint,
+    quarantine::{KeepMark, Kept, Told},
+};
+
+use super::Gateway;
+
+impl Gateway {
+    /// For how long still a request is not sent, as endpoints have ended under it; `None` if it may be.
+    /// It is named only where any request is suspected at all.
+    pub fn request_held(&self, request: impl FnOnce() -> Fingerprint) -> Option<Duration> {
+        let quarantine = self.quarantine.borrow();
+        match quarantine.is_empty() {
+            true => None,
+            false => quarantine.held(&request(), self.now()),
+        }
+    }
+
+    /// A start of an endpoint has ended while it ran a request of this host's.
+    pub fn ended_under(&self, request: Fingerprint, endpoint: &Rc<str>) {
+        self.metrics.ended_under.inc();
+        log::info!(target: "forward", request:% = request, endpoint = &**endpoint; "An endpoint has ended under a request.");
+        let hold = self
+            .quarantine
+            .borrow_mut()
+            .ended(request, endpoint, self.now());
+        if let Some(hold) = hold {
+            let for_s = hold.left().as_secs();
+            log::warn!(target: "forward", request:% = request, for_s = for_s, times = hold.times; "A request is held: endpoints end under it.");
+            // Each moment counts: other hosts may be about to send it.
+            self.peers.hurry();
+        }
+    }
+
+    /// An endpoint has answered a request of this host's.
+    pub fn survived(&self, request: impl FnOnce() -> Fingerprint) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.is_empty() {
+            return;
+        }
+        let request = request();
+        if quarantine.survived(&request, self.now()) {
+            log::info!(target: "forward", request:% = request; "A request is no longer held: an endpoint has answered it.");
+        }
+    }
+
+    /// Another host has told what it knows.
+    pub fn told_suspects(&self, told: Vec<Told>) {
+        let held = self.quarantine.borrow_mut().told(told, self.now());
+        note_held(&held);
+    }
+
+    /// The holds that this host keeps in its row.
+    pub fn holds_to_keep(&self) -> (KeepMark, Vec<Kept>) {
+        self.quarantine.borrow().to_keep(self.now())
+    }
+
+    /// The row of a host has holds, of this one if `own`.
+    pub fn found_holds(&self, kept: Vec<Kept>, own: bool) {
+        let held = self.quarantine.borrow_mut().found(kept, own, self.now());
+        note_held(&held);
+    }
+}
+
+fn note_held(held: &[Fingerprint]) {
+    for request in held {
+        log::warn!(target: "forward", request:% = request; "A request is held: another host found that endpoints end under it.");
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -81,6 +81,10 @@
     pub share_hosts: IntGauge,
     /// Requests that are being answered.
     pub open: IntGauge,
+    /// Endpoints that ended while they ran a request of this host's, once for each request.
+    pub ended_under: IntCounter,
+    /// Requests that are not sent any more, as endpoints have ended under them.
+    pub held_requests: IntGauge,
     /// How old the proof is that the catalogue is the newest.
     pub proof_age_seconds: Gauge,
     /// How long ago the store last answered, this host or the one that it asks.
@@ -168,6 +172,14 @@
                 "By how many hosts this one divides what all share; 0 for no part",
             ),
             open: gauge("open_requests", "Requests that are being answered"),
+            ended_under: counter(
+                "endpoint_ends_total",
+                "Endpoints that ended while they ran a request, for each request",
+            ),
+            held_requests: gauge(
+                "held_requests",
+                "Requests that are not sent, as endpoints end under them",
+            ),
             proof_age_seconds: seconds(
                 "proof_age_seconds",
                 "Age of the proof that the catalogue is the newest",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -12,13 +12,15 @@
 };
 use dragonflyrill_protocol::{
     MAX_FRAME,
-    exchange::{ExchangeClient, FleetHost, ListNews, Listed, News, Offer},
+    exchange::{ExchangeClient, FleetHost, ListMark, ListNews, Listed, News, Offer},
 };
 use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
 use tokio::time;
 
 use super::{
-    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, from_wire, serve::own_data_centre,
+    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, from_wire,
+    serve::own_data_centre,
+    suspects::{self, Exchanges},
     to_wire,
 };
 use crate::{
@@ -52,6 +54,7 @@
 struct Follower {
     gateway: Rc<Gateway>,
     clients: HashMap<SocketAddr, ExchangeClient>,
+    suspects: Exchanges,
     /// The host that was asked last.
     asked: Option<String>,
     beginning: Beginning,
@@ -62,6 +65,7 @@
     let mut follower = Follower {
         gateway,
         clients: HashMap::new(),
+        suspects: Exchanges::default(),
         asked: None,
         beginning: Beginning::Unasked,
     };
@@ -302,6 +306,8 @@
                 true => avoided_to_wire(&gateway.directory.borrow().avoided(gateway.now())),
                 false => Vec::new(),
             },
+            suspects_known: ListMark::default(),
+            suspects: Vec::new(),
         }
     }
 
@@ -313,11 +319,19 @@
     }
 
     /// Calls a host; one that does not answer is passed over for a while.
-    async fn call(&mut self, host: &FleetHost, offer: Offer) -> Option<News> {
+    async fn call(&mut self, host: &FleetHost, mut offer: Offer) -> Option<News> {
+        let mut offered = self.suspects.offer(host.addr, &self.gateway);
+        offer.suspects_known = offered.known;
+        offer.suspects = std::mem::take(&mut offered.suspects);
         let called = time::timeout(CALL, self.exchange(host.addr, offer)).await;
-        if let Ok(Some(news)) = called {
+        if let Ok(Some(mut news)) = called {
+            let told = std::mem::take(&mut news.suspects.changed);
+            let mark = news.suspects.mark;
+            self.suspects.answered(host.addr, &offered, mark);
+            suspects::take(&self.gateway, &told);
             return Some(news);
         }
+        self.suspects.failed(host.addr);
         log::info!(target: "peers", host = &*host.host; "A host does not answer.");
         self.clients.remove(&host.addr);
         self.gateway.peers.pass_over(&host.host, self.gateway.now());
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod follow;
 pub mod serve;
+mod suspects;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -22,7 +22,7 @@
     task::JoinSet,
 };
 
-use super::{Heard, add, avoided_from_wire, avoided_to_wire, from_wire, to_wire};
+use super::{Heard, add, avoided_from_wire, avoided_to_wire, from_wire, suspects, to_wire};
 use crate::gateway::Gateway;
 
 /// The most endpoints of a list that is told whole: 15 KB, which a link of 20 Mbit/s takes to 60 hosts in
@@ -91,6 +91,7 @@
         at: now,
     };
     peers.hear(&offer.host, told);
+    suspects::take(gateway, &offer.suspects);
     let waits = gateway.reads_in_vain();
     if waits && same && read_age.is_some() {
         // It may have an answer from the store that this host lacks.
@@ -130,6 +131,7 @@
             true => avoided_to_wire(&avoided_but(gateway, &offer.host)),
             false => Vec::new(),
         },
+        suspects: suspects::news(gateway, offer.suspects_known),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/peers/suspects.rs
@@ -0,0 +1,131 @@
+//! Requests under which endpoints end, as hosts tell them to each other.
+//!
+//! Each call says what has changed since the last one between the two hosts, in both directions; the first
+//! says all. A host that starts again is told all anew, as its marks are those of another origin.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use dragonflyrill_fleet::{
+    fingerprint::Fingerprint,
+    quarantine::{End, Hold, Told},
+};
+use dragonflyrill_protocol::exchange::{EndpointEnd, ListMark, RequestHold, Suspect, SuspectNews};
+
+use crate::gateway::Gateway;
+
+/// How far this host and one that it asks have told each other.
+#[derive(Debug, Clone, Copy, Default)]
+struct Exchanged {
+    /// Up to which version of this host's the other one knows.
+    told: u64,
+    /// Up to where this host knows the other's.
+    heard: ListMark,
+}
+
+/// The same for all hosts that this one asks.
+#[derive(Debug, Default)]
+pub(super) struct Exchanges(HashMap<SocketAddr, Exchanged>);
+
+/// What goes with a call to a host.
+pub(super) struct Offered {
+    /// Up to where this host knows the other's.
+    pub(super) known: ListMark,
+    /// What the other one was not told yet.
+    pub(super) suspects: Vec<Suspect>,
+    /// Up to which version of this host's the other one knows with it.
+    version: u64,
+}
+
+impl Exchanges {
+    /// What goes with a call to a host.
+    pub(super) fn offer(&self, addr: SocketAddr, gateway: &Gateway) -> Offered {
+        let exchanged = self.0.get(&addr).copied().unwrap_or_default();
+        let quarantine = gateway.quarantine.borrow();
+        let changed = quarantine.changes_since(exchanged.told, gateway.now());
+        Offered {
+            known: exchanged.heard,
+            suspects: changed.iter().map(to_wire).collect(),
+            version: quarantine.version(),
+        }
+    }
+
+    /// The call was answered, with all that the other host knows up to a mark of its own.
+    pub(super) fn answered(&mut self, addr: SocketAddr, offered: &Offered, mark: ListMark) {
+        let exchanged = self.0.entry(addr).or_default();
+        // It may be another process than the one that was told what went before.
+        let told_all = exchanged.told == 0;
+        let same = exchanged.heard.origin == mark.origin;
+        exchanged.told = if same || told_all { offered.version } else { 0 };
+        exchanged.heard = mark;
+    }
+
+    /// The call was not answered: nobody knows what has come over.
+    pub(super) fn failed(&mut self, addr: SocketAddr) {
+        self.0.remove(&addr);
+    }
+}
+
+/// What a host lacks that knows this one's suspects up to a mark.
+pub(super) fn news(gateway: &Gateway, known: ListMark) -> SuspectNews {
+    let origin = gateway.peers.list_origin(&gateway.settings.host);
+    let since = match known.origin == origin {
+        true => known.version,
+        false => 0,
+    };
+    let quarantine = gateway.quarantine.borrow();
+    let changed = quarantine.changes_since(since, gateway.now());
+    SuspectNews {
+        mark: ListMark {
+            origin,
+            version: quarantine.version(),
+        },
+        changed: changed.iter().map(to_wire).collect(),
+    }
+}
+
+/// Takes what another host told.
+pub(super) fn take(gateway: &Gateway, suspects: &[Suspect]) {
+    if !suspects.is_empty() {
+        gateway.told_suspects(suspects.iter().map(from_wire).collect());
+    }
+}
+
+fn to_wire(told: &Told) -> Suspect {
+    let end = |end: &End| EndpointEnd {
+        endpoint: end.endpoint.to_string(),
+        age_ms: millis(end.age),
+    };
+    let hold = |hold: Hold| RequestHold {
+        times: hold.times,
+        age_ms: millis(hold.age),
+        lasts_ms: millis(hold.lasts),
+    };
+    Suspect {
+        request: told.request.bytes(),
+        ends: told.ends.iter().map(end).collect(),
+        survived_ms: told.survived.map(millis),
+        hold: told.hold.map(hold),
+    }
+}
+
+fn from_wire(suspect: &Suspect) -> Told {
+    let end = |end: &EndpointEnd| End {
+        endpoint: end.endpoint.as_str().into(),
+        age: Duration::from_millis(end.age_ms),
+    };
+    let hold = |hold: RequestHold| Hold {
+        times: hold.times,
+        age: Duration::from_millis(hold.age_ms),
+        lasts: Duration::from_millis(hold.lasts_ms),
+    };
+    Told {
+        request: Fingerprint::from(suspect.request),
+        ends: suspect.ends.iter().map(end).collect(),
+        survived: suspect.survived_ms.map(Duration::from_millis),
+        hold: suspect.hold.map(hold),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub grace: Duration,
     /// The budget of repeats of one service.
     pub retries: BudgetTerms,
+    /// For how long a request under which endpoints ended is not sent any more, the first time.
+    pub request_hold: Duration,
     /// How many requests that go well are logged whole in a second.
     pub logged_per_s: f64,
 }
@@ -48,7 +50,11 @@
 /// Some 60 lines and 20 KB a second.
 const LOGGED_PER_S: &str = "20";
 
-/// The keys, by section; each must be there but for `peers_announced` and those of `logs`.
+/// An hour: long enough that a request which comes again and again ends one endpoint in it, and short
+/// enough for one that was held by a coincidence.
+const REQUEST_HOLD_S: &str = "3600";
+
+/// The keys, by section; each must be there but for `peers_announced`, `hold_s` and those of `logs`.
 const KNOWN: settings::Known = &[
     ("host", &["name", "address", "data_centre"]),
     (
@@ -71,7 +77,7 @@
             "grace_s",
         ],
     ),
-    ("retries", &["ratio", "burst", "window_s"]),
+    ("retries", &["ratio", "burst", "window_s", "hold_s"]),
     ("logs", &["requests_per_second"]),
 ];
 
@@ -112,6 +118,7 @@
         let ratio = p.required("retries", "ratio", settings::decimal);
         let burst = p.required("retries", "burst", settings::decimal);
         let window = p.required("retries", "window_s", settings::seconds);
+        let hold = p.optional("retries", "hold_s", REQUEST_HOLD_S, settings::seconds);
         let logged = p.optional(
             "logs",
             "requests_per_second",
@@ -136,6 +143,7 @@
                 burst: burst?,
                 window: window?,
             },
+            request_hold: hold?,
             logged_per_s: logged?,
         })
     }
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -72,3 +72,12 @@
     assert_eq!(found.len(), 3, "{found:?}");
     assert!(found.iter().any(|e| e.contains("readyness: is not known")));
 }
+
+#[test]
+fn requests_that_end_endpoints_are_held_for_an_hour_unless_the_settings_say_otherwise() {
+    let usual = Settings::parse("file.ini", TEXT).expect("valid");
+    assert_eq!(usual.request_hold, Duration::from_secs(3600));
+    let text = TEXT.replace("window_s = 10", "window_s = 10\nhold_s = 60");
+    let shorter = Settings::parse("file.ini", &text).expect("valid");
+    assert_eq!(shorter.request_hold, Duration::from_secs(60));
+}
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -28,7 +28,7 @@
     pub left_ms: u32,
 }
 
-/// A place in the changes of one host's list of endpoints.
+/// A place in the changes of one host's list of endpoints, or of the requests that it suspects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ListMark {
     /// Names the host whose list it is, and its incarnation.
@@ -37,6 +37,61 @@
     pub version: u64,
 }
 
+/// A start of an endpoint that ended while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointEnd {
+    /// The id of the start.
+    pub endpoint: String,
+    /// How long ago, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// How long a request is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestHold {
+    /// How often it has been held by now.
+    pub times: u32,
+    /// How long ago it began, in milliseconds.
+    pub age_ms: u64,
+    /// How long it lasts from its beginning on, in milliseconds.
+    pub lasts_ms: u64,
+}
+
+/// A request under which endpoints have ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The fingerprint of the request.
+    pub request: [u8; 16],
+    /// Ends that count towards its next hold.
+    pub ends: Vec<EndpointEnd>,
+    /// How long ago an endpoint last answered it, in milliseconds, if one did.
+    pub survived_ms: Option<u64>,
+    /// Its hold, if it was ever held.
+    pub hold: Option<RequestHold>,
+}
+
+/// What has changed among the requests that a host suspects.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNews {
+    /// Where to go on.
+    pub mark: ListMark,
+    /// New and changed ones.
+    pub changed: Vec<Suspect>,
+}
+
+/// A hold as a host's row keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptHold {
+    /// The fingerprint of the request, in hexadecimal digits.
+    pub request: String,
+    /// How often it has been held by now.
+    pub times: u32,
+    /// When it began, by the store's clock, in milliseconds.
+    pub since_ms: u64,
+    /// When it lapses, by the store's clock, in milliseconds.
+    pub until_ms: u64,
+}
+
 /// What a host tells and what it knows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
@@ -59,6 +114,10 @@
     pub loads: Vec<EndpointLoad>,
     /// What the host avoids by what it saw itself; nothing if it calls another data centre's.
     pub avoided: Vec<Avoided>,
+    /// Up to where it knows the requests that the host suspects that it calls.
+    pub suspects_known: ListMark,
+    /// What it has not told that host yet of the requests that it suspects itself.
+    pub suspects: Vec<Suspect>,
 }
 
 /// A host of the fleet.
@@ -88,6 +147,9 @@
     /// Repeats that it may make in a window, by service.
     #[serde(default)]
     pub repeats: Vec<RecordedRepeats>,
+    /// Requests that no host sends any more, as this one found.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub held_requests: Vec<KeptHold>,
 }
 
 /// A host's claim of a share of the bounds over all hosts.
@@ -221,6 +283,8 @@
     /// What this data centre's hosts avoid by what they saw themselves, without the one that asks;
     /// nothing if another data centre's asks.
     pub avoided: Vec<Avoided>,
+    /// What the host lacks of the requests under which endpoints have ended.
+    pub suspects: SuspectNews,
 }
 
 /// What one entry host does for another.
