An endpoint that is back at once, or whose address is silent, counts as ended once its next start is heard of

What callers would see: a request goes on ending endpoints where these are replaced faster than a host looks at their address, or with their machine.

A run that broke off at an endpoint, or was given up at a lost one, is remembered for 30 s; when another start is heard of in its place the end counts under the request that ran there. Ruled out: counting breaks alone, which resets and lost answers bring about as well. Nothing waits for it.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -14,7 +14,7 @@
 //! After that a single end is enough, and the next hold is twice as long: of a request that goes on ending
 //! endpoints each next one costs twice the time of the one before.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use rustc_hash::FxHashMap;
 
@@ -30,6 +30,9 @@
 const MOST_REMEMBERED: usize = 1024;
 /// Holds that are kept in one place: some 25 KB.
 const MOST_KEPT: usize = 256;
+/// How long after a run broke off the end of its endpoint may be heard of: a start that takes its place is
+/// listed within seconds.
+const HEARD_WITHIN: Duration = Duration::from_secs(30);
 /// News of one moment differ by what they were on their way, from each host that passes them on to the
 /// next. Later news of the same are new from here on, so that hosts don't tell each other for ever.
 const SAME_MOMENT: Duration = Duration::from_secs(1);
@@ -185,12 +188,22 @@
     }
 }
 
+/// A run that broke off at a start of an endpoint that may have ended.
+#[derive(Debug)]
+struct Doubtful {
+    request: Fingerprint,
+    endpoint: Rc<str>,
+    at: Moment,
+}
+
 /// The requests that a host knows of under which endpoints have ended.
 #[derive(Debug)]
 pub struct Quarantine {
     /// How long the first hold of a request lasts.
     first: Duration,
     records: FxHashMap<Fingerprint, Record>,
+    /// In the order in which they broke off.
+    doubtful: VecDeque<Doubtful>,
     /// Grows with each change.
     version: u64,
     /// Grows with each change of what is to be kept.
@@ -204,6 +217,7 @@
         Self {
             first,
             records: FxHashMap::default(),
+            doubtful: VecDeque::new(),
             version: 0,
             keep: KeepMark::default(),
             kept: KeepMark::default(),
@@ -250,6 +264,33 @@
         Some(spelled(held, now))
     }
 
+    /// A request's run broke off at a start of an endpoint, and whether that has ended is not known yet.
+    pub fn broke_off(&mut self, request: Fingerprint, endpoint: &Rc<str>, now: Duration) {
+        let at = moment(now);
+        self.doubtful.retain(|d| d.at + HEARD_WITHIN > at);
+        if self.doubtful.len() >= MOST_REMEMBERED {
+            self.doubtful.pop_front();
+        }
+        self.doubtful.push_back(Doubtful {
+            request,
+            endpoint: endpoint.clone(),
+            at,
+        });
+    }
+
+    /// A start of an endpoint is known to have ended: gives the requests whose runs broke off there a
+    /// moment ago, and under which it has ended.
+    pub fn over(&mut self, endpoint: &str, now: Duration) -> Vec<Fingerprint> {
+        let now = moment(now);
+        let there = |d: &Doubtful| *d.endpoint == *endpoint && d.at + HEARD_WITHIN > now;
+        let (ended, others) = self.doubtful.drain(..).partition(there);
+        self.doubtful = others;
+        let mut under: Vec<Fingerprint> = ended.iter().map(|d: &Doubtful| d.request).collect();
+        under.sort();
+        under.dedup();
+        under
+    }
+
     /// An endpoint has answered a request; true if it was held.
     pub fn survived(&mut self, request: &Fingerprint, now: Duration) -> bool {
         let now = moment(now);
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -97,6 +97,19 @@
     }
 }
 
+#[test]
+fn a_run_that_broke_off_counts_once_its_endpoint_is_known_to_have_ended() {
+    let mut quarantine = Quarantine::new(FIRST);
+    quarantine.broke_off(request(1), &start(1), s(1));
+    quarantine.broke_off(request(1), &start(1), s(2));
+    quarantine.broke_off(request(2), &start(1), s(2));
+    quarantine.broke_off(request(1), &start(2), s(3));
+    assert!(quarantine.is_empty(), "nothing is proved yet");
+    assert_eq!(quarantine.over("e1", s(5)), [request(1), request(2)]);
+    assert_eq!(quarantine.over("e1", s(5)), [], "told once");
+    assert_eq!(quarantine.over("e2", s(60)), [], "too long ago");
+}
+
 #[test]
 fn ends_that_two_hosts_saw_count_together() {
     let (mut a, mut b) = (Quarantine::new(FIRST), Quarantine::new(FIRST));
@@ -201,6 +214,11 @@
         bytes[..4].copy_from_slice(&n.to_be_bytes());
         quarantine.ended(Fingerprint::from(bytes), &start(1), s(10));
     }
+    for n in 0..5000 {
+        quarantine.broke_off(request(2), &start(n), s(11));
+    }
+    assert_eq!(quarantine.over("e0", s(11)), []);
+    assert_eq!(quarantine.over("e4999", s(11)), [request(2)]);
     assert!(quarantine.held(&request(1), s(10)).is_some());
     assert!(quarantine.changes_since(0, s(10)).len() <= 1024);
 }
--- a/crates/gateway/src/forward/ended.rs
+++ b/crates/gateway/src/forward/ended.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection that ends in the midst of an answer may have been reset on the way, or the endpoint may
 //! have dropped this request only. A process that has ended is told by its address: nobody listens there
-//! any more, and whoever asks hears so at once. Silence proves nothing: a cut link is as silent.
+//! any more, and whoever asks hears so at once. Silence proves nothing: a cut link is as silent. Nor does
+//! one that listens prove that it is the same one: its next start may be there already, which is heard of
+//! when it is listed.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -55,30 +57,30 @@
 }
 
 /// A run at these endpoints has failed, of which the first was sent the request: notes if one of them has
-/// ended.
+/// ended, and where one may have, so that its end counts once it is heard of.
 pub(super) async fn note(gateway: &Gateway, admitted: &Admitted, ran: &[Ran<'_>], failed: &Failed) {
-    if let Some(id) = ended(gateway, ran, failed).await {
-        gateway.ended_under(admitted.fingerprint(), &id);
-    }
-}
-
-async fn ended(gateway: &Gateway, ran: &[Ran<'_>], failed: &Failed) -> Option<Rc<str>> {
-    let over = |r: &&Ran<'_>| gateway.directory.borrow().is_over(r.id);
-    let lost = |r: &Ran<'_>| gateway.directory.borrow().is_lost(r.id);
-    match failed {
-        Failed::NotSent(_) | Failed::NotRun(_) => return None,
-        Failed::MayHaveRun(_) => return ran.iter().find(over).map(|r| r.id.clone()),
-        Failed::BrokeOff(_) => {}
-    }
-    if let Some(ran) = ran.iter().find(over) {
-        return Some(ran.id.clone());
+    let broke_off = match failed {
+        Failed::NotSent(_) | Failed::NotRun(_) => return,
+        Failed::MayHaveRun(_) => false,
+        Failed::BrokeOff(_) => true,
+    };
+    if let Some(over) = ran
+        .iter()
+        .find(|r| gateway.directory.borrow().is_over(r.id))
+    {
+        return gateway.ended_under(admitted.fingerprint(), over.id);
     }
     for (place, part) in ran.iter().enumerate() {
         // A later part that has ended has the first one break off after a while; it is lost by then.
-        let suspected = place == 0 || lost(part);
-        if suspected && gateway.looks.look(gateway, part.id, part.addr).await {
-            return Some(part.id.clone());
+        let lost = gateway.directory.borrow().is_lost(part.id);
+        let suspected = lost || (broke_off && place == 0);
+        if !suspected {
+            continue;
+        }
+        // A run that was given up must not wait for an address that is as silent.
+        if broke_off && gateway.looks.look(gateway, part.id, part.addr).await {
+            return gateway.ended_under(admitted.fingerprint(), part.id);
         }
+        gateway.broke_off_at(admitted.fingerprint(), part.id);
     }
-    None
 }
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -64,6 +64,7 @@
     /// open to it.
     fn ended(&self, endpoint: &Endpoint, by: &str) {
         log::info!(target: "fleet", endpoint = &*endpoint.id, by = by; "Endpoint has ended: another start is in its place.");
+        self.endpoint_over(&endpoint.id);
         self.loads.borrow_mut().forget(&endpoint.id);
         self.idle.drop_all(endpoint.addr);
         self.examiner.changed();
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -36,6 +36,20 @@
         }
     }
 
+    /// A run of a request of this host's broke off at an endpoint that may have ended.
+    pub fn broke_off_at(&self, request: Fingerprint, endpoint: &Rc<str>) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.broke_off(request, endpoint, self.now());
+    }
+
+    /// A start of an endpoint is known to have ended: so it has under what broke off there.
+    pub(super) fn endpoint_over(&self, endpoint: &Rc<str>) {
+        let under = self.quarantine.borrow_mut().over(endpoint, self.now());
+        for request in under {
+            self.ended_under(request, endpoint);
+        }
+    }
+
     /// An endpoint has answered a request of this host's.
     pub fn survived(&self, request: impl FnOnce() -> Fingerprint) {
         let mut quarantine = self.quarantine.borrow_mut();
