What was answered a moment ago is not held when its endpoints end

What callers would see: a call that many make alike, such as a look-up without a body, is refused for an hour after all endpoints of its service ended at once, as some copies of it were under way at each.

Cause: three ends count against a request whatever was known for it. What ends endpoints is never answered, so that an answer in the last minute says more than ends that come together; and a run that broke off says nothing any more once the same request was answered. Ruled out: ends that must follow one another, since several callers may ask for the request that ends endpoints at the same time; short holds that are tried again, since each host would try.

Each host remembers what it answered in the last minute or two, at most 8,192 requests.

--- /dev/null
+++ b/crates/fleet/benches/quarantine.rs
@@ -0,0 +1,36 @@
+//! What a request that is answered costs in the quarantine: its fingerprint, and the note that it was.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use dragonflyrill_fleet::{
+    fingerprint::{Asked, Fingerprint},
+    quarantine::Quarantine,
+};
+
+/// Bytes of a usual prompt.
+const BODY: usize = 800;
+
+fn answered(c: &mut Criterion) {
+    let mut quarantine = Quarantine::new(Duration::from_secs(3600));
+    let mut body = [b'x'; BODY];
+    let mut n = 0u64;
+    c.bench_function("an answered request of 800 bytes", |b| {
+        b.iter(|| {
+            n += 1;
+            body[..8].copy_from_slice(&n.to_be_bytes());
+            let asked = Asked {
+                host: "h.example",
+                method: "POST",
+                path: "/stream/x",
+                workspace: Some("w1"),
+                body: black_box(&body),
+            };
+            let now = Duration::from_millis(n);
+            quarantine.survived(&Fingerprint::of(&asked), now)
+        });
+    });
+}
+
+criterion_group!(benches, answered);
+criterion_main!(benches);
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -5,6 +5,9 @@
 //! several starts of endpoints ended one after the other, and which none has answered meanwhile, is held:
 //! no host sends it any more.
 //!
+//! Callers that ask for the same have the same request, and may have many under way when a service loses
+//! its power. What was answered a moment ago is not what ends endpoints: nothing counts against it.
+//!
 //! It comes back as attempts with ids of their own, at any host, so that what one host has seen is told to
 //! all ([`Quarantine::changes_since`], [`Quarantine::told`]), and holds are kept where they outlive the
 //! process ([`Quarantine::to_keep`], [`Quarantine::found`]). In whatever order, and however often, hosts
@@ -16,7 +19,7 @@
 
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::fingerprint::Fingerprint;
 
@@ -32,7 +35,11 @@
 const MOST_KEPT: usize = 256;
 /// How long after a run broke off the end of its endpoint may be heard of: a start that takes its place is
 /// listed within seconds.
-const HEARD_WITHIN: Duration = Duration::from_secs(30);
+const HEARD_WITHIN: Duration = Duration::from_secs(15);
+/// For how long, at least, an answer to a request speaks for it, as long as there is room to remember it.
+const SPEAKS_FOR: Duration = Duration::from_secs(60);
+/// Requests that were answered which are remembered at once, twice: some 300 KB.
+const MOST_ANSWERED: usize = 4096;
 /// News of one moment differ by what they were on their way, from each host that passes them on to the
 /// next. Later news of the same are new from here on, so that hosts don't tell each other for ever.
 const SAME_MOMENT: Duration = Duration::from_secs(1);
@@ -188,6 +195,39 @@
     }
 }
 
+/// The requests that were answered lately, in two generations: the older one is forgotten whole.
+#[derive(Debug, Default)]
+struct Answered {
+    newer: FxHashSet<Fingerprint>,
+    older: FxHashSet<Fingerprint>,
+    /// When the newer one began.
+    since: Moment,
+}
+
+impl Answered {
+    fn note(&mut self, request: Fingerprint, now: Moment) {
+        self.turn(now);
+        self.newer.insert(request);
+    }
+
+    fn contains(&mut self, request: &Fingerprint, now: Moment) -> bool {
+        self.turn(now);
+        self.newer.contains(request) || self.older.contains(request)
+    }
+
+    fn turn(&mut self, now: Moment) {
+        let age = now.saturating_sub(self.since);
+        if age < SPEAKS_FOR && self.newer.len() < MOST_ANSWERED {
+            return;
+        }
+        self.older = std::mem::take(&mut self.newer);
+        if age >= 2 * SPEAKS_FOR {
+            self.older.clear();
+        }
+        self.since = now;
+    }
+}
+
 /// A run that broke off at a start of an endpoint that may have ended.
 #[derive(Debug)]
 struct Doubtful {
@@ -204,6 +244,7 @@
     records: FxHashMap<Fingerprint, Record>,
     /// In the order in which they broke off.
     doubtful: VecDeque<Doubtful>,
+    answered: Answered,
     /// Grows with each change.
     version: u64,
     /// Grows with each change of what is to be kept.
@@ -218,13 +259,14 @@
             first,
             records: FxHashMap::default(),
             doubtful: VecDeque::new(),
+            answered: Answered::default(),
             version: 0,
             keep: KeepMark::default(),
             kept: KeepMark::default(),
         }
     }
 
-    /// Whether no endpoint has ended under any request that is remembered.
+    /// Whether nothing is known against any request.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
@@ -251,6 +293,9 @@
     ) -> Option<Hold> {
         let now = moment(now);
         self.forget(now);
+        if self.answered.contains(&request, now) {
+            return None;
+        }
         let first = self.first;
         let record = self.remembered(request, now);
         if !record.end(endpoint, now) {
@@ -294,6 +339,8 @@
     /// An endpoint has answered a request; true if it was held.
     pub fn survived(&mut self, request: &Fingerprint, now: Duration) -> bool {
         let now = moment(now);
+        self.answered.note(*request, now);
+        self.doubtful.retain(|d| d.request != *request);
         let Some(record) = self.records.get_mut(request) else {
             return false;
         };
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -68,10 +68,46 @@
     quarantine.ended(request(1), &start(1), s(1));
     quarantine.ended(request(1), &start(2), s(2));
     assert!(!quarantine.survived(&request(1), s(3)));
-    quarantine.ended(request(1), &start(3), s(4));
-    quarantine.ended(request(1), &start(4), s(5));
-    assert_eq!(quarantine.held(&request(1), s(6)), None);
-    assert!(quarantine.ended(request(1), &start(5), s(7)).is_some());
+    quarantine.ended(request(1), &start(3), s(200));
+    quarantine.ended(request(1), &start(4), s(201));
+    assert_eq!(quarantine.held(&request(1), s(202)), None);
+    assert!(quarantine.ended(request(1), &start(5), s(203)).is_some());
+}
+
+#[test]
+fn nothing_counts_against_a_request_that_was_answered_in_the_last_minute() {
+    let mut quarantine = Quarantine::new(FIRST);
+    for minute in 1..5 {
+        quarantine.survived(&request(1), s(60 * minute));
+        quarantine.survived(&request(2), s(60 * minute));
+        assert_eq!(ended_three(&mut quarantine, s(60 * minute + 50)), None);
+        assert!(quarantine.is_empty());
+    }
+    assert!(ended_three(&mut quarantine, s(60 * 4 + 121)).is_some());
+}
+
+#[test]
+fn an_answer_speaks_against_a_break_before_it() {
+    let mut quarantine = Quarantine::new(FIRST);
+    quarantine.broke_off(request(1), &start(1), s(1));
+    quarantine.broke_off(request(2), &start(1), s(1));
+    quarantine.survived(&request(1), s(2));
+    assert_eq!(quarantine.over("e1", s(3)), [request(2)]);
+}
+
+#[test]
+fn a_flood_of_answers_is_bounded() {
+    let mut quarantine = Quarantine::new(FIRST);
+    quarantine.survived(&request(1), s(1));
+    for n in 0..20_000u32 {
+        let mut bytes = [7; 16];
+        bytes[..4].copy_from_slice(&n.to_be_bytes());
+        quarantine.survived(&Fingerprint::from(bytes), s(2));
+    }
+    assert!(
+        ended_three(&mut quarantine, s(3)).is_some(),
+        "it was forgotten"
+    );
 }
 
 #[test]
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -80,11 +80,11 @@
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
         match attempt_at(gateway, admitted, &endpoint, limit).await {
             Ok(whole) if success(whole.begun.head.status) || !may_improve(&whole, more) => {
-                gateway.survived(|| admitted.fingerprint());
+                gateway.survived(admitted.fingerprint());
                 return Ok(whole);
             }
             Ok(whole) => {
-                gateway.survived(|| admitted.fingerprint());
+                gateway.survived(admitted.fingerprint());
                 failure = Some(whole);
                 tries.answered();
             }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -60,7 +60,7 @@
     due: Instant,
     /// What was decided for it.
     trail: Trail,
-    /// Made when it is first needed: most requests are answered without it.
+    /// Made when it is first needed: with its answer, or when a send has failed.
     fingerprint: OnceCell<Fingerprint>,
 }
 
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -51,12 +51,8 @@
     }
 
     /// An endpoint has answered a request of this host's.
-    pub fn survived(&self, request: impl FnOnce() -> Fingerprint) {
+    pub fn survived(&self, request: Fingerprint) {
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.is_empty() {
-            return;
-        }
-        let request = request();
         if quarantine.survived(&request, self.now()) {
             log::info!(target: "forward", request:% = request; "A request is no longer held: an endpoint has answered it.");
         }
