An endpoint whose entry was removed long after the store's return is gone at once

Cause: entries that are missing after the store's return are kept for two seconds, as they may have lapsed while it was away. When that return was, each reader of the list took from itself: it remembered that a read had failed, or that it had waited, until it read again, though other hosts had told it of the store for ten seconds. Ruled out: a late removal in the store (the two other data centres had it after 0.1 to 0.75 s); a reader that was too slow (it read 0.8 s after the removal, and dropped the endpoint exactly 2.01 s later).

Now the gateway notes when the store was last in trouble, and when the list was first heard of after that, by whoever had an answer.

--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -26,10 +26,6 @@
     gateway: Rc<Gateway>,
     mark: Option<Mark>,
     whole: WholeRead,
-    /// A read has failed, or the store was away, and none has succeeded since.
-    troubled: bool,
-    /// When the store last answered again after trouble.
-    returned_at: Option<Duration>,
 }
 
 /// Follows the endpoints for as long as the process lives.
@@ -39,16 +35,13 @@
         gateway,
         mark: None,
         whole: WholeRead::default(),
-        troubled: false,
-        returned_at: None,
     };
     let mut backoff = Backoff::default();
     loop {
         if !follower.gateway.reads_store() {
             follower.mark = None;
         }
-        // Entries lapse while the store is away, whether or not a read of the list has met that.
-        follower.troubled |= follower.gateway.until_store_answers().await;
+        follower.gateway.until_store_answers().await;
         let began = time::Instant::now();
         match follower.read().await {
             Ok(()) => backoff.succeeded(&follower.gateway),
@@ -78,7 +71,7 @@
                 Ok(())
             }
             Err(e) => {
-                self.troubled = true;
+                self.gateway.store_troubled();
                 Err(e)
             }
         }
@@ -86,9 +79,6 @@
 
     fn take(&mut self, news: EndpointNews) {
         let now = self.gateway.now();
-        if std::mem::take(&mut self.troubled) {
-            self.returned_at = Some(now);
-        }
         self.mark = Some(news.mark);
         self.gateway.heard(On::List, now);
         let known = self.gateway.list_mark.get();
@@ -106,7 +96,10 @@
             self.gateway.doubted.borrow_mut().remove(&endpoint.id);
             self.gateway.list_endpoint(endpoint);
         }
-        let until = self.returned_at.map(|at| at + DOUBT).filter(|t| *t > now);
+        // Entries lapse while the store is away, whether or not a read of the list has met that. When it was
+        // back counts, and not when this host reads again: what is removed later is gone.
+        let returned_at = self.gateway.store_returned_at();
+        let until = returned_at.map(|at| at + DOUBT).filter(|t| *t > now);
         for id in gone {
             match until {
                 Some(until) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -123,6 +123,10 @@
     reading: watch::Sender<bool>,
     /// How this host's own reads of the store have ended.
     access: watch::Sender<Access>,
+    /// When the store was last found in trouble, if the list has not been heard of since.
+    store_troubled_at: Cell<Option<Duration>>,
+    /// When the list was last heard of again after that, by whoever had an answer.
+    store_returned_at: Cell<Option<Duration>>,
     /// The other hosts.
     pub peers: Peers,
     /// Whether any request has come.
@@ -170,6 +174,8 @@
             closing: watch::Sender::new(false),
             reading: watch::Sender::new(true),
             access: watch::Sender::default(),
+            store_troubled_at: Cell::new(None),
+            store_returned_at: Cell::new(None),
             peers: Peers::default(),
             asked: Cell::new(false),
             open: Cell::new(0),
@@ -240,6 +246,11 @@
         let mut heard = self.heard_at.get();
         heard[on as usize] = heard[on as usize].max(Some(at));
         self.heard_at.set(heard);
+        let troubled_at = self.store_troubled_at.get();
+        if on == On::List && troubled_at.is_some_and(|troubled| troubled < at) {
+            self.store_troubled_at.set(None);
+            self.store_returned_at.set(Some(self.now()));
+        }
         if !fresh && self.reads_well() {
             // The hosts that wait hear of it at once, and not with the next call.
             self.peers.hurry();
@@ -271,6 +282,9 @@
             access.away() != before
         });
         if changed {
+            if self.store_away() {
+                self.store_troubled();
+            }
             log::info!(target: "store", away = self.store_away(); "Whether the store is away changed.");
         }
     }
@@ -280,23 +294,30 @@
         self.access.borrow().away()
     }
 
+    /// The store is in trouble, as far as this host knows.
+    pub fn store_troubled(&self) {
+        self.store_troubled_at.set(Some(self.now()));
+    }
+
+    /// When the store was last back after trouble, as this host or one that tells it has found; `None` if
+    /// it never was in trouble.
+    pub fn store_returned_at(&self) -> Option<Duration> {
+        self.store_returned_at.get()
+    }
+
     /// Whether this host reads the store itself and the store does not count as away for it.
     pub fn asks_store(&self) -> bool {
         self.reads_store() && !self.store_away()
     }
 
-    /// Waits until this host reads the store itself and the store answers it; true if the store was
-    /// away meanwhile.
-    pub async fn until_store_answers(&self) -> bool {
-        let mut was_away = false;
+    /// Waits until this host reads the store itself and the store answers it.
+    pub async fn until_store_answers(&self) {
         while !self.asks_store() {
-            was_away |= self.store_away();
             self.until_reading().await;
             let mut access = self.access.subscribe();
             // The sender lives as long as this does.
             let _ = access.wait_for(|access| !access.away()).await;
         }
-        was_away
     }
 
     /// How long ago the store last answered, on whichever is longer ago.
