--- a/crates/fleet/benches/quarantine.rs
+++ b/crates/fleet/benches/quarantine.rs
@@ -1,8 +1,10 @@
 //! What a request that is answered costs in the quarantine: its fingerprint, and the note that it was.
+//!
+//! `cargo bench -p dragonflyrill-fleet --bench quarantine`
 
 use std::{hint::black_box, time::Duration};
 
-use criterion::{Criterion, criterion_group, criterion_main};
+use criterion::Criterion;
 use dragonflyrill_fleet::{
     fingerprint::{Asked, Fingerprint},
     quarantine::Quarantine,
@@ -32,5 +34,8 @@
     });
 }
 
-criterion_group!(benches, answered);
-criterion_main!(benches);
+fn main() {
+    let mut c = Criterion::default().configure_from_args();
+    answered(&mut c);
+    c.final_summary();
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 //! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
 //!   bound a host may use.
 //! - [`fingerprint`] tells whether two requests are the same one, asked for again; [`quarantine`] holds
-//!   back those under which endpoints end.
+//!   back those under which endpoints end; [`telling`] says what of it another host was not told yet.
 
 pub mod budget;
 pub mod catalogue;
@@ -37,3 +37,4 @@
 pub mod quarantine;
 pub mod share;
 pub mod store_access;
+pub mod telling;
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -66,7 +66,34 @@
     pub lasts: Duration,
 }
 
+/// A hold by a clock that outlives processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    /// When it began.
+    pub since: Duration,
+    /// When it lapses.
+    pub until: Duration,
+}
+
 impl Hold {
+    /// When it is by a clock that reads so now.
+    pub fn span(&self, clock: Duration) -> Span {
+        let since = clock.saturating_sub(self.age);
+        Span {
+            since,
+            until: since + self.lasts,
+        }
+    }
+
+    /// What it is when that clock reads so.
+    pub fn of(times: u32, span: Span, clock: Duration) -> Self {
+        Self {
+            times,
+            age: clock.saturating_sub(span.since),
+            lasts: span.until.saturating_sub(span.since),
+        }
+    }
+
     /// For how long it lasts still; zero once it has lapsed.
     pub fn left(&self) -> Duration {
         self.lasts.saturating_sub(self.age)
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -164,6 +164,20 @@
     assert_eq!(b.to_keep(s(5)).1.len(), 1);
 }
 
+#[test]
+fn ends_that_were_held_against_a_request_already_don_t_count_again() {
+    let (mut a, mut b) = (Quarantine::new(FIRST), Quarantine::new(FIRST));
+    a.ended(request(1), &start(1), s(1));
+    a.ended(request(1), &start(2), s(2));
+    tell(&a, &mut b, s(3));
+    b.ended(request(1), &start(3), s(4));
+    // The hold has lapsed when a host that was cut off tells of the ends that led to it.
+    let later = s(4) + FIRST + s(1);
+    assert_eq!(b.held(&request(1), later), None);
+    tell(&a, &mut b, later);
+    assert_eq!(b.held(&request(1), later), None);
+}
+
 #[test]
 fn a_host_that_has_just_started_takes_what_is_older_than_itself() {
     let (mut old, mut new) = (Quarantine::new(FIRST), Quarantine::new(FIRST));
@@ -216,6 +230,20 @@
     assert!(other.held(&request(1), s(0)).is_some() && other.to_keep(s(0)).1.is_empty());
 }
 
+#[test]
+fn a_hold_lapses_at_the_same_moment_by_a_clock_that_outlives_the_process() {
+    let hold = Hold {
+        times: 2,
+        age: s(20),
+        lasts: s(60),
+    };
+    let span = hold.span(s(1000));
+    assert_eq!((span.since, span.until), (s(980), s(1040)));
+    let later = Hold::of(2, span, s(1030));
+    assert_eq!((later.times, later.age, later.left()), (2, s(50), s(10)));
+    assert_eq!(Hold::of(2, span, s(2000)).left(), s(0));
+}
+
 #[test]
 fn a_hold_that_has_lapsed_where_it_was_kept_is_not_taken() {
     let hold = Hold {
--- a/crates/gateway/src/control/held_requests.rs
+++ b/crates/gateway/src/control/held_requests.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::quarantine::{Hold, Kept};
+use dragonflyrill_fleet::quarantine::{Hold, Kept, Span};
 use dragonflyrill_protocol::exchange::{HostRow, KeptHold};
 
 use crate::gateway::Gateway;
@@ -13,12 +13,12 @@
 /// Holds as a row spells them that is written at this time of the store's clock.
 pub(super) fn spelled(kept: &[Kept], clock: Duration) -> Vec<KeptHold> {
     let one = |kept: &Kept| {
-        let since = clock.saturating_sub(kept.hold.age);
+        let span = kept.hold.span(clock);
         KeptHold {
             request: kept.request.to_string(),
             times: kept.hold.times,
-            since_ms: millis(since),
-            until_ms: millis(since + kept.hold.lasts),
+            since_ms: millis(span.since),
+            until_ms: millis(span.until),
         }
     };
     kept.iter().map(one).collect()
@@ -44,15 +44,13 @@
             return None;
         }
     };
-    let since = Duration::from_millis(held.since_ms);
-    let until = Duration::from_millis(held.until_ms);
+    let span = Span {
+        since: Duration::from_millis(held.since_ms),
+        until: Duration::from_millis(held.until_ms),
+    };
     Some(Kept {
         request,
-        hold: Hold {
-            times: held.times,
-            age: clock.saturating_sub(since),
-            lasts: until.saturating_sub(since),
-        },
+        hold: Hold::of(held.times, span, clock),
     })
 }
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -20,7 +20,7 @@
 use super::{
     FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, from_wire,
     serve::own_data_centre,
-    suspects::{self, Exchanges},
+    suspects::{self, Tellings},
     to_wire,
 };
 use crate::{
@@ -54,7 +54,7 @@
 struct Follower {
     gateway: Rc<Gateway>,
     clients: HashMap<SocketAddr, ExchangeClient>,
-    suspects: Exchanges,
+    suspects: Tellings,
     /// The host that was asked last.
     asked: Option<String>,
     beginning: Beginning,
@@ -65,7 +65,7 @@
     let mut follower = Follower {
         gateway,
         clients: HashMap::new(),
-        suspects: Exchanges::default(),
+        suspects: Tellings::default(),
         asked: None,
         beginning: Beginning::Unasked,
     };
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -1,30 +1,22 @@
 //! Requests under which endpoints end, as hosts tell them to each other.
 //!
 //! Each call says what has changed since the last one between the two hosts, in both directions; the first
-//! says all. A host that starts again is told all anew, as its marks are those of another origin.
+//! says all ([`telling`](dragonflyrill_fleet::telling)).
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use dragonflyrill_fleet::{
     fingerprint::Fingerprint,
     quarantine::{End, Hold, Told},
+    telling::{Place, Telling},
 };
 use dragonflyrill_protocol::exchange::{EndpointEnd, ListMark, RequestHold, Suspect, SuspectNews};
 
 use crate::gateway::Gateway;
 
-/// How far this host and one that it asks have told each other.
-#[derive(Debug, Clone, Copy, Default)]
-struct Exchanged {
-    /// Up to which version of this host's the other one knows.
-    told: u64,
-    /// Up to where this host knows the other's.
-    heard: ListMark,
-}
-
-/// The same for all hosts that this one asks.
+/// How far this host and those that it asks have told each other.
 #[derive(Debug, Default)]
-pub(super) struct Exchanges(HashMap<SocketAddr, Exchanged>);
+pub(super) struct Tellings(HashMap<SocketAddr, Telling>);
 
 /// What goes with a call to a host.
 pub(super) struct Offered {
@@ -36,14 +28,15 @@
     version: u64,
 }
 
-impl Exchanges {
+impl Tellings {
     /// What goes with a call to a host.
     pub(super) fn offer(&self, addr: SocketAddr, gateway: &Gateway) -> Offered {
-        let exchanged = self.0.get(&addr).copied().unwrap_or_default();
+        let telling = self.0.get(&addr).copied().unwrap_or_default();
+        let Place { origin, version } = telling.heard();
         let quarantine = gateway.quarantine.borrow();
-        let changed = quarantine.changes_since(exchanged.told, gateway.now());
+        let changed = quarantine.changes_since(telling.told(), gateway.now());
         Offered {
-            known: exchanged.heard,
+            known: ListMark { origin, version },
             suspects: changed.iter().map(to_wire).collect(),
             version: quarantine.version(),
         }
@@ -51,27 +44,25 @@
 
     /// The call was answered, with all that the other host knows up to a mark of its own.
     pub(super) fn answered(&mut self, addr: SocketAddr, offered: &Offered, mark: ListMark) {
-        let exchanged = self.0.entry(addr).or_default();
-        // It may be another process than the one that was told what went before.
-        let told_all = exchanged.told == 0;
-        let same = exchanged.heard.origin == mark.origin;
-        exchanged.told = if same || told_all { offered.version } else { 0 };
-        exchanged.heard = mark;
+        let telling = self.0.entry(addr).or_default();
+        telling.answered(offered.version, place(mark));
     }
 
-    /// The call was not answered: nobody knows what has come over.
+    /// The call was not answered.
     pub(super) fn failed(&mut self, addr: SocketAddr) {
-        self.0.remove(&addr);
+        self.0.entry(addr).or_default().failed();
     }
 }
 
+fn place(mark: ListMark) -> Place {
+    let ListMark { origin, version } = mark;
+    Place { origin, version }
+}
+
 /// What a host lacks that knows this one's suspects up to a mark.
 pub(super) fn news(gateway: &Gateway, known: ListMark) -> SuspectNews {
     let origin = gateway.peers.list_origin(&gateway.settings.host);
-    let since = match known.origin == origin {
-        true => known.version,
-        false => 0,
-    };
+    let since = place(known).known_of(origin);
     let quarantine = gateway.quarantine.borrow();
     let changed = quarantine.changes_since(since, gateway.now());
     SuspectNews {
