An entry that is gone sooner than it can lapse was removed

Cause: the store turned two hosts away, among them the one that reads for its data centre. The next host had an answer after 2.0 s, without the entry that had been removed meanwhile, and kept it for two seconds, as entries may lapse while a store is away. It could not have: that takes three heartbeats. Ruled out: a host that could tell a store that is away from a host that is turned away; a shorter time to hear of it, which is bound by the turns.

Now entries that are missing after trouble are kept only if nobody had heard of the list for as long as an entry needs to lapse.

--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -114,8 +114,11 @@
 fn an_answer_that_was_under_way_when_a_request_was_held_ends_the_hold() {
     let mut quarantine = Quarantine::new(FIRST);
     ended_three(&mut quarantine, s(0));
+    quarantine.kept(quarantine.to_keep(s(4)).0);
+    assert!(!quarantine.keep_due());
     assert!(quarantine.survived(&request(1), s(5)));
     assert_eq!(quarantine.held(&request(1), s(5)), None);
+    assert!(quarantine.keep_due(), "what was kept says that it is held");
 }
 
 #[test]
@@ -199,6 +202,8 @@
     ended_three(&mut a, s(0));
     tell(&a, &mut b, s(4));
     tell(&a, &mut c, s(4));
+    a.kept(a.to_keep(s(5)).0);
+    assert!(!a.keep_due());
     c.survived(&request(1), s(6));
     tell(&c, &mut b, s(7));
     // What says that it is held comes late, and is older than the answer.
@@ -230,6 +235,17 @@
     assert!(other.held(&request(1), s(0)).is_some() && other.to_keep(s(0)).1.is_empty());
 }
 
+#[test]
+fn a_host_that_keeps_a_hold_keeps_the_longer_one_that_it_is_told() {
+    let (mut a, mut b) = (Quarantine::new(FIRST), Quarantine::new(2 * FIRST));
+    ended_three(&mut a, s(0));
+    ended_three(&mut b, s(0));
+    tell(&b, &mut a, s(5));
+    let kept = a.to_keep(s(5)).1;
+    assert_eq!(kept.len(), 1);
+    assert_eq!(kept[0].hold.lasts, 2 * FIRST);
+}
+
 #[test]
 fn a_hold_lapses_at_the_same_moment_by_a_clock_that_outlives_the_process() {
     let hold = Hold {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,6 +52,11 @@
 /// 10 ms, and a stream may pause for 200 ms.
 const RECORDED_WITHIN: Duration = Duration::from_millis(60);
 
+/// For how many heartbeats of endpoints nobody may hear of the list before entries can have lapsed: after
+/// three without one they do, and the last one may be one old when the store goes away. The rest is kept
+/// back, as they come about as often as that.
+const NONE_LAPSES_BEATS: f64 = 1.75;
+
 /// The platform that a host runs on.
 pub struct Platform {
     /// How requests are marked.
@@ -125,7 +130,8 @@
     access: watch::Sender<Access>,
     /// When the store was last found in trouble, if the list has not been heard of since.
     store_troubled_at: Cell<Option<Duration>>,
-    /// When the list was last heard of again after that, by whoever had an answer.
+    /// When the list was last heard of again after trouble that was long enough for entries to lapse, by
+    /// whoever had an answer.
     store_returned_at: Cell<Option<Duration>>,
     /// The other hosts.
     pub peers: Peers,
@@ -244,12 +250,11 @@
     pub fn heard(&self, on: On, at: Duration) {
         let fresh = self.hears();
         let mut heard = self.heard_at.get();
-        heard[on as usize] = heard[on as usize].max(Some(at));
+        let before = heard[on as usize];
+        heard[on as usize] = before.max(Some(at));
         self.heard_at.set(heard);
-        let troubled_at = self.store_troubled_at.get();
-        if on == On::List && troubled_at.is_some_and(|troubled| troubled < at) {
-            self.store_troubled_at.set(None);
-            self.store_returned_at.set(Some(self.now()));
+        if on == On::List {
+            self.heard_of_list(at, before);
         }
         if !fresh && self.reads_well() {
             // The hosts that wait hear of it at once, and not with the next call.
@@ -257,6 +262,22 @@
         }
     }
 
+    /// The list has been heard of, and before that at that time: after trouble in which entries can have
+    /// lapsed, the store is back now. A host whose reader alone was turned away hears of it sooner, and
+    /// what is missing then has been removed.
+    fn heard_of_list(&self, at: Duration, before: Option<Duration>) {
+        let troubled_at = self.store_troubled_at.get();
+        if troubled_at.is_none_or(|troubled| troubled >= at) {
+            return;
+        }
+        self.store_troubled_at.set(None);
+        let silence = at.saturating_sub(before.unwrap_or_default());
+        let none_lapses = self.settings.endpoint_heartbeat.mul_f64(NONE_LAPSES_BEATS);
+        if silence >= none_lapses {
+            self.store_returned_at.set(Some(self.now()));
+        }
+    }
+
     /// Whether the news of the store are fresh, this host's own or those of the one that it asks.
     pub fn hears(&self) -> bool {
         let silent = catalogue::longest_silence(&self.settings);
@@ -299,8 +320,8 @@
         self.store_troubled_at.set(Some(self.now()));
     }
 
-    /// When the store was last back after trouble, as this host or one that tells it has found; `None` if
-    /// it never was in trouble.
+    /// When the store was last back after trouble in which entries can have lapsed, as this host or one that
+    /// tells it has found; `None` if it never was.
     pub fn store_returned_at(&self) -> Option<Duration> {
         self.store_returned_at.get()
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,6 +37,8 @@
     pub config_apply: Duration,
     /// How long after an endpoint said that it is leaving it may still get requests.
     pub endpoint_drain: Duration,
+    /// How often an endpoint writes its entry in the list, about.
+    pub endpoint_heartbeat: Duration,
     /// How long after a termination signal the process is killed.
     pub grace: Duration,
     /// The budget of repeats of one service.
@@ -50,11 +52,15 @@
 /// Some 60 lines and 20 KB a second.
 const LOGGED_PER_S: &str = "20";
 
+/// As the platform's settings have it.
+const ENDPOINT_HEARTBEAT_MS: &str = "1200";
+
 /// An hour: long enough that a request which comes again and again ends one endpoint in it, and short
 /// enough for one that was held by a coincidence.
 const REQUEST_HOLD_S: &str = "3600";
 
-/// The keys, by section; each must be there but for `peers_announced`, `hold_s` and those of `logs`.
+/// The keys, by section; each must be there but for `peers_announced`, `endpoint_heartbeat_ms`, `hold_s` and
+/// those of `logs`.
 const KNOWN: settings::Known = &[
     ("host", &["name", "address", "data_centre"]),
     (
@@ -74,6 +80,7 @@
             "key_revocation_ms",
             "config_apply_ms",
             "endpoint_drain_ms",
+            "endpoint_heartbeat_ms",
             "grace_s",
         ],
     ),
@@ -114,6 +121,12 @@
         let key_revocation = p.required("bounds", "key_revocation_ms", settings::fine_millis);
         let config_apply = p.required("bounds", "config_apply_ms", settings::fine_millis);
         let endpoint_drain = p.required("bounds", "endpoint_drain_ms", settings::fine_millis);
+        let heartbeat = p.optional(
+            "bounds",
+            "endpoint_heartbeat_ms",
+            ENDPOINT_HEARTBEAT_MS,
+            settings::fine_millis,
+        );
         let grace = p.required("bounds", "grace_s", settings::seconds);
         let ratio = p.required("retries", "ratio", settings::decimal);
         let burst = p.required("retries", "burst", settings::decimal);
@@ -137,6 +150,7 @@
             key_revocation: key_revocation?,
             config_apply: config_apply?,
             endpoint_drain: endpoint_drain?,
+            endpoint_heartbeat: heartbeat?,
             grace: grace?,
             retries: BudgetTerms {
                 ratio: ratio?,
