quarantine: a hold's times are one piece, placed and told by the one conversion that rows use

Hold::span and Hold::of turned ages into times of a clock for rows, and spelled and placed did the same once more for what hosts tell each other. Held has a Span now and uses these two. What is held from now on was found by the same lines in told and in found: held_of serves both. No behaviour changes; the tests of the quarantine pass as they were, the property test with 3,000 cases.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -138,12 +138,28 @@
 #[derive(Debug, Clone, Copy)]
 struct Held {
     times: u32,
-    since: Moment,
-    until: Moment,
+    /// By [`Moment`]s.
+    span: Span,
     /// This host found it, or a process before it did, and keeps it.
     own: bool,
 }
 
+impl Held {
+    /// A hold that is told or found now.
+    fn placed(hold: Hold, now: Moment, own: bool) -> Self {
+        Self {
+            times: hold.times,
+            span: hold.span(now),
+            own,
+        }
+    }
+
+    /// As others are told it now.
+    fn spelled(self, now: Moment) -> Hold {
+        Hold::of(self.times, self.span, now)
+    }
+}
+
 /// Invariants: all ends are later than `survived` and than the end of the hold; the hold began after
 /// `survived`.
 #[derive(Debug, Default)]
@@ -160,7 +176,7 @@
 impl Record {
     /// Ends up to then count no more.
     fn settled(&self) -> Option<Moment> {
-        self.survived.max(self.held.map(|h| h.until))
+        self.survived.max(self.held.map(|h| h.span.until))
     }
 
     /// Takes an end, if it is new and counts.
@@ -186,8 +202,10 @@
         }
         self.held = Some(Held {
             times: times + 1,
-            since: now,
-            until: now + first * 2u32.pow(times.min(MOST_DOUBLED)),
+            span: Span {
+                since: now,
+                until: now + first * 2u32.pow(times.min(MOST_DOUBLED)),
+            },
             own: true,
         });
         self.ends.clear();
@@ -198,14 +216,14 @@
     fn survive(&mut self, at: Moment) {
         self.survived = self.survived.max(Some(at));
         self.ends.retain(|e| e.at > at);
-        self.held = self.held.filter(|h| h.since > at);
+        self.held = self.held.filter(|h| h.span.since > at);
     }
 
     /// Takes a hold that is further than the one known.
     fn take(&mut self, told: Held) -> bool {
-        let over = self.survived.is_some_and(|at| told.since <= at);
+        let over = self.survived.is_some_and(|at| told.span.since <= at);
         let further = self.held.is_none_or(|own| {
-            let longer = told.until > own.until + SAME_MOMENT;
+            let longer = told.span.until > own.span.until + SAME_MOMENT;
             told.times > own.times || (told.times == own.times && longer)
         });
         if over || !further {
@@ -213,12 +231,12 @@
         }
         let own = self.held.is_some_and(|h| h.own) || told.own;
         self.held = Some(Held { own, ..told });
-        self.ends.retain(|e| e.at > told.until);
+        self.ends.retain(|e| e.at > told.span.until);
         true
     }
 
     fn is_held(&self, now: Moment) -> bool {
-        self.held.is_some_and(|h| h.until > now)
+        self.held.is_some_and(|h| h.span.until > now)
     }
 }
 
@@ -302,7 +320,7 @@
     pub fn held(&self, request: &Fingerprint, now: Duration) -> Option<Duration> {
         let now = moment(now);
         let held = self.records.get(request)?.held?;
-        Some(held.until.saturating_sub(now)).filter(|left| !left.is_zero())
+        Some(held.span.until.saturating_sub(now)).filter(|left| !left.is_zero())
     }
 
     /// How many requests are held.
@@ -333,7 +351,7 @@
         self.changed(&request);
         let held = held?;
         self.keep.0 += 1;
-        Some(spelled(held, now))
+        Some(held.spelled(now))
     }
 
     /// A request's run broke off at a start of an endpoint, and whether that has ended is not known yet.
@@ -378,7 +396,7 @@
         record.survive(now);
         self.changed(request);
         self.keep.0 += u64::from(held.is_some_and(|h| h.own));
-        held.is_some_and(|h| h.until > now)
+        held.is_some_and(|h| h.span.until > now)
     }
 
     /// Grows with each change.
@@ -394,7 +412,7 @@
             request: *request,
             ends: record.ends.iter().map(|e| spelled_end(e, now)).collect(),
             survived: record.survived.map(|at| now.saturating_sub(at)),
-            hold: record.held.map(|held| spelled(held, now)),
+            hold: record.held.map(|held| held.spelled(now)),
         });
         told.collect()
     }
@@ -403,15 +421,16 @@
     pub fn told(&mut self, news: Vec<Told>, now: Duration) -> Vec<Fingerprint> {
         let now = moment(now);
         self.forget(now);
-        let mut held = Vec::new();
-        for told in news {
-            let before = self.is_held(&told.request, now);
-            self.take(&told, now);
-            if !before && self.is_held(&told.request, now) {
-                held.push(told.request);
-            }
-        }
-        held
+        let requests = news.iter().map(|told| told.request);
+        let free: Vec<Fingerprint> = requests.filter(|r| !self.is_held(r, now)).collect();
+        news.iter().for_each(|told| self.take(told, now));
+        self.held_of(free, now)
+    }
+
+    /// Those of some requests that are held.
+    fn held_of(&self, mut requests: Vec<Fingerprint>, now: Moment) -> Vec<Fingerprint> {
+        requests.retain(|request| self.is_held(request, now));
+        requests
     }
 
     fn take(&mut self, told: &Told, now: Moment) {
@@ -427,7 +446,7 @@
         if let Some(at) = later {
             record.survive(at);
         }
-        let hold = told.hold.map(|hold| placed(hold, now));
+        let hold = told.hold.map(|hold| Held::placed(hold, now, false));
         let mut changed = later.is_some();
         changed |= hold.is_some_and(|hold| record.take(hold));
         for end in &told.ends {
@@ -450,9 +469,9 @@
         let own = held.filter_map(|(request, r)| Some((request, r.held.filter(|h| h.own)?)));
         let mut kept: Vec<(Moment, Kept)> = own
             .map(|(request, held)| {
-                let hold = spelled(held, now);
+                let hold = held.spelled(now);
                 let request = *request;
-                (held.since, Kept { request, hold })
+                (held.span.since, Kept { request, hold })
             })
             .collect();
         kept.sort_by_key(|(since, kept)| (std::cmp::Reverse(*since), kept.request));
@@ -473,21 +492,17 @@
     /// Takes what a host has kept; `own` if that was this one. Gives the requests that are held from now
     /// on.
     pub fn found(&mut self, kept: Vec<Kept>, own: bool, now: Duration) -> Vec<Fingerprint> {
-        let at = moment(now);
-        let mut held = Vec::new();
-        let lasting = kept.into_iter().filter(|kept| !kept.hold.left().is_zero());
-        for Kept { request, hold } in lasting {
-            let before = self.is_held(&request, at);
-            let record = self.remembered(request, at);
-            let placed = placed(hold, at);
-            if record.take(Held { own, ..placed }) {
-                self.changed(&request);
-            }
-            if !before && self.is_held(&request, at) {
-                held.push(request);
+        let now = moment(now);
+        let lasting = || kept.iter().filter(|kept| !kept.hold.left().is_zero());
+        let requests = lasting().map(|kept| kept.request);
+        let free: Vec<Fingerprint> = requests.filter(|r| !self.is_held(r, now)).collect();
+        for Kept { request, hold } in lasting() {
+            let record = self.remembered(*request, now);
+            if record.take(Held::placed(*hold, now, own)) {
+                self.changed(request);
             }
         }
-        held
+        self.held_of(free, now)
     }
 
     /// What is known of a request, which is heard of now.
@@ -515,7 +530,9 @@
     fn forget(&mut self, now: Moment) {
         let first = self.first;
         self.records.retain(|_, r| {
-            let long = r.held.map_or(first, |h| h.until.saturating_sub(h.since));
+            let long = r
+                .held
+                .map_or(first, |h| h.span.until.saturating_sub(h.span.since));
             r.heard.max(r.settled().unwrap_or_default()) + long > now
         });
     }
@@ -542,24 +559,6 @@
     now.saturating_sub(age)
 }
 
-fn spelled(held: Held, now: Moment) -> Hold {
-    Hold {
-        times: held.times,
-        age: now.saturating_sub(held.since),
-        lasts: held.until.saturating_sub(held.since),
-    }
-}
-
-fn placed(hold: Hold, now: Moment) -> Held {
-    let since = before(now, hold.age);
-    Held {
-        times: hold.times,
-        since,
-        until: since + hold.lasts,
-        own: false,
-    }
-}
-
 fn spelled_end(ended: &Ended, now: Moment) -> End {
     End {
         endpoint: ended.endpoint.clone(),
