forward: one place says that a request is held, one that it was answered; one spelling of milliseconds

Calls and streams looked whether a request is held by the same lines before each send: may_send does it for both. A call noted that it was answered in two arms: attempt_at does, where it notes what the endpoint did. A row can't be written with holds by a clock of zero any more, as the clock is asked for beside the draft, which is there if and only if the clock is.

--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -15,7 +15,7 @@
     share::{Claim, Draft, Held, Row, Share, View},
 };
 use dragonflyrill_protocol::exchange::{
-    ClaimsView, HeldShare, HostRow, RecordedRepeats, ShareClaim,
+    ClaimsView, HeldShare, HostRow, RecordedRepeats, ShareClaim, millis,
 };
 use tokio::sync::{Notify, watch};
 
@@ -295,10 +295,6 @@
     })
 }
 
-fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
-
 fn claim_to_wire(claim: &Claim) -> ShareClaim {
     let held = |held: Held| HeldShare {
         version: held.version,
--- a/crates/gateway/src/control/held_requests.rs
+++ b/crates/gateway/src/control/held_requests.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dragonflyrill_fleet::quarantine::{Hold, Kept, Span};
-use dragonflyrill_protocol::exchange::{HostRow, KeptHold};
+use dragonflyrill_protocol::exchange::{HostRow, KeptHold, millis};
 
 use crate::gateway::Gateway;
 
@@ -53,7 +53,3 @@
         hold: Hold::of(held.times, span, clock),
     })
 }
-
-fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -224,11 +224,14 @@
         let catalogue = gateway.catalogue.borrow().clone();
         let services = catalogue.iter().flat_map(|c| c.services());
         let names = services.map(|s| s.name.clone());
-        let (Some(expected), Some(draft)) = (bounds.row(), bounds.draft(names, gateway.now()))
-        else {
+        let now = gateway.now();
+        let (Some(expected), Some(draft), Some(clock)) = (
+            bounds.row(),
+            bounds.draft(names, now),
+            bounds.store_clock(now),
+        ) else {
             return Ok(());
         };
-        let clock = bounds.store_clock(gateway.now()).unwrap_or_default();
         let (mark, holds) = gateway.holds_to_keep();
         let row = HostRow {
             host: myself(gateway),
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -59,11 +59,7 @@
     let mut tries = Tries::new(Refusal::NoEndpoint("no endpoint of the service is known"));
     let mut failure: Option<Whole> = None;
     for _ in 0..admitted.most_sends() + MORE_TRIES {
-        if admitted.left().is_zero() || !admitted.may_send(&tries) {
-            break;
-        }
-        if let Some(refusal) = admitted.held(gateway) {
-            tries.not_sent(refusal);
+        if admitted.left().is_zero() || !admitted.may_send(gateway, &mut tries) {
             break;
         }
         let Some(endpoint) = pick(gateway, admitted, &tried) else {
@@ -80,11 +76,9 @@
         let limit = if more { left.mul_f64(FIRST_PART) } else { left };
         match attempt_at(gateway, admitted, &endpoint, limit).await {
             Ok(whole) if success(whole.begun.head.status) || !may_improve(&whole, more) => {
-                gateway.survived(admitted.fingerprint());
                 return Ok(whole);
             }
             Ok(whole) => {
-                gateway.survived(admitted.fingerprint());
                 failure = Some(whole);
                 tries.answered();
             }
@@ -158,6 +152,9 @@
         result = asked => result,
         () = until_over(gateway, &endpoint.id) => Err(target.given_up("the endpoint has ended")),
     };
+    if result.is_ok() {
+        gateway.survived(admitted.fingerprint());
+    }
     let mut directory = gateway.directory.borrow_mut();
     match &result {
         Ok(whole) if whole.begun.head.status.is_server_error() => {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -75,8 +75,12 @@
         self.route.max_attempts.max(1)
     }
 
-    /// Whether it may be sent once more after these tries.
-    fn may_send(&self, tries: &Tries) -> bool {
+    /// Whether it may be sent once more after these tries, which note if it is held.
+    fn may_send(&self, gateway: &Gateway, tries: &mut Tries) -> bool {
+        if let Some(refusal) = self.held(gateway) {
+            tries.not_sent(refusal);
+            return false;
+        }
         let may_run_again = self.route.kind.repeatable() || !tries.may_have_run();
         may_run_again && tries.sent() < self.most_sends()
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -113,11 +113,7 @@
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
         for _ in 0..self.admitted.most_sends() + call::MORE_TRIES {
-            if !self.admitted.may_send(&self.tries) {
-                break;
-            }
-            if let Some(refusal) = self.admitted.held(self.gateway) {
-                self.tries.not_sent(refusal);
+            if !self.admitted.may_send(self.gateway, &mut self.tries) {
                 break;
             }
             let Some(planned) = self.choose(&engine) else {
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -10,7 +10,9 @@
     quarantine::{End, Hold, Told},
     telling::{Place, Telling},
 };
-use dragonflyrill_protocol::exchange::{EndpointEnd, ListMark, RequestHold, Suspect, SuspectNews};
+use dragonflyrill_protocol::exchange::{
+    EndpointEnd, ListMark, RequestHold, Suspect, SuspectNews, millis,
+};
 
 use crate::gateway::Gateway;
 
@@ -116,7 +118,3 @@
         hold: suspect.hold.map(hold),
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -4,10 +4,15 @@
 //! failed it there, and gets what it lacks of the catalogue, of the list of endpoints and of the fleet. A lost or late
 //! call loses nothing: the next one says the same.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+/// A time as messages and rows spell it, in whole milliseconds.
+pub fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
 /// The requests at one endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointLoad {
