The return of the store after trouble is decided in the fleet crate

When entries that are missing may have lapsed was decided over two cells of Gateway, where no test reached it but through hosts and stand-ins.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`examination`] says when the parts of a chain are asked how they are.
 //! - [`patience`] says for how long a run is waited for, and when its chain is examined.
 //! - [`freshness`] says for how long a catalogue may be acted on without news from the store.
+//! - [`outage`] says when entries that are missing may have lapsed while the store was away.
 //! - [`store_access`] says which hosts of a data centre ask a store that does not answer.
 //! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
 //!   bound a host may use.
@@ -32,6 +33,7 @@
 pub mod freshness;
 pub mod incarnations;
 pub mod layers;
+pub mod outage;
 pub mod patience;
 pub mod placement;
 pub mod quarantine;
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -98,7 +98,7 @@
         }
         // Entries lapse while the store is away, whether or not a read of the list has met that. When it was
         // back counts, and not when this host reads again: what is removed later is gone.
-        let returned_at = self.gateway.store_returned_at();
+        let returned_at = self.gateway.outage.borrow().returned_at();
         let until = returned_at.map(|at| at + DOUBT).filter(|t| *t > now);
         for id in gone {
             match until {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
     choice::Loads,
     endpoints::Directory,
     freshness::Freshness,
+    outage::Outage,
     quarantine::Quarantine,
     share,
     store_access::Access,
@@ -52,11 +53,6 @@
 /// 10 ms, and a stream may pause for 200 ms.
 const RECORDED_WITHIN: Duration = Duration::from_millis(60);
 
-/// For how many heartbeats of endpoints nobody may hear of the list before entries can have lapsed: after
-/// three without one they do, and the last one may be one old when the store goes away. The rest is kept
-/// back, as they come about as often as that.
-const NONE_LAPSES_BEATS: f64 = 1.75;
-
 /// The platform that a host runs on.
 pub struct Platform {
     /// How requests are marked.
@@ -128,11 +124,8 @@
     reading: watch::Sender<bool>,
     /// How this host's own reads of the store have ended.
     access: watch::Sender<Access>,
-    /// When the store was last found in trouble, if the list has not been heard of since.
-    store_troubled_at: Cell<Option<Duration>>,
-    /// When the list was last heard of again after trouble that was long enough for entries to lapse, by
-    /// whoever had an answer.
-    store_returned_at: Cell<Option<Duration>>,
+    /// The last trouble with the store in which entries can have lapsed.
+    pub outage: RefCell<Outage>,
     /// The other hosts.
     pub peers: Peers,
     /// Whether any request has come.
@@ -156,6 +149,7 @@
         let lines = LineBudget::new(settings.logged_per_s);
         let bounds = Bounds::new(settings.retries);
         let quarantine = Quarantine::new(settings.request_hold);
+        let outage = Outage::new(settings.endpoint_heartbeat);
         Rc::new(Self {
             settings,
             platform,
@@ -180,8 +174,7 @@
             closing: watch::Sender::new(false),
             reading: watch::Sender::new(true),
             access: watch::Sender::default(),
-            store_troubled_at: Cell::new(None),
-            store_returned_at: Cell::new(None),
+            outage: RefCell::new(outage),
             peers: Peers::default(),
             asked: Cell::new(false),
             open: Cell::new(0),
@@ -254,7 +247,7 @@
         heard[on as usize] = before.max(Some(at));
         self.heard_at.set(heard);
         if on == On::List {
-            self.heard_of_list(at, before);
+            self.outage.borrow_mut().heard(at, before, self.now());
         }
         if !fresh && self.reads_well() {
             // The hosts that wait hear of it at once, and not with the next call.
@@ -262,22 +255,6 @@
         }
     }
 
-    /// The list has been heard of, and before that at that time: after trouble in which entries can have
-    /// lapsed, the store is back now. A host whose reader alone was turned away hears of it sooner, and
-    /// what is missing then has been removed.
-    fn heard_of_list(&self, at: Duration, before: Option<Duration>) {
-        let troubled_at = self.store_troubled_at.get();
-        if troubled_at.is_none_or(|troubled| troubled >= at) {
-            return;
-        }
-        self.store_troubled_at.set(None);
-        let silence = at.saturating_sub(before.unwrap_or_default());
-        let none_lapses = self.settings.endpoint_heartbeat.mul_f64(NONE_LAPSES_BEATS);
-        if silence >= none_lapses {
-            self.store_returned_at.set(Some(self.now()));
-        }
-    }
-
     /// Whether the news of the store are fresh, this host's own or those of the one that it asks.
     pub fn hears(&self) -> bool {
         let silent = catalogue::longest_silence(&self.settings);
@@ -317,13 +294,7 @@
 
     /// The store is in trouble, as far as this host knows.
     pub fn store_troubled(&self) {
-        self.store_troubled_at.set(Some(self.now()));
-    }
-
-    /// When the store was last back after trouble in which entries can have lapsed, as this host or one that
-    /// tells it has found; `None` if it never was.
-    pub fn store_returned_at(&self) -> Option<Duration> {
-        self.store_returned_at.get()
+        self.outage.borrow_mut().troubled(self.now());
     }
 
     /// Whether this host reads the store itself and the store does not count as away for it.
