A process that ends tells why: its last lines are waited for

Hosts that could not start had ended with a failure, and nothing said why: of seven such ends in 100 starts of 24 hosts, four times side by side, five had no line on it, two of these no line at all.

Cause: lines are written by a thread of their own, which ends with the process; main returned right after it had queued the line that tells why. The line that a host has stopped was lost in the same way.

Ruled out: that the reason was written and the file was cut (two of seven have it, in the same file), and that nothing was logged (main logs each error).

The entry program writes its lines itself and has no such cause.

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -1,7 +1,8 @@
 //! Structured logs: one JSON object a line.
 //!
 //! Lines go through a bounded queue to a thread that writes them, so that a reader that stalls never
-//! holds a request. What does not fit is dropped, counted and told.
+//! holds a request. What does not fit is dropped, counted and told. A process that ends waits a moment for
+//! its last lines ([`Written`]), which tell why it does.
 
 use std::{
     io::{self, Write},
@@ -11,6 +12,7 @@
         mpsc::{self, SyncSender, TrySendError},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use log::kv::{Key, Value, VisitSource};
@@ -21,13 +23,49 @@
 const USUAL: &str = "info,tarpc=warn";
 /// Lines that wait to be written: some seconds of a host in the worst trouble, below 1 MB.
 const QUEUE: usize = 2048;
+/// How often it is tried to ask, while the queue is full, whether all was written.
+const FULL_PAUSE: Duration = Duration::from_millis(5);
+
+/// What the thread that writes gets, in order.
+enum Item {
+    Line(Vec<u8>),
+    /// All before it is to be written; whoever asks is told then.
+    Asked(SyncSender<()>),
+}
 
 /// Takes lines, each in one call, and never waits.
 pub struct Lines {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Item>,
     dropped: Arc<AtomicU64>,
 }
 
+/// Tells whether lines have been written.
+pub struct Written {
+    tx: SyncSender<Item>,
+}
+
+impl Written {
+    /// Waits until all lines so far have been written, for a while at most: false if they have not.
+    pub fn wait(&self, longest: Duration) -> bool {
+        let until = Instant::now() + longest;
+        let (done, written) = mpsc::sync_channel(1);
+        let mut item = Item::Asked(done);
+        loop {
+            item = match self.tx.try_send(item) {
+                Ok(()) => break,
+                Err(TrySendError::Disconnected(_)) => return false,
+                Err(TrySendError::Full(item)) => item,
+            };
+            if Instant::now() >= until {
+                return false;
+            }
+            thread::sleep(FULL_PAUSE);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        written.recv_timeout(left).is_ok()
+    }
+}
+
 impl Lines {
     /// Lines for an output, written by a thread of its own.
     pub fn to(output: impl Write + Send + 'static) -> io::Result<Self> {
@@ -39,11 +77,17 @@
             .spawn(move || write_all(&rx, &counted, output))?;
         Ok(Self { tx, dropped })
     }
+
+    /// To ask whether they have been written.
+    pub fn written(&self) -> Written {
+        let tx = self.tx.clone();
+        Written { tx }
+    }
 }
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        match self.tx.try_send(line.to_vec()) {
+        match self.tx.try_send(Item::Line(line.to_vec())) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
@@ -58,8 +102,16 @@
 }
 
 /// Writes lines until nobody can send any more, or the output is gone.
-fn write_all(rx: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
-    for line in rx {
+fn write_all(rx: &mpsc::Receiver<Item>, dropped: &AtomicU64, mut output: impl Write) {
+    for item in rx {
+        let line = match item {
+            Item::Line(line) => line,
+            Item::Asked(done) => {
+                // Whoever asked may have given up.
+                let _ = done.try_send(());
+                continue;
+            }
+        };
         if output.write_all(&line).is_err() {
             return;
         }
@@ -98,9 +150,11 @@
 /// Sets up logging on standard output; `RUST_LOG` chooses what is logged.
 ///
 /// A line has the time since the epoch in ms (`t`), the `level`, the `part` of the program, the
-/// message (`m`) and the fields of the event.
-pub fn init() -> io::Result<()> {
+/// message (`m`) and the fields of the event. Before the process ends it waits for what is given: lines
+/// that were not written by then are lost.
+pub fn init() -> io::Result<Written> {
     let lines = Lines::to(io::stdout())?;
+    let written = lines.written();
     let env = env_logger::Env::default().default_filter_or(USUAL);
     env_logger::Builder::from_env(env)
         .target(env_logger::Target::Pipe(Box::new(lines)))
@@ -115,5 +169,5 @@
             writeln!(out, "{}", serde_json::Value::Object(line))
         })
         .init();
-    Ok(())
+    Ok(written)
 }
--- a/crates/gateway/tests/logs.rs
+++ b/crates/gateway/tests/logs.rs
@@ -3,10 +3,14 @@
 use std::{
     io::{self, Write},
     sync::mpsc::{Receiver, Sender, channel},
+    time::Duration,
 };
 
 use dragonflyrill_gateway::logs::Lines;
 
+/// How long a test waits for what comes about.
+const LONG: Duration = Duration::from_secs(30);
+
 /// An output whose reader stalls until it is told to go on, once for each line.
 struct Stalling {
     go_on: Receiver<()>,
@@ -53,3 +57,28 @@
     );
     assert!(dropped > 40_000 && dropped < 50_000, "{dropped}");
 }
+
+/// Hosts that could not listen at their addresses ended without a word on why: the thread that writes had not
+/// come to the line yet when the process ended.
+#[test]
+fn the_last_lines_are_waited_for() {
+    let (go, go_on) = channel();
+    let (written, rx) = channel();
+    let mut lines = Lines::to(Stalling { go_on, written }).expect("a thread");
+    let ends = lines.written();
+    lines.write_all(b"it can't listen\n").expect("never fails");
+    assert!(!ends.wait(Duration::from_millis(20)), "the reader stalls");
+    go.send(()).expect("it still writes");
+    assert!(ends.wait(LONG));
+    assert_eq!(rx.try_recv().as_deref(), Ok("it can't listen\n"));
+}
+
+#[test]
+fn a_reader_that_stalls_does_not_keep_a_process_from_ending() {
+    let (_go, go_on) = channel();
+    let (written, _rx) = channel();
+    let mut lines = Lines::to(Stalling { go_on, written }).expect("a thread");
+    let ends = lines.written();
+    (0..10_000).for_each(|_| lines.write_all(b"a line\n").expect("never fails"));
+    assert!(!ends.wait(Duration::from_millis(20)), "the queue is full");
+}
