A host without the store hears of it from hosts that it has not met

Cause: a host that the store turns away gives the others turns to try, and asks the one that has an answer. It looked for that one among the hosts whose rows it had read itself. Hosts that started after its last read are not among them, and it can't read again: it gives the next turn, and each host that had one goes on reading, while the first has no news and refuses all callers once its catalogue is too old.

Change: an offer says where the host that makes it can be asked, and the host that reads is looked for among those that told so.

Evidence: platform/tests/store_away.rs, a first host that is turned away before the others start: on the code before it has not heard of a new catalogue after 10 s; now after less than 2 s.

--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -276,7 +276,7 @@
 }
 
 /// This host as others are told of it.
-pub(super) fn myself(gateway: &Gateway) -> FleetHost {
+pub(crate) fn myself(gateway: &Gateway) -> FleetHost {
     let settings = &gateway.settings;
     FleetHost {
         host: settings.host.clone(),
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -24,7 +24,7 @@
     to_wire,
 };
 use crate::{
-    control::catalogue,
+    control::{catalogue, host_row},
     gateway::{Gateway, On},
 };
 
@@ -270,13 +270,13 @@
             let offer = self.offer(&own_data_centre(&gateway), false);
             if let Some(news) = self.call(&host, offer).await {
                 let told = Heard {
-                    data_centre: host.data_centre.clone(),
+                    from: host.clone(),
                     loads: from_wire(&news.loads),
                     avoided: Vec::new(),
                     read_at: None,
                     at: gateway.now(),
                 };
-                peers.hear(&host.host, told);
+                peers.hear(told);
             }
         }
         let now = gateway.now();
@@ -287,8 +287,7 @@
     fn offer(&self, loads: &LoadMap, near: bool) -> Offer {
         let gateway = &self.gateway;
         Offer {
-            host: gateway.settings.host.clone(),
-            data_centre: gateway.settings.data_centre.to_string(),
+            from: host_row::myself(gateway),
             // Loads only are exchanged with other data centres.
             catalogue: match near {
                 true => gateway.catalogue_version(),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -41,7 +41,7 @@
 
 /// What another host told of its loads.
 struct Heard {
-    data_centre: String,
+    from: FleetHost,
     loads: LoadMap,
     /// What it avoided then.
     avoided: Vec<Avoided>,
@@ -189,16 +189,18 @@
     }
 
     /// Another host told of its loads, or of those of its data centre.
-    fn hear(&self, host: &str, told: Heard) {
+    fn hear(&self, told: Heard) {
         let mut heard = self.heard.borrow_mut();
         heard.retain(|_, h| h.at + LOADS_AGE > told.at);
-        heard.insert(host.to_owned(), told);
+        heard.insert(told.from.host.clone(), told);
     }
 
     /// Whether a host that asks is to try the store now, which does not answer this one.
     fn turn(&self, host: &str, data_centre: &str, now: Duration) -> bool {
         let heard = self.heard.borrow();
-        let near = heard.iter().filter(|(_, h)| h.data_centre == data_centre);
+        let near = heard
+            .iter()
+            .filter(|(_, h)| h.from.data_centre == data_centre);
         let others = near.map(|(name, _)| &**name);
         self.turns.borrow_mut().give(host, others, now)
     }
@@ -209,21 +211,21 @@
     }
 
     /// A host of a data centre that has told that it reads the store, and when last, at the latest
-    /// `since`.
+    /// `since`. It may have started after this host last read who there is: without the store this one learns
+    /// of it by that alone.
     fn reader_near(&self, data_centre: &str, since: Duration) -> Option<FleetHost> {
         let heard = self.heard.borrow();
-        let read_at = |h: &FleetHost| heard.get(&h.host)?.read_at.filter(|at| *at >= since);
-        let fleet = self.fleet.borrow();
-        let near = fleet.iter().filter(|h| h.data_centre == data_centre);
-        let newest = near.filter_map(|h| Some((read_at(h)?, h)));
-        newest.max_by_key(|(at, _)| *at).map(|(_, h)| h.clone())
+        let near = heard.values().filter(|h| h.from.data_centre == data_centre);
+        let lately = near.filter_map(|h| Some((h.read_at.filter(|at| *at >= since)?, h)));
+        let newest = lately.max_by_key(|(at, _)| *at);
+        newest.map(|(_, h)| h.from.clone())
     }
 
     /// The sum of what was heard from hosts that `of` accepts, by name and data centre.
     fn sum(&self, now: Duration, of: impl Fn(&str, &str) -> bool) -> LoadMap {
         let mut sum = LoadMap::default();
         for (host, heard) in self.heard.borrow().iter() {
-            if heard.at + LOADS_AGE > now && of(host, &heard.data_centre) {
+            if heard.at + LOADS_AGE > now && of(host, &heard.from.data_centre) {
                 add(&mut sum, &heard.loads);
             }
         }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -81,30 +81,31 @@
     let now = gateway.now();
     let peers = &gateway.peers;
     let near = &*gateway.settings.data_centre;
-    let same = offer.data_centre == near;
+    let same = offer.from.data_centre == near;
+    let from = &*offer.from.host;
     let read_age = offer.read_age_us.map(Duration::from_micros);
     let told = Heard {
-        data_centre: offer.data_centre.clone(),
+        from: offer.from.clone(),
         loads: from_wire(&offer.loads),
         avoided: avoided_from_wire(&offer.avoided),
         read_at: read_age.and_then(|age| now.checked_sub(age)),
         at: now,
     };
-    peers.hear(&offer.host, told);
+    peers.hear(told);
     suspects::take(gateway, &offer.suspects);
     let waits = gateway.reads_in_vain();
     if waits && same && read_age.is_some() {
         // It may have an answer from the store that this host lacks.
         peers.hurry();
     }
-    let turn = waits && same && read_age.is_none() && peers.turn(&offer.host, near, now);
+    let turn = waits && same && read_age.is_none() && peers.turn(from, near, now);
     if turn {
-        log::info!(target: "peers", host = &*offer.host; "A host is to try the store.");
+        log::info!(target: "peers", host = from; "A host is to try the store.");
     }
     let told = peers.avoided_but(&gateway.settings.host, now);
     gateway.directory.borrow_mut().told_avoided(told, now);
     let loads = match same {
-        true => loads_but(gateway, &offer.host),
+        true => loads_but(gateway, from),
         false => own_data_centre(gateway),
     };
     let catalogue = gateway.catalogue.borrow();
@@ -128,7 +129,7 @@
         claims: gateway.bounds.to_tell(now),
         loads: to_wire(&loads),
         avoided: match same {
-            true => avoided_to_wire(&avoided_but(gateway, &offer.host)),
+            true => avoided_to_wire(&avoided_but(gateway, from)),
             false => Vec::new(),
         },
         suspects: suspects::news(gateway, offer.suspects_known),
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -100,10 +100,8 @@
 /// What a host tells and what it knows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
-    /// The host.
-    pub host: String,
-    /// Where it is.
-    pub data_centre: String,
+    /// The host that tells, and where it can be asked: the one that it calls may not know it yet.
+    pub from: FleetHost,
     /// The version of the catalogue that it knows; zero for none.
     pub catalogue: u64,
     /// Up to where it knows the list of the host that it calls; `None` if it wants none of it.
