An answer to what was sent before a failure does not show that the store is back

Cause: a read that waits for news was answered after three later reads had been turned away, as it had been sent before, and took the failures back. The host that had its turn and an answer then left the reading to the first one again.

Ruled out: that the first host was let in again (each call that it sent later was turned away), and that the other host had no answer (it had heard of the store 0.25 s before).

Change: failures since the last answer have the time of the last one; an answer counts if its call was sent after that. A lost call delays the count by one more read at most.

Evidence: fleet/tests/store_access.rs, which fails if the time is not looked at.

--- a/crates/fleet/src/store_access.rs
+++ b/crates/fleet/src/store_access.rs
@@ -30,22 +30,30 @@
 pub struct Access {
     /// Failures since the last answer.
     failures: u32,
+    /// When the last of them was known.
+    failed_at: Duration,
 }
 
 impl Access {
-    /// The store has answered, this host or one that tells it.
-    pub fn answered(&mut self) {
-        self.failures = 0;
+    /// A read that was sent at `sent_at` was answered, this host's or one of a host that tells it. One that
+    /// was sent before another one failed does not show that the store is back: a read that waits for news is
+    /// answered long after the store has begun to turn new ones away.
+    pub fn answered(&mut self, sent_at: Duration) {
+        if sent_at >= self.failed_at {
+            self.failures = 0;
+        }
     }
 
     /// A read has failed.
-    pub fn failed(&mut self) {
+    pub fn failed(&mut self, now: Duration) {
         self.failures = self.failures.saturating_add(1);
+        self.failed_at = now;
     }
 
     /// Another host has no answer: whether this one would get one is not known.
-    pub fn doubted(&mut self) {
+    pub fn doubted(&mut self, now: Duration) {
         self.failures = self.failures.max(FAILURES);
+        self.failed_at = now;
     }
 
     /// Whether the store counts as away for this host.
--- a/crates/fleet/tests/store_access.rs
+++ b/crates/fleet/tests/store_access.rs
@@ -16,18 +16,35 @@
 #[test]
 fn a_store_is_away_after_some_failures_in_a_row() {
     let mut access = Access::default();
-    access.failed();
-    access.failed();
-    access.answered();
-    access.failed();
-    access.failed();
+    access.failed(ms(1));
+    access.failed(ms(2));
+    access.answered(ms(2));
+    access.failed(ms(3));
+    access.failed(ms(4));
     assert!(!access.away(), "links lose single calls");
-    access.failed();
+    access.failed(ms(5));
     assert!(access.away());
-    access.answered();
+    access.answered(ms(6));
     assert!(!access.away());
-    access.doubted();
+    access.doubted(ms(7));
     assert!(access.away(), "until it has answered");
+    access.answered(ms(8));
+    assert!(!access.away());
+}
+
+/// A host that was turned away believed that the store was back, as a read that it had sent before was answered
+/// then, and had the host that read in its place stop.
+#[test]
+fn an_answer_to_what_was_sent_before_a_failure_does_not_show_that_the_store_is_back() {
+    let mut access = Access::default();
+    let waits_for_news = ms(1);
+    for failed_at in [10, 20, 30] {
+        access.failed(ms(failed_at));
+    }
+    access.answered(waits_for_news);
+    assert!(access.away());
+    access.answered(ms(31));
+    assert!(!access.away());
 }
 
 #[test]
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,7 +10,6 @@
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::store_access::Access;
 use dragonflyrill_store::PlatformError;
 use rand::Rng;
 use tokio::time;
@@ -114,6 +113,7 @@
         call: impl Future<Output = Result<T, PlatformError>>,
     ) -> Result<T, PlatformError> {
         let began = time::Instant::now();
+        let sent_at = gateway.now();
         let result = match time::timeout(limit, call).await {
             Ok(result) => result,
             Err(_) => {
@@ -130,17 +130,22 @@
         metrics.store_calls.with_label_values(&labels).inc();
         let seconds = metrics.store_seconds.with_label_values(&[self.label()]);
         seconds.observe(began.elapsed().as_secs_f64());
-        self.note_access(gateway, outcome);
+        self.note_access(gateway, outcome, sent_at);
         result
     }
 
     /// Notes what the end of a call says of the store. A write says nothing: one that is refused for
     /// its rate may have met too many others of the same part of a table.
-    fn note_access(self, gateway: &Gateway, outcome: Outcome) {
+    fn note_access(self, gateway: &Gateway, outcome: Outcome, sent_at: Duration) {
+        let now = gateway.now();
         match (self, outcome) {
             (Self::Write | Self::Duty, _) => {}
-            (_, Outcome::Answered | Outcome::Unusable) => gateway.note_access(Access::answered),
-            (_, Outcome::Refused | Outcome::Failed) => gateway.note_access(Access::failed),
+            (_, Outcome::Answered | Outcome::Unusable) => {
+                gateway.note_access(|access| access.answered(sent_at));
+            }
+            (_, Outcome::Refused | Outcome::Failed) => {
+                gateway.note_access(|access| access.failed(now));
+            }
         }
     }
 }
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -8,7 +8,7 @@
     endpoints::Endpoint,
     incarnations::{self, Born},
     layers::LayerRange,
-    store_access::{self, Access, Role, Told},
+    store_access::{self, Role, Told},
 };
 use dragonflyrill_protocol::{
     MAX_FRAME,
@@ -143,17 +143,18 @@
     /// Reads the store or not, by what the other hosts told of it.
     fn take_role(&self, told: Option<Told>) {
         let gateway = &self.gateway;
+        let now = gateway.now();
         let role = match store_access::role(told, gateway.reads_well()) {
             // The list was too long to be told whole: it is read from the store once.
             Role::IsTold if !gateway.endpoints_known.get() => Role::Reads,
             role => role,
         };
         match (role, told) {
-            (Role::IsTold, _) => gateway.note_access(Access::answered),
+            (Role::IsTold, _) => gateway.note_access(|access| access.answered(now)),
             // A host that tries for the others asks for one thing only, too.
             (Role::Waits, Some(Told { away: true, .. }))
             | (Role::Reads, Some(Told { turn: true, .. })) => {
-                gateway.note_access(Access::doubted);
+                gateway.note_access(|access| access.doubted(now));
             }
             (Role::Waits | Role::Reads, _) => {}
         }
