A turn is taken while the last news are still fresh

Cause: the store turned the host away that reads for its data centre at 2.500 s. It knew after 0.17 s and gave turns to try at 2.67, 2.76, 3.01 and 3.26 s, the last three to the same host; no host took one. A host that is told fresh news left a turn aside, and news of the last answer count as fresh for 1.8 s here; and with each of its own rounds the first host took the turns for over, as its news were fresh. So nobody looked for 0.7 s, and the removal was heard of so late that it passed for an entry that had lapsed.

Change: news of a host whom the store no longer answers are the last ones, however fresh: who asks it waits, or takes its turn. Turns are over when the store is heard of by a host that it answers.

--- a/crates/fleet/src/store_access.rs
+++ b/crates/fleet/src/store_access.rs
@@ -105,7 +105,8 @@
     pub fresh: bool,
     /// It has that from this host.
     pub from_here: bool,
-    /// The store does not answer it, as far as it knows; else it has just started.
+    /// The store does not answer it, as far as it knows, even if it did lately; else it has just started if
+    /// it has no fresh news.
     pub away: bool,
     /// It leaves the next try to this host.
     pub turn: bool,
@@ -124,10 +125,13 @@
 
 /// What a host does about the store, by what the one that it asks has told, if any did, and whether
 /// it reads the store itself and has fresh news of it.
+///
+/// News that are fresh were read lately. Once the store no longer answers whoever read them there will be no
+/// more: the next reader is looked for at once, and not when they have grown old.
 pub fn role(told: Option<Told>, reads_well: bool) -> Role {
     match told {
         None => Role::Reads,
-        Some(told) if told.fresh && !told.from_here => Role::IsTold,
+        Some(told) if told.fresh && !told.from_here && !told.away => Role::IsTold,
         Some(told) if reads_well || told.turn => Role::Reads,
         Some(_) => Role::Waits,
     }
--- a/crates/fleet/tests/store_access.rs
+++ b/crates/fleet/tests/store_access.rs
@@ -69,6 +69,24 @@
     assert_eq!(role(told(true, true, false), false), Role::Waits);
 }
 
+/// Turns that were given while news were still fresh were not taken: for 0.7 s nobody looked whether the store
+/// answers another host.
+#[test]
+fn fresh_news_of_a_store_that_no_longer_answers_are_the_last() {
+    let told = |turn| {
+        Some(Told {
+            fresh: true,
+            from_here: false,
+            away: true,
+            turn,
+        })
+    };
+    let role = store_access::role;
+    assert_eq!(role(told(true), false), Role::Reads);
+    assert_eq!(role(told(false), false), Role::Waits);
+    assert_eq!(role(told(false), true), Role::Reads, "it has an answer");
+}
+
 /// Hosts ask in a random order every few ms; gives who had turns, and when.
 fn turns(hosts: usize, asks: &[(usize, u64)]) -> Vec<(usize, Duration)> {
     let names = names(hosts);
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -159,7 +159,8 @@
             (Role::Waits | Role::Reads, _) => {}
         }
         gateway.set_reading(role == Role::Reads);
-        if gateway.hears() {
+        // Its last news may still be fresh while it has others look for more.
+        if gateway.hears() && !gateway.reads_in_vain() {
             gateway.peers.no_turns();
         }
     }
