A turn to try the store lasts until its try has ended

None of its 28 hosts read the store for five seconds, though it answered most of them.

Cause: a host that has its turn asks the first host for news every quarter of a second. Until its try was answered, and after that until its list was read, it has no fresh news itself; it was told to wait and left off. It was there before: with a store that takes 0.4 s to answer nobody ever reads, and a list that takes longer than a quarter of a second is a race.

Change: whether a host goes on reading follows from how its own calls end: it goes on while the store answers it, and through the try that is its turn.

--- a/crates/fleet/src/store_access.rs
+++ b/crates/fleet/src/store_access.rs
@@ -32,6 +32,8 @@
     failures: u32,
     /// When the last of them was known.
     failed_at: Duration,
+    /// Its turn to try has come, and the try has not ended.
+    tries: bool,
 }
 
 impl Access {
@@ -40,7 +42,7 @@
     /// answered long after the store has begun to turn new ones away.
     pub fn answered(&mut self, sent_at: Duration) {
         if sent_at >= self.failed_at {
-            self.failures = 0;
+            *self = Self::default();
         }
     }
 
@@ -48,12 +50,26 @@
     pub fn failed(&mut self, now: Duration) {
         self.failures = self.failures.saturating_add(1);
         self.failed_at = now;
+        self.tries = false;
     }
 
     /// Another host has no answer: whether this one would get one is not known.
     pub fn doubted(&mut self, now: Duration) {
         self.failures = self.failures.max(FAILURES);
         self.failed_at = now;
+        self.tries = false;
+    }
+
+    /// Another host has no answer, and leaves the next try to this one.
+    pub fn has_turn(&mut self, now: Duration) {
+        self.doubted(now);
+        self.tries = true;
+    }
+
+    /// Whether this host, which reads the store, is to go on: it answers, or has not ended the try yet that is
+    /// this one's turn.
+    pub fn goes_on(&self) -> bool {
+        !self.away() || self.tries
     }
 
     /// Whether the store counts as away for this host.
@@ -124,15 +140,18 @@
 }
 
 /// What a host does about the store, by what the one that it asks has told, if any did, and whether
-/// it reads the store itself and has fresh news of it.
+/// it reads the store itself and is to go on ([`Access::goes_on`]).
+///
+/// That it has no fresh news itself does not matter: the list is read after the catalogue, and takes its time.
+/// Who left off in between would never have news for the others.
 ///
 /// News that are fresh were read lately. Once the store no longer answers whoever read them there will be no
 /// more: the next reader is looked for at once, and not when they have grown old.
-pub fn role(told: Option<Told>, reads_well: bool) -> Role {
+pub fn role(told: Option<Told>, goes_on: bool) -> Role {
     match told {
         None => Role::Reads,
         Some(told) if told.fresh && !told.from_here && !told.away => Role::IsTold,
-        Some(told) if reads_well || told.turn => Role::Reads,
+        Some(told) if goes_on || told.turn => Role::Reads,
         Some(_) => Role::Waits,
     }
 }
--- a/crates/fleet/tests/store_access.rs
+++ b/crates/fleet/tests/store_access.rs
@@ -87,6 +87,23 @@
     assert_eq!(role(told(false), true), Role::Reads, "it has an answer");
 }
 
+/// A host that had its turn asked for news while its try was under way, or when the catalogue had been answered
+/// and the list had not, and was told to wait: it left off, and the next one did the same.
+#[test]
+fn a_host_that_has_its_turn_goes_on_until_its_try_has_ended() {
+    let mut access = Access::default();
+    assert!(access.goes_on(), "the store has failed it in nothing");
+    access.doubted(ms(1));
+    assert!(!access.goes_on());
+    access.has_turn(ms(2));
+    assert!(access.away() && access.goes_on());
+    access.failed(ms(3));
+    assert!(!access.goes_on(), "its try has failed");
+    access.has_turn(ms(4));
+    access.answered(ms(5));
+    assert!(!access.away() && access.goes_on(), "it has an answer");
+}
+
 /// Hosts ask in a random order every few ms; gives who had turns, and when.
 fn turns(hosts: usize, asks: &[(usize, u64)]) -> Vec<(usize, Duration)> {
     let names = names(hosts);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -302,6 +302,11 @@
         self.reads_store() && !self.store_away()
     }
 
+    /// Whether this host reads the store itself and is to go on, whatever another one tells.
+    pub fn goes_on_reading(&self) -> bool {
+        self.reads_store() && self.access.borrow().goes_on()
+    }
+
     /// Waits until this host reads the store itself and the store answers it.
     pub async fn until_store_answers(&self) {
         while !self.asks_store() {
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -144,7 +144,7 @@
     fn take_role(&self, told: Option<Told>) {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let role = match store_access::role(told, gateway.reads_well()) {
+        let role = match store_access::role(told, gateway.goes_on_reading()) {
             // The list was too long to be told whole: it is read from the store once.
             Role::IsTold if !gateway.endpoints_known.get() => Role::Reads,
             role => role,
@@ -152,8 +152,10 @@
         match (role, told) {
             (Role::IsTold, _) => gateway.note_access(|access| access.answered(now)),
             // A host that tries for the others asks for one thing only, too.
-            (Role::Waits, Some(Told { away: true, .. }))
-            | (Role::Reads, Some(Told { turn: true, .. })) => {
+            (Role::Reads, Some(Told { turn: true, .. })) => {
+                gateway.note_access(|access| access.has_turn(now));
+            }
+            (Role::Waits, Some(Told { away: true, .. })) => {
                 gateway.note_access(|access| access.doubted(now));
             }
             (Role::Waits | Role::Reads, _) => {}
