--- a/crates/fleet/src/store_access.rs
+++ b/crates/fleet/src/store_access.rs
@@ -22,12 +22,12 @@
 /// packets, and each of the three kinds of read fails once when it goes away.
 const FAILURES: u32 = 3;
 
-/// How many hosts try soon after one another, before the store is taken to be away for most: hosts that are cut
-/// off from it, or turned away, are often several of a data centre at once, and a change must be in force on all
-/// within two seconds of which the first may have passed.
+/// How many hosts try soon after one another, before the store is taken to be away for most. Hosts that are cut
+/// off from it, or turned away, are often several of a data centre at once; and by the time that a silent store
+/// is noticed, half the time is over in which a change must be in force.
 const EARLY_TURNS: u32 = 4;
 
-/// The least time between two of these.
+/// The least time between two early turns.
 const BETWEEN_EARLY_TURNS: Duration = Duration::from_millis(100);
 
 /// The least time between two later turns. With the tries of the host that hands them out a data centre
@@ -41,8 +41,8 @@
     failures: u32,
     /// When the last of them was known.
     failed_at: Duration,
-    /// Its turn to try has come, and the try has not ended.
-    tries: bool,
+    /// It has been given a turn to try, and the try has not ended.
+    trying: bool,
 }
 
 impl Access {
@@ -59,26 +59,26 @@
     pub fn failed(&mut self, now: Duration) {
         self.failures = self.failures.saturating_add(1);
         self.failed_at = now;
-        self.tries = false;
+        self.trying = false;
     }
 
     /// Another host has no answer: whether this one would get one is not known.
     pub fn doubted(&mut self, now: Duration) {
         self.failures = self.failures.max(FAILURES);
         self.failed_at = now;
-        self.tries = false;
+        self.trying = false;
     }
 
     /// Another host has no answer, and leaves the next try to this one.
-    pub fn has_turn(&mut self, now: Duration) {
+    pub fn given_turn(&mut self, now: Duration) {
         self.doubted(now);
-        self.tries = true;
+        self.trying = true;
     }
 
-    /// Whether this host, which reads the store, is to go on: it answers, or has not ended the try yet that is
-    /// this one's turn.
+    /// Whether this host, if it reads the store, is to go on: the store answers it, or its turn to try is not
+    /// over.
     pub fn goes_on(&self) -> bool {
-        !self.away() || self.tries
+        !self.away() || self.trying
     }
 
     /// Whether the store counts as away for this host.
--- a/crates/fleet/tests/store_access.rs
+++ b/crates/fleet/tests/store_access.rs
@@ -95,11 +95,11 @@
     assert!(access.goes_on(), "the store has failed it in nothing");
     access.doubted(ms(1));
     assert!(!access.goes_on());
-    access.has_turn(ms(2));
+    access.given_turn(ms(2));
     assert!(access.away() && access.goes_on());
     access.failed(ms(3));
     assert!(!access.goes_on(), "its try has failed");
-    access.has_turn(ms(4));
+    access.given_turn(ms(4));
     access.answered(ms(5));
     assert!(!access.away() && access.goes_on(), "it has an answer");
 }
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -153,7 +153,7 @@
             (Role::IsTold, _) => gateway.note_access(|access| access.answered(now)),
             // A host that tries for the others asks for one thing only, too.
             (Role::Reads, Some(Told { turn: true, .. })) => {
-                gateway.note_access(|access| access.has_turn(now));
+                gateway.note_access(|access| access.given_turn(now));
             }
             (Role::Waits, Some(Told { away: true, .. })) => {
                 gateway.note_access(|access| access.doubted(now));
