A turn to try the store costs one call

What was seen: 12 hosts of a data centre made 46 to 48 calls in five seconds at a store that turned them all away while their last news were fresh; the aim is eight a second.

Cause: a host whose try has failed goes on trying after 0.1 and 0.2 s, until its next call to the first host, up to a quarter of a second later, tells it to wait.

Ruled out: more turns than may be given (11), rows and writes (8 of 47 calls).

Change: a host that is to leave off asks the others at once. So does a host that has read for others and is turned away: it hears sooner who has an answer.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -274,19 +274,24 @@
 
     /// Notes how a call to the store has ended, or what another host tells of it.
     pub fn note_access(&self, note: impl FnOnce(&mut Access)) {
+        let before = *self.access.borrow();
         let changed = self.access.send_if_modified(|access| {
-            let before = access.away();
             note(access);
-            access.away() != before
+            access.away() != before.away()
         });
+        let after = *self.access.borrow();
+        // Before the next host tries, this one tells whoever has others try that it has the store back; and before
+        // it tries once more itself, it hears whether it is to leave that to others.
+        let back = changed && !after.away() && self.hears();
+        let leaves_off = self.reads_store() && before.goes_on() && !after.goes_on();
+        if back || leaves_off {
+            self.peers.hurry();
+        }
         if changed {
-            match self.store_away() {
-                true => self.store_troubled(),
-                // Who has others look for a host that has an answer hears of it before the next one tries.
-                false if self.hears() => self.peers.hurry(),
-                false => {}
+            if after.away() {
+                self.store_troubled();
             }
-            log::info!(target: "store", away = self.store_away(); "Whether the store is away changed.");
+            log::info!(target: "store", away = after.away(); "Whether the store is away changed.");
         }
     }
 
