An end that the next start shows counts at hosts that are told the list

Four engines had crashed within 0.5 s; the hosts knew of two ends after that.

Cause: an end whose address goes on taking connections is found when the next start is listed in its place. Hosts that are told the list get the start that is gone and the next one in the same news, and took the first out before they listed the second, so that nothing was in whose place it could be. Only the hosts that read the store, one of a data centre, counted such ends. Connections to the start that had ended were kept as well until they failed.

Ruled out: that these hosts heard of the starts late (0.01 to 0.15 s after those that read); that what was answered a moment ago was spared (the request never was).

Change: what is replaced by another start, or at its address, is left in until that is listed, and is gone then.

--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -386,20 +386,28 @@
         return;
     }
     gateway.list_mark.set(list.store_mark);
-    if list.whole {
+    let gone: Vec<Rc<str>> = if list.whole {
         let directory = gateway.directory.borrow();
         let doubted = list.doubted.iter().filter_map(|id| directory.get(id));
         let listed = list.changed.iter().map(|l| &*l.name);
-        let removed = directory.others(listed.chain(doubted.map(|e| &*e.name)));
-        drop(directory);
-        removed.iter().for_each(|id| gateway.forget_endpoint(id));
+        directory.others(listed.chain(doubted.map(|e| &*e.name)))
     } else {
-        let removed = list.removed.iter();
-        removed.for_each(|id| gateway.forget_endpoint(id));
-    }
-    for listed in list.changed {
-        gateway.list_endpoint(endpoint(listed));
+        list.removed
+            .iter()
+            .map(|id| Rc::from(id.as_str()))
+            .collect()
+    };
+    let changed: Vec<Endpoint> = list.changed.into_iter().map(endpoint).collect();
+    // That a start has ended, as another one is in its place, is found when that is listed: what it replaces must
+    // still be known then.
+    let (replaced, gone): (Vec<_>, Vec<_>) = gone
+        .into_iter()
+        .partition(|id| is_replaced(gateway, id, &changed));
+    gone.iter().for_each(|id| gateway.forget_endpoint(id));
+    for endpoint in changed {
+        gateway.list_endpoint(endpoint);
     }
+    replaced.iter().for_each(|id| gateway.forget_endpoint(id));
     gateway.endpoints_known.set(true);
     gateway.peers.list.set(list.mark);
     gateway
@@ -408,6 +416,20 @@
         .known_up_to(gateway.list_mark.get());
 }
 
+/// Whether one of some endpoints is another start of the one with an id, or listens at its address, and that
+/// one is not back among them.
+fn is_replaced(gateway: &Gateway, id: &str, by: &[Endpoint]) -> bool {
+    let directory = gateway.directory.borrow();
+    let Some(gone) = directory.get(id) else {
+        return false;
+    };
+    let back = by.iter().any(|e| e.id == gone.id);
+    !back
+        && by
+            .iter()
+            .any(|e| e.name == gone.name || e.addr == gone.addr)
+}
+
 fn endpoint(listed: Listed) -> Endpoint {
     let born = listed.born_ms.map(Born);
     Endpoint {
