A long catalogue is told compressed, and to as many hosts at once as the link carries

Ruled out: the store (it answered), the read of the list (in force within 0.1 s at the first host).

Change: the document is compressed once a version, and a token bucket of half of the host's link bounds how many bytes of it are told within the time of one call. Who is not told it yet gets all other news, and no proof of the catalogue that it still acts on. The link is a setting (host.link_mbps, 20 if left out). The budget of log lines uses the same bucket.

Mixed versions: a host of an older program can't read the new offer and is not asked; a new one takes uncompressed documents.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 //!   bound a host may use.
 //! - [`fingerprint`] tells whether two requests are the same one, asked for again; [`quarantine`] holds
 //!   back those under which endpoints end; [`telling`] says what of it another host was not told yet.
+//! - [`token_bucket`] bounds a rate, of log lines or of bytes.
 
 pub mod budget;
 pub mod catalogue;
@@ -40,3 +41,4 @@
 pub mod share;
 pub mod store_access;
 pub mod telling;
+pub mod token_bucket;
--- a/crates/gateway/src/forward/trail.rs
+++ b/crates/gateway/src/forward/trail.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use dragonflyrill_fleet::{budget::Standing, catalogue::Route};
+use dragonflyrill_fleet::{budget::Standing, catalogue::Route, token_bucket::TokenBucket};
 use http::StatusCode;
 use tokio::time::Instant;
 
@@ -22,30 +22,22 @@
 
 /// How many requests that go well may still be logged whole.
 pub struct LineBudget {
-    per_s: f64,
-    left: Cell<f64>,
-    filled_at: Cell<Instant>,
+    began: Instant,
+    left: RefCell<TokenBucket>,
 }
 
 impl LineBudget {
     /// So many requests a second.
     pub fn new(per_s: f64) -> Self {
         Self {
-            per_s,
-            left: Cell::new(per_s * LOGGED_AT_ONCE_S),
-            filled_at: Cell::new(Instant::now()),
+            began: Instant::now(),
+            left: RefCell::new(TokenBucket::new(per_s, per_s * LOGGED_AT_ONCE_S)),
         }
     }
 
     /// Takes one request's lines, if there is room.
     fn take(&self) -> bool {
-        let now = Instant::now();
-        let since = now.saturating_duration_since(self.filled_at.replace(now));
-        let filled = self.left.get() + since.as_secs_f64() * self.per_s;
-        let room = filled.min(self.per_s * LOGGED_AT_ONCE_S);
-        let taken = room >= 1.0;
-        self.left.set(if taken { room - 1.0 } else { room });
-        taken
+        self.left.borrow_mut().take(1.0, self.began.elapsed())
     }
 }
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::Endpoint,
@@ -14,11 +13,12 @@
     MAX_FRAME,
     exchange::{ExchangeClient, FleetHost, ListMark, ListNews, Listed, News, Offer},
 };
+use dragonflyrill_store::PlatformError;
 use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
 use tokio::time;
 
 use super::{
-    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, from_wire,
+    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, documents, from_wire,
     serve::own_data_centre,
     suspects::{self, Tellings},
     to_wire,
@@ -33,7 +33,7 @@
 /// The same while neither this host nor the one that it asks has any news yet, as all have just started.
 const FIRST_PERIOD: Duration = Duration::from_millis(50);
 /// How long a call may take: hosts are a fraction of a millisecond away, but may be busy.
-const CALL: Duration = Duration::from_millis(350);
+pub(super) const CALL: Duration = Duration::from_millis(350);
 /// How long a host that starts again waits to hear whether the first host of its data centre has fresh
 /// news: what callers have open ended with the process before, and they come back at once. If all hosts
 /// have started again, the first is busy with the calls of all others, which it can't answer yet: with
@@ -234,12 +234,9 @@
         let peers = &gateway.peers;
         let now = gateway.now();
         if let Some((_, document)) = news.catalogue {
-            match gateway.platform.store.decode(Bytes::from(document)) {
-                Ok(read) => gateway.adopt(read),
-                Err(e) => {
-                    log::warn!(target: "peers", why:% = e; "A catalogue from a host can't be used.");
-                    return;
-                }
+            if let Err(e) = adopt(gateway, document) {
+                log::warn!(target: "peers", why:% = e; "A catalogue from a host can't be used.");
+                return;
             }
         }
         // The other host answered after this one asked, so that its proof is at least as new.
@@ -311,6 +308,7 @@
             },
             suspects_known: ListMark::default(),
             suspects: Vec::new(),
+            unpacks: true,
         }
     }
 
@@ -378,6 +376,14 @@
     }
 }
 
+/// Takes a catalogue over as another host told it.
+fn adopt(gateway: &Gateway, told: Vec<u8>) -> Result<(), PlatformError> {
+    let malformed = |e: std::io::Error| PlatformError::Malformed(e.to_string());
+    let document = documents::unpack(told).map_err(malformed)?;
+    gateway.adopt(gateway.platform.store.decode(document)?);
+    Ok(())
+}
+
 /// Takes what another host told of its list, unless more of the store's history is known.
 pub fn take_list(gateway: &Rc<Gateway>, list: ListNews) {
     // The other host's list may be older than what this one knew before it asked that host.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! [`Peers`] is what is known of the others; [`serve`] answers them and [`follow`] asks them.
 
+mod documents;
 pub mod follow;
 pub mod serve;
 mod suspects;
@@ -28,6 +29,7 @@
 use rustc_hash::{FxHashMap, FxHasher};
 use tokio::sync::Notify;
 
+use self::documents::Documents;
 use crate::settings::Settings;
 
 /// How long what another host told of its loads is counted.
@@ -70,6 +72,8 @@
     reader: RefCell<Option<String>>,
     /// Hands out turns to try a store that does not answer.
     turns: RefCell<Turns>,
+    /// Gives out the catalogue's document.
+    documents: Documents,
     /// News that the other hosts wait for.
     hurry: Notify,
     /// Whether the other hosts are known, as far as they can be: this host has just started if not.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::{Avoided, Endpoint},
@@ -108,9 +109,13 @@
         true => loads_but(gateway, from),
         false => own_data_centre(gateway),
     };
-    let catalogue = gateway.catalogue.borrow();
-    let newer = catalogue.as_ref().filter(|c| c.version > offer.catalogue);
-    let age = gateway.freshness.get().age(now);
+    let (catalogue, follows) = match catalogue_news(gateway, offer) {
+        CatalogueNews::None => (None, false),
+        CatalogueNews::Told(version, document) => (Some((version, document.to_vec())), false),
+        CatalogueNews::Follows => (None, true),
+    };
+    // What proves this host's catalogue says nothing of the older one that the other host keeps meanwhile.
+    let age = gateway.freshness.get().age(now).filter(|_| !follows);
     News {
         proof_age_us: age.map(|a| a.as_micros() as u64),
         heard_age_us: gateway.heard_age().map(|a| a.as_micros() as u64),
@@ -120,7 +125,7 @@
         },
         away: waits || gateway.store_away(),
         turn,
-        catalogue: newer.map(|c| (c.version, gateway.document.borrow().to_vec())),
+        catalogue,
         list: offer
             .list
             .and_then(|mark| list_news(gateway, mark, offer.list_known_to)),
@@ -136,6 +141,31 @@
     }
 }
 
+/// What a host is told of the catalogue.
+enum CatalogueNews {
+    /// It knows the newest.
+    None,
+    /// This version.
+    Told(u64, Bytes),
+    /// There is a newer one, which other hosts are being told now.
+    Follows,
+}
+
+fn catalogue_news(gateway: &Gateway, offer: &Offer) -> CatalogueNews {
+    let version = gateway.catalogue_version();
+    if version <= offer.catalogue {
+        return CatalogueNews::None;
+    }
+    if !offer.unpacks {
+        return CatalogueNews::Told(version, gateway.document.borrow().clone());
+    }
+    let documents = &gateway.peers.documents;
+    match documents.tell(gateway, version, gateway.now()) {
+        Some(document) => CatalogueNews::Told(version, document),
+        None => CatalogueNews::Follows,
+    }
+}
+
 /// What the hosts of this data centre but one avoid by what they saw themselves.
 fn avoided_but(gateway: &Gateway, host: &str) -> Vec<Avoided> {
     let now = gateway.now();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub host: String,
     /// Where it is.
     pub data_centre: Rc<str>,
+    /// What its link carries.
+    pub link_bytes_per_s: f64,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether this host takes new connections.
@@ -52,6 +54,11 @@
 /// Some 60 lines and 20 KB a second.
 const LOGGED_PER_S: &str = "20";
 
+/// A narrow link.
+const LINK_MBPS: &str = "20";
+
+const BYTES_PER_MBIT: f64 = 1e6 / 8.0;
+
 /// As the platform's settings have it.
 const ENDPOINT_HEARTBEAT_MS: &str = "1200";
 
@@ -59,10 +66,10 @@
 /// enough for one that was held by a coincidence.
 const REQUEST_HOLD_S: &str = "3600";
 
-/// The keys, by section; each must be there but for `peers_announced`, `endpoint_heartbeat_ms`, `hold_s` and
-/// those of `logs`.
+/// The keys, by section; each must be there but for `link_mbps`, `peers_announced`, `endpoint_heartbeat_ms`,
+/// `hold_s` and those of `logs`.
 const KNOWN: settings::Known = &[
-    ("host", &["name", "address", "data_centre"]),
+    ("host", &["name", "address", "data_centre", "link_mbps"]),
     (
         "listen",
         &[
@@ -107,6 +114,7 @@
         let host = p.required("host", "name", settings::text);
         let ip = p.required("host", "address", ip);
         let data_centre = p.required("host", "data_centre", settings::text);
+        let link = p.optional("host", "link_mbps", LINK_MBPS, link);
         let callers = p.required("listen", "callers", settings::address);
         let readiness = p.required("listen", "readiness", settings::address);
         let metrics_port = p.required("listen", "metrics_port", port);
@@ -141,6 +149,7 @@
         Some(Self {
             host: host?,
             data_centre: data_centre?.into(),
+            link_bytes_per_s: link? * BYTES_PER_MBIT,
             callers: callers?,
             readiness: readiness?,
             metrics: SocketAddr::new(ip?, metrics_port?),
@@ -168,6 +177,12 @@
     value.trim().parse().map_err(|_| right.to_owned())
 }
 
+fn link(value: &str) -> Result<f64, String> {
+    let mbps = settings::decimal(value)?;
+    let positive = (mbps > 0.0).then_some(mbps);
+    positive.ok_or_else(|| "a number over zero is needed, such as 20".to_owned())
+}
+
 fn port(value: &str) -> Result<u16, String> {
     settings::number(value.trim(), 1, u64::from(u16::MAX)).map(|n| n as u16)
 }
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -121,6 +121,8 @@
     pub suspects_known: ListMark,
     /// What it has not told that host yet of the requests that it suspects itself.
     pub suspects: Vec<Suspect>,
+    /// Whether it takes the catalogue's document compressed.
+    pub unpacks: bool,
 }
 
 /// A host of the fleet.
