Callers that move from host to host count once for the budget of repeats

Cause (from the logs of such a run): each host may repeat a fifth (here a twentieth) of the requests of its last window, and uses that up at a moment of its own. A host was down from 0 to 2 s; the three others counted 1,640 requests, its callers' among them, and repeated by them at 2.9 to 4.3 s; it counted 499 at 5.2 s. That is 2,139 requests, where no window had more than 1,844: 16 in 100 too many, and 10 are kept back.

Ruled out: the count of hosts (the divisor was 4 or none), the record (each host stayed within its own), more sends than repeats taken (none but the soak's own probes), probes counted as requests (8).

Ways weighed: the window's requests (before); less of the budget used (any shift of half of the callers breaks it); requests counted once each and for a tenth of a window (takes the burst after a loss away, as most of it comes at once); the window or the one before it, whichever has fewer. The last is built: whoever comes to a host counts there after a window, when he no longer counts where he was. Cost: a host that has just started, or in a surge, has the burst and less of the share of its requests for one window.

Three tests fail on the code before (394 repeats where 240 are allowed; 241 of 240 in the property test), 4,000 cases of it pass.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -4,6 +4,10 @@
 //! at most a share of the requests, plus a burst. Without a call per repeat that holds if each host
 //! keeps to the share of its own requests and to its part of the burst, see [`crate::share`].
 //!
+//! Callers move from one host to another, as when hosts end. Those that come to a host are counted twice at
+//! first: here, and where they were in the window before. So a host counts the requests of the window or of
+//! the one before it, whichever has fewer.
+//!
 //! A process may end at any moment and start again, and what it has taken must not be forgotten with
 //! it. So a host writes down beforehand, in its row of the store, how many repeats it may take in a
 //! window: half of what is allowed in quiet times, and more as soon as it uses that. The process that
@@ -54,7 +58,7 @@
 /// How a budget stands: what a decision on a repeat rests on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Standing {
-    /// Requests of the window.
+    /// Requests of the window, or of the one before it if that has fewer.
     pub requests: usize,
     /// Repeats that count: those taken, and those that an earlier process may have taken.
     pub repeats: usize,
@@ -119,6 +123,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     terms: BudgetTerms,
+    /// When the requests of two windows came.
     requests: VecDeque<Duration>,
     repeats: VecDeque<Duration>,
     /// Repeats that an earlier process may have made, and until when they count.
@@ -169,10 +174,11 @@
     /// of the burst.
     pub fn standing(&mut self, now: Duration, divisor: Option<u32>) -> Standing {
         self.expire(now);
-        let own = self.terms.ratio * self.requests.len() as f64;
+        let requests = self.requests_counted(now);
+        let own = self.terms.ratio * requests as f64;
         let burst = divisor.map_or(0.0, |hosts| self.terms.burst / f64::from(hosts.max(1)));
         Standing {
-            requests: self.requests.len(),
+            requests,
             repeats: self.repeats.len() + self.inherited.0 as usize,
             allowed: USED * (own + burst),
             recorded: self.recorded,
@@ -216,8 +222,14 @@
         self.recorded = repeats;
     }
 
+    fn requests_counted(&self, now: Duration) -> usize {
+        let old = |t: &Duration| *t + self.terms.window <= now;
+        let before = self.requests.partition_point(old);
+        before.min(self.requests.len() - before)
+    }
+
     fn expire(&mut self, now: Duration) {
-        drop_older(&mut self.requests, now, self.terms.window);
+        drop_older(&mut self.requests, now, 2 * self.terms.window);
         drop_older(&mut self.repeats, now, self.terms.span());
         if self.inherited.1 <= now {
             self.inherited.0 = 0;
--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -57,10 +57,53 @@
 fn a_host_without_a_share_repeats_by_its_own_requests_only() {
     let mut budget = RetryBudget::new(TERMS);
     (0..50).for_each(|_| budget.request(Duration::ZERO));
-    let standing = budget.standing(Duration::ZERO, None);
+    let now = TERMS.window;
+    (0..60).for_each(|_| budget.request(now));
+    let standing = budget.standing(now, None);
     assert_eq!(standing.allowed, 9.0, "nine tenths of a fifth of fifty");
 }
 
+/// What endpoints of a service may get: the requests that count are those of this window, of the one before
+/// it, or of the one half a window before it, whichever has most.
+fn allowed(requests: &[Duration], from: Duration) -> f64 {
+    let within = |from: Duration| {
+        let before = |t: Duration| requests.partition_point(|r| *r < t);
+        before(from + TERMS.window) - before(from)
+    };
+    let earlier = |back: Duration| from.checked_sub(back).map_or(0, within);
+    let half = TERMS.window / 2;
+    let most = within(from).max(earlier(half)).max(earlier(TERMS.window));
+    TERMS.ratio * most as f64 + TERMS.burst
+}
+
+/// The story of the failure: 110 repeats at a service in 4 s, 108.2 allowed, in a soak with hosts that were killed in
+/// turn while a third of all calls failed (--fatal --seed 8403 --seconds 8). In order: a host ends, its callers
+/// go to the three others, which count 1,640 requests of one window and repeat by them; it starts again, its
+/// callers come back, and it counts 499 of the next window. Of any one window there were 1,844 requests, and
+/// not 2,139.
+#[test]
+fn callers_that_move_from_host_to_host_are_not_counted_twice() {
+    let mut hosts = [RetryBudget::new(TERMS), RetryBudget::new(TERMS)];
+    let at = |n: u64| Duration::from_millis(10 * n);
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for n in 0..4000 {
+        let host = usize::from(n >= 2000);
+        hosts[host].request(at(n));
+        requests.push(at(n));
+        // Nothing fails before its callers leave the first host, nor at the second before its window is full.
+        if n == 1999 || n == 2990 {
+            while take(&mut hosts[host], at(n), 2) {
+                repeats.push(at(n));
+            }
+        }
+    }
+    let from = repeats[0];
+    let within = repeats.iter().filter(|t| **t < from + TERMS.window);
+    let (repeated, allowed) = (within.count() as f64, allowed(&requests, from));
+    assert!(repeated <= allowed, "{repeated}, {allowed} allowed");
+}
+
 #[test]
 fn nothing_is_taken_that_was_not_written_down() {
     let mut budget = RetryBudget::new(TERMS);
@@ -164,6 +207,35 @@
 }
 
 proptest! {
+    /// The same while callers move from some hosts to others and every call fails.
+    #[test]
+    fn the_sum_over_hosts_keeps_to_the_budget_while_callers_move(
+        phases in prop::collection::vec((1u64..80, prop::collection::vec(0usize..5, 1..5)), 1..12),
+    ) {
+        const HOSTS: usize = 5;
+        let mut budgets: Vec<RetryBudget> = (0..HOSTS).map(|_| RetryBudget::new(TERMS)).collect();
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        let mut n = 0;
+        for (lasts, asked) in phases {
+            for _ in 0..lasts * 10 {
+                let now = Duration::from_millis(10 * n);
+                let host = asked[n as usize % asked.len()];
+                n += 1;
+                budgets[host].request(now);
+                requests.push(now);
+                if take(&mut budgets[host], now, HOSTS as u32) {
+                    repeats.push(now);
+                }
+            }
+        }
+        for from in &repeats {
+            let within = repeats.iter().filter(|t| *t >= from && **t < *from + TERMS.window);
+            let (repeated, allowed) = (within.count() as f64, allowed(&requests, *from));
+            prop_assert!(repeated <= allowed, "{} repeats from {:?}, {} allowed", repeated, from, allowed);
+        }
+    }
+
     /// In any window, over all hosts, repeats stay within the share of the requests and the burst.
     #[test]
     fn the_sum_over_hosts_keeps_to_the_budget(
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -233,11 +233,11 @@
         let gateway = &self.gateway;
         let peers = &gateway.peers;
         let now = gateway.now();
-        if let Some((_, document)) = news.catalogue {
-            if let Err(e) = adopt(gateway, document) {
-                log::warn!(target: "peers", why:% = e; "A catalogue from a host can't be used.");
-                return;
-            }
+        if let Some((_, document)) = news.catalogue
+            && let Err(e) = adopt(gateway, document)
+        {
+            log::warn!(target: "peers", why:% = e; "A catalogue from a host can't be used.");
+            return;
         }
         // The other host answered after this one asked, so that its proof is at least as new.
         let proven_at = age.and_then(|age| sent_at.checked_sub(age));
