Cells of 48 engines, and whole data centres asked at once

Change: up to 128 are asked in a round, all of one data centre if it has no more; cells of 48, which all deployments so far fit in (44 engines a data centre, and 72 before one is divided); 16 that join a divided data centre make a cell of their own.

--- a/crates/fleet/benches/planning.rs
+++ b/crates/fleet/benches/planning.rs
@@ -47,6 +47,13 @@
         group.bench_function(BenchmarkId::new("first", &size), |b| {
             b.iter(|| placement::plan(&engine, black_box(&fresh), |_| false));
         });
+        let mut joined = placed(fresh.clone());
+        // Eight that join, as many of each kind as there are.
+        let step = joined.len() / 8;
+        joined.iter_mut().step_by(step).for_each(|c| c.holds = None);
+        group.bench_function(BenchmarkId::new("eight join", &size), |b| {
+            b.iter(|| placement::plan(&engine, black_box(&joined), |_| false));
+        });
         let mut lost = placed(fresh);
         lost.remove(0);
         group.bench_function(BenchmarkId::new("after a loss", &size), |b| {
--- a/crates/fleet/src/placement/cells.rs
+++ b/crates/fleet/src/placement/cells.rs
@@ -12,11 +12,12 @@
 use crate::{catalogue::Engine, chains::Holding};
 
 /// The most engines of a cell that is made.
-pub const MOST: usize = 64;
+pub const MOST: usize = 48;
 /// A cell that has grown beyond this is divided.
 const DIVIDED_BEYOND: usize = MOST + MOST / 2;
-/// Fewer engines that are new make no cell of their own.
-const OWN_CELL: usize = MOST / 2;
+/// Fewer engines that are new make no cell of their own where there are several. Among engines that hold layers the
+/// layers of each are weighed by themselves, which takes 35 ms of a core for each in a cell of [`MOST`].
+const OWN_CELL: usize = MOST / 3;
 
 /// A cell of one data centre.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -88,8 +89,10 @@
                 None => new.push(candidate),
             }
         }
+        let known: usize = cells.iter().map(Vec::len).sum();
+        let joins = new.len() < OWN_CELL || known + new.len() <= DIVIDED_BEYOND;
         match cells.iter_mut().min_by_key(|cell| cell.len()) {
-            Some(smallest) if new.len() < OWN_CELL => smallest.extend(new),
+            Some(smallest) if joins => smallest.extend(new),
             _ => cells.extend(divide(engine, new, MOST)),
         }
         for number in 0..cells.len() {
--- a/crates/fleet/src/placement/knowledge.rs
+++ b/crates/fleet/src/placement/knowledge.rs
@@ -10,7 +10,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::{Belief, Placement, cells};
+use super::{Belief, Placement};
 use crate::{
     endpoints::{Directory, Endpoint},
     layers::LayerRange,
@@ -24,7 +24,7 @@
 const REFUSED: Duration = Duration::from_millis(1500);
 
 /// The most engines that are asked before those that hold nothing are planned for.
-const MOST_ASKED: usize = 2 * cells::MOST;
+const MOST_ASKED: usize = 128;
 
 /// What an engine says of itself when it is asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,7 +103,7 @@
         }
         let mut asked: Vec<Rc<Endpoint>> = Vec::new();
         for near in by_centre.into_values() {
-            let near = &near[..near.len().min(cells::MOST)];
+            let near = &near[..near.len().min(MOST_ASKED)];
             if !asked.is_empty() && asked.len() + near.len() > MOST_ASKED {
                 break;
             }
