Hosts that choose at the same moment spread what they send by rank

What callers saw: after all hosts had lost power, 76 of the 110 streams of the first 0.2 s went to one chain of 14, whose prompts were read for seconds (issue's trace); the same in each surge and after each loss.

Cause: each host takes the chain with the least expected time, and all of them know the same numbers, 250 ms old or none. What the others send meanwhile was counted only as prompts that are read, and only from a host's own second one on.

The rank is kept: what the others are taken to have sent since they told (own rate times hosts times the age of the numbers, one each if nothing was told) is laid on chains in the order of their costs, up to a drawn part of it, and the request goes where the next one would. Fresh numbers leave the minimum; a fast chain keeps its load until another one costs as much.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -9,13 +9,19 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::chains::{Chain, Part};
+use crate::{
+    chains::{Chain, Part},
+    unseen::RecentSends,
+};
 
 /// For how long what other hosts told is taken as it is; it comes several times a second.
 const TOLD_AGE: Duration = Duration::from_millis(1500);
 /// For how long an endpoint that refused for want of memory gets nothing: about the time in which
 /// some of its requests end.
 const FULL: Duration = Duration::from_millis(150);
+/// Steps in which requests that other hosts have sent meanwhile are put on chains at most: each costs one look
+/// at a chain.
+const MOST_STEPS: f64 = 8.0;
 /// The part of an endpoint's memory that is planned with: answers differ widely in length.
 const MEMORY_USED: f64 = 0.9;
 
@@ -81,6 +87,8 @@
     reading: FxHashMap<Rc<str>, f64>,
     /// Endpoints that refused for want of memory, until when they count as full.
     full: FxHashMap<Rc<str>, Duration>,
+    /// What this host has sent lately.
+    sends: RecentSends,
     /// Hosts that send requests, this one included.
     pub hosts: u32,
 }
@@ -108,6 +116,19 @@
         }
     }
 
+    /// A request of this host is sent.
+    pub fn sent(&mut self, now: Duration) {
+        self.sends.note(now);
+    }
+
+    /// Requests that the other hosts have sent since they told of theirs, about.
+    fn unseen(&self, now: Duration) -> f64 {
+        let others = self.hosts.saturating_sub(1);
+        let age = self.others_at.map(|at| now.saturating_sub(at));
+        let age = age.filter(|age| *age < TOLD_AGE);
+        self.sends.by_others(others, age, now)
+    }
+
     /// A chain begins to read so many tokens of a request of this host.
     pub fn begin_reading(&mut self, chain: &Chain, tokens: f64) {
         for part in &chain.parts {
@@ -140,6 +161,15 @@
         own * f64::from(self.hosts.max(1))
     }
 
+    /// How long a chain still reads so many tokens that others have sent since they told of their loads, in ms.
+    fn reading_ahead_ms(&self, chain: &Chain, tokens: f64, now: Duration) -> f64 {
+        let since = self
+            .others_at
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let read_meanwhile = since.min(TOLD_AGE).as_secs_f64() * 1000.0;
+        (tokens * chain.read_busy_ms - read_meanwhile).max(0.0)
+    }
+
     /// What this host puts on endpoints.
     pub fn own(&self) -> &LoadMap {
         &self.own
@@ -215,14 +245,14 @@
     chain: &Chain,
     want: &Want,
     reading_ms: f64,
-    load: impl Fn(&str) -> Load,
+    load: impl Fn(&Part) -> Load,
 ) -> Expected {
     let need = want.prompt + want.answer;
     let mut token_ms = chain.token_ms;
     let mut running: f64 = 0.0;
     let mut fill: f64 = 0.0;
     for part in &chain.parts {
-        let load = load(&part.id);
+        let load = load(part);
         token_ms += part.token_ms_per_request * load.requests;
         running = running.max(load.requests);
         let taken = load.token_layers + need * f64::from(part.layers.count());
@@ -253,30 +283,89 @@
 
 /// Picks the chain for a request.
 ///
+/// Other hosts choose in the same moment by the same numbers. So a part of what they are taken to have sent
+/// since, drawn by `draw` from 0 to 1, is put where it would go, and the request goes where the next one would:
+/// all hosts together fill the chains in the order of their costs, and where the numbers are fresh each
+/// takes the best.
+///
 /// `usable` says which chains may get it.
 pub fn choose(
     chains: &[Chain],
     loads: &Loads,
     want: &Want,
     now: Duration,
+    draw: f64,
     usable: impl Fn(&Chain) -> bool,
 ) -> Option<Chosen> {
-    let mut best: Option<(bool, f64, Chosen)> = None;
-    for (place, chain) in chains.iter().enumerate() {
-        if !usable(chain) {
-            continue;
-        }
+    let chains = chains.iter().enumerate().filter(|(_, c)| usable(c));
+    let mut weighed: Vec<Weighed<'_>> = chains
+        .map(|(place, chain)| Weighed::new(place, chain, loads, want, now))
+        .collect();
+    let ahead = draw * loads.unseen(now);
+    let steps = ahead.ceil().min(MOST_STEPS);
+    for _ in 0..steps as u32 {
+        let next = cheapest(&mut weighed)?;
+        next.ahead += ahead / steps;
+        next.weigh(loads, want, now);
+    }
+    cheapest(&mut weighed).map(|w| Chosen {
+        place: w.place,
+        expected: w.expected,
+    })
+}
+
+/// The one that costs least, the first of equals.
+fn cheapest<'a, 'b>(weighed: &'a mut [Weighed<'b>]) -> Option<&'a mut Weighed<'b>> {
+    let by_cost = |a: &&mut Weighed<'_>, b: &&mut Weighed<'_>| {
+        let late = a.cost.0.cmp(&b.cost.0);
+        late.then(a.cost.1.total_cmp(&b.cost.1))
+    };
+    weighed.iter_mut().min_by(by_cost)
+}
+
+/// A chain that may get the request.
+struct Weighed<'a> {
+    place: usize,
+    chain: &'a Chain,
+    /// Requests that other hosts are taken to have sent to it meanwhile.
+    ahead: f64,
+    /// Without those.
+    expected: Expected,
+    /// Whether the answer would be late, and what ranks it among others.
+    cost: (bool, f64),
+}
+
+impl<'a> Weighed<'a> {
+    fn new(place: usize, chain: &'a Chain, loads: &Loads, want: &Want, now: Duration) -> Self {
         let reading_ms = loads.reading_ms(chain);
-        let expected = expect(chain, want, reading_ms, |id| loads.at(id, now));
-        let late = !expected.on_time(want);
-        // Late ones are ranked by how full they are, as memory that ran out costs most.
-        let cost = match late {
-            true => expected.fill.max(expected.first_ms / want.target_ms),
-            false => expected.whole_ms,
-        };
-        if best.is_none_or(|(l, c, _)| (late, cost) < (l, c)) {
-            best = Some((late, cost, Chosen { place, expected }));
+        let expected = expect(chain, want, reading_ms, |part| loads.at(&part.id, now));
+        Self {
+            place,
+            chain,
+            ahead: 0.0,
+            expected,
+            cost: cost(&expected, want),
         }
     }
-    best.map(|(_, _, chosen)| chosen)
+
+    fn weigh(&mut self, loads: &Loads, want: &Want, now: Duration) {
+        let tokens = want.prompt + want.answer;
+        let reading_ahead = loads.reading_ahead_ms(self.chain, want.prompt * self.ahead, now);
+        let reading_ms = loads.reading_ms(self.chain).max(reading_ahead);
+        let ahead = |part: &Part| part_load(tokens, part.layers.count()).times(self.ahead);
+        let expected = expect(self.chain, want, reading_ms, |part| {
+            loads.at(&part.id, now).plus(ahead(part))
+        });
+        self.cost = cost(&expected, want);
+    }
+}
+
+fn cost(expected: &Expected, want: &Want) -> (bool, f64) {
+    let late = !expected.on_time(want);
+    // Late ones are ranked by how full they are, as memory that ran out costs most.
+    let cost = match late {
+        true => expected.fill.max(expected.first_ms / want.target_ms),
+        false => expected.whole_ms,
+    };
+    (late, cost)
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`placement`] decides which endpoint holds which layers; [`duty`] decides which host may say
 //!   so.
 //! - [`chains`] finds chains of endpoints that cover all layers; [`choice`] picks one of them for a
-//!   request.
+//!   request; [`unseen`] says what other hosts send meanwhile.
 //! - [`examination`] says when the parts of a chain are asked how they are.
 //! - [`patience`] says for how long a run is waited for, and when its chain is examined.
 //! - [`freshness`] says for how long a catalogue may be acted on without news from the store.
@@ -42,3 +42,4 @@
 pub mod store_access;
 pub mod telling;
 pub mod token_bucket;
+pub mod unseen;
--- /dev/null
+++ b/crates/fleet/src/unseen.rs
@@ -0,0 +1,50 @@
+//! How many requests other hosts have sent since they last told of their loads.
+//!
+//! Hosts that choose by the same numbers choose the same chain. Each of them reckons with what the others send
+//! meanwhile, at the rate at which it sends itself.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// The time over which a host's own rate is taken.
+const RATE_OVER: Duration = Duration::from_secs(2);
+/// The least time for that: a host that has just begun to send has sent one request in no time.
+const LEAST_OVER: Duration = Duration::from_millis(250);
+
+/// What one host has sent lately.
+#[derive(Debug, Default)]
+pub struct RecentSends {
+    /// Invariant: in order, none older than [`RATE_OVER`] when the last was noted.
+    sent: VecDeque<Duration>,
+    /// When the first one was sent.
+    first: Option<Duration>,
+}
+
+impl RecentSends {
+    /// A request is sent.
+    pub fn note(&mut self, now: Duration) {
+        self.first.get_or_insert(now);
+        self.sent.push_back(now);
+        while self.sent.front().is_some_and(|t| *t + RATE_OVER < now) {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Requests in a second.
+    fn per_s(&self, now: Duration) -> f64 {
+        let old = |t: &Duration| *t + RATE_OVER < now;
+        let lately = self.sent.len() - self.sent.partition_point(old);
+        let since_first = self.first.map_or(Duration::ZERO, |t| now.saturating_sub(t));
+        let over = since_first.clamp(LEAST_OVER, RATE_OVER);
+        lately as f64 / over.as_secs_f64()
+    }
+
+    /// Requests that so many other hosts have sent within `age`, one of them at the least by each that chooses in
+    /// the same moment if nothing is known of them.
+    pub fn by_others(&self, others: u32, age: Option<Duration>, now: Duration) -> f64 {
+        let each = match age {
+            Some(age) => self.per_s(now) * age.as_secs_f64(),
+            None => 1.0,
+        };
+        f64::from(others) * each
+    }
+}
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -31,7 +31,7 @@
 }
 
 fn first(chains: &[Chain], loads: &Loads) -> String {
-    let chosen = choice::choose(chains, loads, &WANT, ms(0), |_| true);
+    let chosen = choice::choose(chains, loads, &WANT, ms(0), 0.0, |_| true);
     chains[chosen.expect("one is usable").place]
         .first()
         .id
@@ -102,7 +102,7 @@
 #[test]
 fn no_chain_is_chosen_if_none_may_be_used() {
     let chains = two_chains();
-    let chosen = choice::choose(&chains, &Loads::default(), &WANT, ms(0), |_| false);
+    let chosen = choice::choose(&chains, &Loads::default(), &WANT, ms(0), 0.0, |_| false);
     assert_eq!(chosen, None);
 }
 
@@ -115,7 +115,7 @@
     loads.hosts = hosts;
     loads.told(Default::default(), ms(0));
     for _ in 0..prompts {
-        let chosen = choice::choose(&chains, &loads, &WANT, ms(0), |_| true);
+        let chosen = choice::choose(&chains, &loads, &WANT, ms(0), 0.0, |_| true);
         let chain = &chains[chosen.expect("one is usable").place];
         loads.begin(chain, WANT.prompt + WANT.answer);
         loads.begin_reading(chain, WANT.prompt);
@@ -142,11 +142,11 @@
     let chains = two_chains();
     let mut loads = Loads::default();
     loads.hosts = 8;
-    let idle = choice::choose(&chains, &loads, &WANT, ms(0), |_| true);
+    let idle = choice::choose(&chains, &loads, &WANT, ms(0), 0.0, |_| true);
     loads.begin_reading(&chains[0], 50_000.0);
-    let busy = choice::choose(&chains, &loads, &WANT, ms(0), |_| true);
+    let busy = choice::choose(&chains, &loads, &WANT, ms(0), 0.0, |_| true);
     assert_ne!(busy.map(|c| c.place), idle.map(|c| c.place));
     loads.end_reading(&chains[0], 50_000.0);
-    let read = choice::choose(&chains, &loads, &WANT, ms(0), |_| true);
+    let read = choice::choose(&chains, &loads, &WANT, ms(0), 0.0, |_| true);
     assert_eq!(read, idle);
 }
--- a/crates/gateway/src/forward/on_chain.rs
+++ b/crates/gateway/src/forward/on_chain.rs
@@ -22,6 +22,7 @@
         let tokens = want.prompt + want.answer;
         let mut loads = gateway.loads.borrow_mut();
         loads.begin(chain, tokens);
+        loads.sent(gateway.now());
         loads.begin_reading(chain, want.prompt);
         Self {
             gateway,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -13,6 +13,7 @@
     layers::LayerRange,
     patience::Run,
 };
+use rand::Rng;
 use tokio::time::{self, Instant};
 
 use super::{
@@ -181,8 +182,9 @@
         let loads = gateway.loads.borrow();
         let untried = |chain: &Chain| !self.tried.contains(&chain.key);
         let with_room = |chain: &Chain| untried(chain) && !loads.full(chain, now);
-        let chosen = choice::choose(&chains, &loads, &want, now, with_room)
-            .or_else(|| choice::choose(&chains, &loads, &want, now, untried))?;
+        let draw = rand::rng().random();
+        let chosen = choice::choose(&chains, &loads, &want, now, draw, with_room)
+            .or_else(|| choice::choose(&chains, &loads, &want, now, draw, untried))?;
         let Chosen { place, expected } = chosen;
         if expected.fill > MOST_FILL {
             let short = Refusal::NoEndpoint("memory is short everywhere");
