A token bucket that holds nothing gives nothing, and what a use takes beyond it is owed

What was seen: with logs.requests_per_second = 0 every request was logged whole (lines_that_are_held_back_are_written_when_something_goes_wrong failed).

Cause: since the budget of log lines is a token bucket, a full bucket gave any use, also one of no size; and what a use took beyond its size was not owed, so that a bucket smaller than one use gave too much.

Both cases have a test.

--- a/crates/fleet/src/token_bucket.rs
+++ b/crates/fleet/src/token_bucket.rs
@@ -23,15 +23,15 @@
         }
     }
 
-    /// Takes so many tokens if they are there. More than the bucket holds are given by a full one, so that
-    /// no single use is refused for ever.
+    /// Takes so many tokens if they are there. More than the bucket holds are given by a full one and owed to it,
+    /// so that no single use is refused for ever; a bucket that holds none gives none.
     pub fn take(&mut self, tokens: f64, now: Duration) -> bool {
         let since = now.saturating_sub(self.filled_at);
         self.filled_at = now;
         self.level = (self.level + since.as_secs_f64() * self.per_s).min(self.capacity);
-        let taken = self.level >= tokens.min(self.capacity);
+        let taken = self.capacity > 0.0 && self.level >= tokens.min(self.capacity);
         if taken {
-            self.level = (self.level - tokens).max(0.0);
+            self.level -= tokens;
         }
         taken
     }
--- a/crates/fleet/tests/token_bucket.rs
+++ b/crates/fleet/tests/token_bucket.rs
@@ -17,6 +17,21 @@
     assert!(bucket.take(8.0, ms(999)));
 }
 
+#[test]
+fn a_bucket_that_holds_nothing_gives_nothing() {
+    let mut bucket = TokenBucket::new(0.0, 0.0);
+    assert!(!bucket.take(1.0, ms(0)));
+    assert!(!bucket.take(1.0, ms(100_000)));
+}
+
+/// Lines that are logged at a tenth of one a second, half a line at once.
+#[test]
+fn uses_larger_than_the_bucket_keep_to_its_rate() {
+    let mut bucket = TokenBucket::new(0.1, 0.5);
+    let taken = (0..1000).filter(|s| bucket.take(1.0, ms(s * 1000))).count();
+    assert_eq!(taken, 100);
+}
+
 proptest! {
     /// In any time, what is taken is at most the capacity and what flows in meanwhile.
     #[test]
