--- a/crates/fleet/src/patience.rs
+++ b/crates/fleet/src/adaptive_timeout.rs
@@ -8,15 +8,15 @@
 
 use std::time::Duration;
 
-/// How many times as long as expected the first event may take before the chain is examined.
+/// How many times as long as expected the first event may take before the chain is probed.
 const UNEXPECTED: f64 = 2.0;
-/// The part of the first event's target after which the chain is examined at the earliest: a host
+/// The part of the first event's target after which the chain is probed at the earliest: a host
 /// may be busy for some tens of ms.
 const LEAST_TARGETS: f64 = 0.2;
-/// The part of the longest pause on time after which the chain is examined: 80 ms of 200. Pauses on
-/// a chain under load were 50 to 110 ms, of one stream; of all streams of a chain at once less.
+/// The part of the longest pause on time after which the chain is probed: one stream pauses for
+/// longer under load, all streams of a chain at once do not.
 const UNUSUAL_GAPS: f64 = 0.4;
-/// How long after an examination that found nothing the next one follows.
+/// How long after a probe that found nothing the next one follows.
 const AGAIN: Duration = Duration::from_millis(250);
 
 /// How many times as long as expected the first event may take while the request may be sent once
@@ -52,31 +52,31 @@
 pub enum Step {
     /// Nothing for so long.
     Wait(Duration),
-    /// Its chain is examined.
-    Examine,
+    /// Its chain is probed.
+    Probe,
     /// It is given up.
     GiveUp,
 }
 
 impl Run {
-    /// The next step after a silence; `examined` is how long ago the chain's parts were asked.
-    pub fn step(&self, silent: Duration, examined: Option<Duration>) -> Step {
+    /// The next step after a silence; `probed` is how long ago the chain's parts were asked.
+    pub fn step(&self, silent: Duration, probed: Option<Duration>) -> Step {
         let most = self.most();
         if silent >= most {
             return Step::GiveUp;
         }
         let left = most - silent;
-        let until = match examined {
+        let until = match probed {
             Some(ago) => AGAIN.saturating_sub(ago),
             None => self.unusual().saturating_sub(silent),
         };
         match until.is_zero() {
-            true => Step::Examine,
+            true => Step::Probe,
             false => Step::Wait(until.min(left)),
         }
     }
 
-    /// The silence from which on the chain is examined.
+    /// The silence from which on the chain is probed.
     pub fn unusual(&self) -> Duration {
         match self.began {
             true => self.gap.mul_f64(UNUSUAL_GAPS),
--- a/crates/fleet/src/telling.rs
+++ b/crates/fleet/src/delta_sync.rs
@@ -1,4 +1,4 @@
-//! How far two hosts have told each other something that changes.
+//! Delta synchronization of two hosts: how far each knows what has changed at the other.
 //!
 //! Each counts its own changes. A host that asks another tells what the other was not told yet, and gets
 //! what it does not know. Calls may be lost, and the process at the other end may be another one than before:
@@ -6,14 +6,14 @@
 
 /// A place in the changes of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Place {
+pub struct Cursor {
     /// Names the host and its incarnation; 0 is none.
     pub origin: u64,
     /// How many of its changes are known.
     pub version: u64,
 }
 
-impl Place {
+impl Cursor {
     /// After which of its changes a host tells somebody who knows them up to here; `origin` is its own.
     pub fn known_of(&self, origin: u64) -> u64 {
         match self.origin == origin {
@@ -25,31 +25,31 @@
 
 /// How far this host and one that it asks have told each other.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Telling {
+pub struct DeltaSync {
     /// Up to which of this host's changes the other one knows.
     told: u64,
-    heard: Place,
+    heard: Cursor,
 }
 
-impl Telling {
+impl DeltaSync {
     /// After which of this host's changes the other one is told.
     pub fn told(&self) -> u64 {
         self.told
     }
 
     /// Up to where this host knows the other's changes.
-    pub fn heard(&self) -> Place {
+    pub fn heard(&self) -> Cursor {
         self.heard
     }
 
     /// A call was answered that told this host's changes up to a version, with all of the other's up to a
     /// place.
-    pub fn answered(&mut self, version: u64, place: Place) {
+    pub fn answered(&mut self, version: u64, cursor: Cursor) {
         // It may be another process than the one that was told what went before.
-        let same = self.heard.origin == place.origin;
+        let same = self.heard.origin == cursor.origin;
         let told_all = self.told == 0;
         self.told = if same || told_all { version } else { 0 };
-        self.heard = place;
+        self.heard = cursor;
     }
 
     /// A call was not answered: nobody knows what has come over.
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/leader_lease.rs
@@ -1,4 +1,4 @@
-//! A duty that one host does for all, under a lease in the platform's store.
+//! A leader lease: what one host does for all, while a row of the platform's store names it.
 //!
 //! The lease is one row. Its holder renews it by writing it again, under the condition that it is
 //! as the holder left it; any other host takes it over once the row has not changed for a whole
@@ -14,7 +14,7 @@
 /// The part of the term after which the holder renews.
 const RENEW_PART: f64 = 0.35;
 
-/// What stands in the row, in place of a holder, after one has given the duty up.
+/// What stands in the row, in place of a holder, after one has given the lease up.
 pub const NOBODY: &str = "";
 
 /// The row as it was seen.
@@ -31,16 +31,16 @@
 pub enum Step {
     /// Nothing.
     Wait,
-    /// Read the row, and tell of it by [`Duty::read`].
+    /// Read the row, and tell of it by [`LeaderLease::read`].
     Read,
     /// Write the row if it still has that version, 0 if there is none; tell of the outcome by
-    /// [`Duty::wrote`].
+    /// [`LeaderLease::wrote`].
     Write {
         /// The version that it must have.
         expected: u64,
     },
-    /// Write into the row that [`NOBODY`] holds the duty, if it still has that version; tell of the
-    /// outcome by [`Duty::wrote`].
+    /// Write into the row that [`NOBODY`] holds the lease, if it still has that version; tell of the
+    /// outcome by [`LeaderLease::wrote`].
     Release {
         /// The version that it must have.
         expected: u64,
@@ -58,9 +58,9 @@
     Unknown,
 }
 
-/// One host's view of a duty.
+/// One host's view of a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Duty {
+pub struct LeaderLease {
     me: String,
     term: Duration,
     /// How often a host that does not hold it reads the row.
@@ -73,12 +73,12 @@
     renewed_at: Option<Duration>,
     /// A write may or may not have happened; only a read can tell.
     in_doubt: bool,
-    /// This host ends: it never holds the duty again.
+    /// This host ends: it never holds the lease again.
     leaving: bool,
 }
 
-impl Duty {
-    /// A duty of which nothing is known. `me` names this host and its incarnation.
+impl LeaderLease {
+    /// A lease of which nothing is known. `me` names this host and its incarnation.
     pub fn new(me: String, term: Duration, look: Duration) -> Self {
         Self {
             me,
@@ -93,17 +93,17 @@
         }
     }
 
-    /// This host ends: it no longer acts on the duty, and is to give it up.
+    /// This host ends: it no longer acts on the lease, and is to give it up.
     pub fn leave(&mut self) {
         self.leaving = true;
     }
 
-    /// Whether this host may act on the duty.
+    /// Whether this host may act on the lease.
     pub fn held(&self, now: Duration) -> bool {
         self.held_until().is_some_and(|until| now < until)
     }
 
-    /// Until when this host may act on the duty unless it renews it, if it may at all.
+    /// Until when this host may act on the lease unless it renews it, if it may at all.
     pub fn held_until(&self) -> Option<Duration> {
         let renewed_at = self.renewed_at.filter(|_| !self.leaving)?;
         Some(renewed_at + self.term.mul_f64(HELD_PART))
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Who holds the duty, as far as is known.
+    /// Who holds the lease, as far as is known.
     pub fn holder(&self) -> Option<&str> {
         self.seen.as_ref().map(|s| &*s.holder)
     }
--- a/crates/fleet/src/placement/cells.rs
+++ b/crates/fleet/src/placement/cells.rs
@@ -16,7 +16,7 @@
 /// A cell that has grown beyond this is divided.
 const DIVIDED_BEYOND: usize = MOST + MOST / 2;
 /// Fewer engines that are new make no cell of their own where there are several. Among engines that hold layers the
-/// layers of each are weighed by themselves, which takes 35 ms of a core for each in a cell of [`MOST`].
+/// layers of each are weighed by themselves, which costs far more than a layout of all of them anew.
 const OWN_CELL: usize = MOST / 3;
 
 /// A cell of one data centre.
--- a/crates/fleet/src/placement/knowledge.rs
+++ b/crates/fleet/src/placement/knowledge.rs
@@ -2,7 +2,7 @@
 //! allows.
 //!
 //! Entries are old, and an order may be carried out seconds after it was given, or by an engine that
-//! an earlier holder of the duty ordered. So an engine is asked before it gets an order, the order
+//! an earlier holder of the lease ordered. So an engine is asked before it gets an order, the order
 //! goes only to the start that was asked, and one without an answer is left alone until the order can
 //! no longer be carried out.
 
--- a/crates/fleet/src/placement/succession.rs
+++ b/crates/fleet/src/placement/succession.rs
@@ -18,8 +18,8 @@
 };
 
 /// How long a new engine waits for one of its kind to leave. Whoever replaces engines one by one
-/// starts the new one, sees it listed, and stops the old one: where that was measured the old one is
-/// listed as leaving 1.0 to 1.6 s after the new one. An engine that was meant to be one more serves so
+/// starts the new one, sees it listed, and stops the old one: it is
+/// listed as leaving one to two seconds after the new one. An engine that was meant to be one more serves so
 /// much later; loading takes it 2 s and more.
 const WAIT: Duration = Duration::from_millis(1800);
 
--- a/crates/fleet/src/examination.rs
+++ b/crates/fleet/src/probing.rs
@@ -10,21 +10,20 @@
 
 use crate::chains::Chain;
 
-/// How long the news of an examination are as good as those of another one: chains of a data centre
+/// How long the news of a probe are as good as those of another one: chains of a data centre
 /// share parts, and stand still together when one of these is lost.
 const FRESH: Duration = Duration::from_millis(100);
-/// How often that doubles for a chain that is examined again and again: it is slow, and not lost.
-/// With two slow engines eight hosts made 200 examinations a second without it.
+/// How often that doubles for a chain that is probed again and again: it is slow, and not lost.
 const MOST_DOUBLED: u32 = 4;
-/// How long after an examination the next one of the same chain has nothing to do with it.
+/// How long after a probe the next one of the same chain has nothing to do with it.
 const FORGOTTEN: Duration = Duration::from_secs(4);
 /// How long after an event of any stream a chain counts as running: twice the usual pause of one
 /// stream on a slow chain.
 const RUNS: Duration = Duration::from_millis(80);
-/// Examinations that all hosts together make in a second in the long run. Sixty hosts with one or
-/// two streams a chain made 260 a second without a bound, as a stream by itself pauses often.
+/// Probes that all hosts together make in a second in the long run: a stream by itself
+/// pauses often, and many hosts have one or two streams a chain.
 const ALL_PER_S: f64 = 8.0;
-/// Examinations that a host may make at once: after the loss of a part two to four chains of a data
+/// Probes that a host may make at once: after the loss of a part two to four chains of a data
 /// centre stand still.
 const AT_ONCE: f64 = 4.0;
 /// Chains that are remembered as running before those that don't are forgotten.
@@ -42,8 +41,8 @@
 /// What is done about a chain in doubt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Next {
-    /// Nothing: other streams go on over it, it was examined a moment ago, or there have been too many
-    /// examinations.
+    /// Nothing: other streams go on over it, it was probed a moment ago, or there have been too many
+    /// probes.
     Nothing,
     /// These parts of it are asked, by their ids.
     Ask(Vec<Rc<str>>),
@@ -57,46 +56,46 @@
     parts: Vec<Rc<str>>,
 }
 
-/// A chain that was examined.
+/// A chain that was probed.
 #[derive(Debug, Clone, Copy)]
-struct Examined {
+struct Probed {
     at: Duration,
-    /// Examinations before it, one soon after the other.
+    /// Probes before it, one soon after the other.
     before: u32,
 }
 
-impl Examined {
+impl Probed {
     /// Whether another one would bring no other news.
     fn stands(&self, now: Duration) -> bool {
         self.at + FRESH * 2u32.pow(self.before.min(MOST_DOUBLED)) > now
     }
 }
 
-/// What a host knows of the chains that it uses by what comes over them, and of its examinations.
+/// What a host knows of the chains that it uses by what comes over them, and of its probes.
 #[derive(Debug)]
-pub struct Examinations {
+pub struct ProbeSchedule {
     /// By the chain's key.
     running: FxHashMap<u64, Running>,
     /// By the chain's key.
-    examined: FxHashMap<u64, Examined>,
+    probed: FxHashMap<u64, Probed>,
     /// When a part last answered, by its id.
     answered: FxHashMap<Rc<str>, Duration>,
-    /// Examinations that may still be made, and when that was so.
+    /// Probes that may still be made, and when that was so.
     left: (f64, Duration),
 }
 
-impl Default for Examinations {
+impl Default for ProbeSchedule {
     fn default() -> Self {
         Self {
             running: FxHashMap::default(),
-            examined: FxHashMap::default(),
+            probed: FxHashMap::default(),
             answered: FxHashMap::default(),
             left: (AT_ONCE, Duration::ZERO),
         }
     }
 }
 
-impl Examinations {
+impl ProbeSchedule {
     /// An event has come over a chain.
     pub fn event(&mut self, chain: &Chain, now: Duration) {
         if let Some(running) = self.running.get_mut(&chain.key) {
@@ -128,18 +127,17 @@
             return Next::Nothing;
         }
         self.forget(now);
-        let last = self.examined.get(&chain.key).copied();
+        let last = self.probed.get(&chain.key).copied();
         if last.is_some_and(|last| last.stands(now)) || !self.take(now, hosts) {
             return Next::Nothing;
         }
         let before = last.map_or(0, |last| last.before + 1);
-        self.examined
-            .insert(chain.key, Examined { at: now, before });
+        self.probed.insert(chain.key, Probed { at: now, before });
         let ids = chain.parts.iter().map(|p| &p.id);
         Next::Ask(ids.filter(|id| !self.known(id, doubt)).cloned().collect())
     }
 
-    /// Takes one of the examinations that a host may make.
+    /// Takes one of the probes that a host may make.
     ///
     /// While it is not known how many hosts do the same, none is made beyond those at once: all hosts
     /// may have just started, and each would take itself for the only one.
@@ -157,7 +155,7 @@
     fn forget(&mut self, now: Duration) {
         self.running.retain(|_, r| r.at + RUNS > now);
         self.answered.retain(|_, at| *at + FRESH > now);
-        self.examined.retain(|_, e| e.at + FORGOTTEN > now);
+        self.probed.retain(|_, e| e.at + FORGOTTEN > now);
     }
 
     /// Whether a part is known to be well: it has just answered, or a chain with it runs.
--- a/crates/fleet/tests/patience.rs
+++ b/crates/fleet/tests/adaptive_timeout.rs
@@ -1,8 +1,8 @@
-//! A run that stands still is examined before it is given up, and given up before its caller leaves.
+//! A run that stands still is probed before it is given up, and given up before its caller leaves.
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::patience::{Run, Step};
+use dragonflyrill_fleet::adaptive_timeout::{Run, Step};
 
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -18,27 +18,27 @@
     before: Duration::ZERO,
 };
 
-/// When a run that gets nothing more is examined, and when it is given up, in ms.
+/// When a run that gets nothing more is probed, and when it is given up, in ms.
 fn played(run: Run) -> (Vec<u64>, u64) {
-    let mut examined: Vec<u64> = Vec::new();
+    let mut probed: Vec<u64> = Vec::new();
     for now in 0..10_000 {
-        let ago = examined.last().map(|at| ms(now - at));
+        let ago = probed.last().map(|at| ms(now - at));
         match run.step(ms(now), ago) {
             Step::Wait(wait) => assert!(!wait.is_zero(), "it would turn without end"),
-            Step::Examine => examined.push(now),
-            Step::GiveUp => return (examined, now),
+            Step::Probe => probed.push(now),
+            Step::GiveUp => return (probed, now),
         }
     }
     panic!("it is never given up");
 }
 
 #[test]
-fn a_chain_is_examined_long_before_a_run_on_it_is_given_up() {
-    let (examined, given_up) = played(RUN);
-    assert_eq!(examined[0], 100);
+fn a_chain_is_probed_long_before_a_run_on_it_is_given_up() {
+    let (probed, given_up) = played(RUN);
+    assert_eq!(probed[0], 100);
     assert_eq!(given_up, 300);
-    let (examined, given_up) = played(Run { began: true, ..RUN });
-    assert_eq!(examined[0], 80);
+    let (probed, given_up) = played(Run { began: true, ..RUN });
+    assert_eq!(probed[0], 80);
     assert_eq!(given_up, 700);
 }
 
--- /dev/null
+++ b/crates/fleet/tests/delta_sync.rs
@@ -0,0 +1,42 @@
+//! Nothing that a host has to tell another is left out, whatever becomes of calls and processes.
+
+use dragonflyrill_fleet::delta_sync::{Cursor, DeltaSync};
+
+fn cursor(origin: u64, version: u64) -> Cursor {
+    Cursor { origin, version }
+}
+
+#[test]
+fn what_was_told_and_heard_is_not_told_again() {
+    let mut sync = DeltaSync::default();
+    assert_eq!((sync.told(), sync.heard()), (0, Cursor::default()));
+    sync.answered(5, cursor(7, 3));
+    assert_eq!((sync.told(), sync.heard()), (5, cursor(7, 3)));
+    sync.answered(6, cursor(7, 4));
+    assert_eq!((sync.told(), sync.heard()), (6, cursor(7, 4)));
+}
+
+#[test]
+fn all_is_told_again_to_another_process() {
+    let mut sync = DeltaSync::default();
+    sync.answered(5, cursor(7, 3));
+    sync.answered(6, cursor(8, 1));
+    assert_eq!((sync.told(), sync.heard()), (0, cursor(8, 1)));
+    sync.answered(6, cursor(8, 1));
+    assert_eq!(sync.told(), 6);
+}
+
+#[test]
+fn all_is_told_again_after_a_call_that_may_not_have_come_over() {
+    let mut sync = DeltaSync::default();
+    sync.answered(5, cursor(7, 3));
+    sync.failed();
+    assert_eq!((sync.told(), sync.heard()), (0, Cursor::default()));
+}
+
+#[test]
+fn a_place_in_the_changes_of_another_process_is_the_beginning() {
+    assert_eq!(cursor(7, 3).known_of(7), 3);
+    assert_eq!(cursor(7, 3).known_of(8), 0);
+    assert_eq!(Cursor::default().known_of(8), 0);
+}
--- a/crates/fleet/tests/duty.rs
+++ b/crates/fleet/tests/leader_lease.rs
@@ -1,8 +1,8 @@
-//! Never two hosts hold a duty, whatever becomes of their calls; and it is taken over in time.
+//! Never two hosts hold a lease, whatever becomes of their calls; and it is taken over in time.
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::duty::{Duty, NOBODY, Seen, Step, Wrote};
+use dragonflyrill_fleet::leader_lease::{LeaderLease, NOBODY, Seen, Step, Wrote};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -12,8 +12,8 @@
 const TERM: Duration = Duration::from_millis(2400);
 const LOOK: Duration = Duration::from_millis(1200);
 
-fn duty(host: usize) -> Duty {
-    Duty::new(format!("host{host} 1"), TERM, LOOK)
+fn lease(host: usize) -> LeaderLease {
+    LeaderLease::new(format!("host{host} 1"), TERM, LOOK)
 }
 
 /// The row in the store.
@@ -39,66 +39,66 @@
 }
 
 #[test]
-fn the_first_host_takes_a_duty_that_nobody_has() {
-    let mut duty = duty(0);
-    assert_eq!(duty.step(ms(0)), Step::Read);
-    duty.read(ms(1), None);
-    assert_eq!(duty.step(ms(1)), Step::Write { expected: 0 });
-    duty.wrote(ms(1), ms(5), Wrote::Done(7));
-    assert!(duty.held(ms(5)));
-    assert_eq!(duty.step(ms(100)), Step::Wait);
-    assert_eq!(duty.step(ms(1000)), Step::Write { expected: 7 });
+fn the_first_host_takes_a_lease_that_nobody_has() {
+    let mut lease = lease(0);
+    assert_eq!(lease.step(ms(0)), Step::Read);
+    lease.read(ms(1), None);
+    assert_eq!(lease.step(ms(1)), Step::Write { expected: 0 });
+    lease.wrote(ms(1), ms(5), Wrote::Done(7));
+    assert!(lease.held(ms(5)));
+    assert_eq!(lease.step(ms(100)), Step::Wait);
+    assert_eq!(lease.step(ms(1000)), Step::Write { expected: 7 });
 }
 
 #[test]
 fn a_row_that_stands_still_for_a_term_is_taken_over() {
-    let mut duty = duty(1);
+    let mut lease = lease(1);
     let row = Seen {
         holder: "host0 1".to_owned(),
         version: 3,
     };
-    duty.read(ms(0), Some(row.clone()));
-    assert_eq!(duty.step(ms(100)), Step::Wait);
-    assert_eq!(duty.step(ms(1300)), Step::Read);
-    duty.read(ms(1300), Some(row));
-    assert_eq!(duty.step(ms(2400)), Step::Write { expected: 3 });
+    lease.read(ms(0), Some(row.clone()));
+    assert_eq!(lease.step(ms(100)), Step::Wait);
+    assert_eq!(lease.step(ms(1300)), Step::Read);
+    lease.read(ms(1300), Some(row));
+    assert_eq!(lease.step(ms(2400)), Step::Write { expected: 3 });
 }
 
 #[test]
 fn a_row_that_changes_is_left_to_its_holder() {
-    let mut duty = duty(1);
+    let mut lease = lease(1);
     for beat in 0..10 {
         let row = Seen {
             holder: "host0 1".to_owned(),
             version: beat,
         };
-        duty.read(ms(beat * 1000), Some(row));
-        assert!(!matches!(duty.step(ms(beat * 1000)), Step::Write { .. }));
+        lease.read(ms(beat * 1000), Some(row));
+        assert!(!matches!(lease.step(ms(beat * 1000)), Step::Write { .. }));
     }
 }
 
 #[test]
 fn a_write_in_doubt_is_read_before_anything_else() {
-    let mut duty = duty(0);
-    duty.read(ms(0), None);
-    duty.wrote(ms(0), ms(900), Wrote::Unknown);
-    assert!(!duty.held(ms(900)));
-    assert_eq!(duty.step(ms(900)), Step::Read);
+    let mut lease = lease(0);
+    lease.read(ms(0), None);
+    lease.wrote(ms(0), ms(900), Wrote::Unknown);
+    assert!(!lease.held(ms(900)));
+    assert_eq!(lease.step(ms(900)), Step::Read);
 }
 
 #[test]
 fn a_holder_that_is_not_renewed_stops_before_its_term_ends() {
-    let mut duty = duty(0);
-    duty.read(ms(0), None);
-    duty.wrote(ms(0), ms(50), Wrote::Done(1));
-    assert!(duty.held(ms(1900)));
-    assert!(!duty.held(ms(1921)));
+    let mut lease = lease(0);
+    lease.read(ms(0), None);
+    lease.wrote(ms(0), ms(50), Wrote::Done(1));
+    assert!(lease.held(ms(1900)));
+    assert!(!lease.held(ms(1921)));
 }
 
 #[test]
-fn a_holder_that_ends_gives_the_duty_up_and_another_host_need_not_wait() {
+fn a_holder_that_ends_gives_the_lease_up_and_another_host_need_not_wait() {
     let mut row = Row::default();
-    let (mut first, mut second) = (duty(0), duty(1));
+    let (mut first, mut second) = (lease(0), lease(1));
     first.read(ms(0), None);
     let wrote = row.write("host0 1", 0);
     first.wrote(ms(0), ms(5), wrote);
@@ -117,15 +117,15 @@
 
 #[test]
 fn a_host_that_ends_and_holds_nothing_writes_nothing() {
-    let mut duty = duty(0);
-    duty.read(ms(0), None);
-    duty.leave();
-    assert_eq!(duty.step(ms(10_000)), Step::Wait);
+    let mut lease = lease(0);
+    lease.read(ms(0), None);
+    lease.leave();
+    assert_eq!(lease.step(ms(10_000)), Step::Wait);
 }
 
 /// One host in a random schedule.
 struct Host {
-    duty: Duty,
+    lease: LeaderLease,
     number: usize,
     incarnation: u32,
     leaving: bool,
@@ -143,7 +143,7 @@
         let mut row = Row::default();
         let mut hosts: Vec<Host> = (0..4)
             .map(|i| Host {
-                duty: duty(i),
+                lease: lease(i),
                 number: i,
                 incarnation: 1,
                 leaving: false,
@@ -158,7 +158,7 @@
             for host in &mut hosts {
                 step(host, &mut row, t, calm, &mut rng);
             }
-            let held = |h: &&Host| h.duty.held(ms(t));
+            let held = |h: &&Host| h.lease.held(ms(t));
             let holders = hosts.iter().filter(held).count();
             assert!(holders <= 1, "seed {seed}: {holders} holders at {t} ms");
             if holders == 1 {
@@ -206,15 +206,15 @@
                 .take()
                 .expect("carried out before answered")
             {
-                Ok(wrote) => host.duty.wrote(ms(sent), ms(t), wrote),
-                Err(seen) => host.duty.read(ms(t), seen),
+                Ok(wrote) => host.lease.wrote(ms(sent), ms(t), wrote),
+                Err(seen) => host.lease.read(ms(t), seen),
             }
             host.call = None;
         } else if given_up {
             let late = host.call.take();
             let late = late.and_then(|c| written(host.number, host.incarnation, &c.4));
             if let Some((holder, expected)) = late {
-                host.duty.wrote(ms(sent), ms(t), Wrote::Unknown);
+                host.lease.wrote(ms(sent), ms(t), Wrote::Unknown);
                 if host.carried_out.is_none() {
                     // Carried out late, and nobody hears of it.
                     row.write(&holder, expected);
@@ -226,14 +226,14 @@
     }
     if !calm && !host.leaving && rng.random_bool(0.0008) {
         host.leaving = true;
-        host.duty.leave();
+        host.lease.leave();
     }
-    let step = host.duty.step(ms(t));
+    let step = host.lease.step(ms(t));
     if step == Step::Wait && host.leaving {
         host.leaving = false;
         host.incarnation += 1;
         let me = format!("host{} {}", host.number, host.incarnation);
-        host.duty = Duty::new(me, TERM, LOOK);
+        host.lease = LeaderLease::new(me, TERM, LOOK);
         host.asleep_until = t + rng.random_range(100..5000);
         return;
     }
--- a/crates/fleet/tests/duty_search.rs
+++ b/crates/fleet/tests/leader_lease_search.rs
@@ -1,4 +1,4 @@
-//! Exhaustive bounded search over the real duty of two hosts and one row: every order of calls, late
+//! Exhaustive bounded search over the real lease of two hosts and one row: every order of calls, late
 //! writes, lost answers, pauses and ends, up to a horizon. Never do both hosts act.
 //!
 //! Reads are answered at once, or the space is too large: an answer that comes late makes a host take
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::duty::{Duty, NOBODY, Seen, Step, Wrote};
+use dragonflyrill_fleet::leader_lease::{LeaderLease, NOBODY, Seen, Step, Wrote};
 use dragonflyrill_model::checker::{self, Bound, Property, Spec, Verdict};
 
 /// One tick, a third of the term: a holder acts, and renews, up to the second.
@@ -18,7 +18,7 @@
 /// After how many ticks a caller no longer waits for an answer.
 const GIVES_UP: u32 = 1;
 
-/// A wrong way of using the duty, which the search has to find.
+/// A wrong way of using the lease, which the search has to find.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Mutant {
     None,
@@ -30,7 +30,7 @@
     TakesOverEarly,
     /// The row is written whatever its version is.
     WritesBlindly,
-    /// The duty is given up in the row while the host still acts.
+    /// The lease is given up in the row while the host still acts.
     ReleasesWhileActing,
 }
 
@@ -52,7 +52,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Host {
-    duty: Duty,
+    lease: LeaderLease,
     incarnation: u8,
     leaving: bool,
     call: Option<Call>,
@@ -109,7 +109,7 @@
 
 fn fresh(host: usize, incarnation: u8) -> Host {
     Host {
-        duty: Duty::new(name(host, incarnation), TERM, LOOK),
+        lease: LeaderLease::new(name(host, incarnation), TERM, LOOK),
         incarnation,
         leaving: false,
         call: None,
@@ -131,7 +131,7 @@
             Mutant::TakesOverEarly => TICK,
             _ => Duration::ZERO,
         };
-        host.duty.step(state.now() + early)
+        host.lease.step(state.now() + early)
     }
 
     /// What a step writes, and on which version.
@@ -150,7 +150,7 @@
         }
         let mut next = state.clone();
         if step == Step::Read {
-            next.hosts[i].duty.read(state.now(), state.row.clone());
+            next.hosts[i].lease.read(state.now(), state.row.clone());
             return Some(next);
         }
         next.hosts[i].call = Some(Call {
@@ -182,7 +182,7 @@
             Mutant::CountsFromAnswer => state.now(),
             _ => TICK * sent,
         };
-        host.duty.wrote(sent_at, state.now(), outcome?);
+        host.lease.wrote(sent_at, state.now(), outcome?);
         Some(next)
     }
 
@@ -199,7 +199,7 @@
             (Mutant::TakesUnknownForDone, expected) => Wrote::Done(expected + 1),
             _ => Wrote::Unknown,
         };
-        host.duty.wrote(TICK * call.sent, state.now(), unknown);
+        host.lease.wrote(TICK * call.sent, state.now(), unknown);
         if call.outcome.is_none() {
             if host.late.is_some() {
                 return None;
@@ -225,7 +225,7 @@
         }
         host.leaving = true;
         if self.mutant != Mutant::ReleasesWhileActing {
-            host.duty.leave();
+            host.lease.leave();
         }
         next.ends = state.ends.checked_sub(1)?;
         Some(next)
@@ -293,7 +293,7 @@
         vec![Property::new(
             "at most one host acts",
             |_, state: &State| {
-                let acting = |host: &&Host| host.duty.held(state.now());
+                let acting = |host: &&Host| host.lease.held(state.now());
                 state.hosts.iter().filter(acting).count() <= 1
             },
         )]
--- a/crates/fleet/tests/placing_orders.rs
+++ b/crates/fleet/tests/placing_orders.rs
@@ -4,7 +4,7 @@
 //! Random schedules of a data centre over the real decisions: engines start again between being asked,
 //! being ordered and being listed, with and without saying when they started; others are replaced, the
 //! new one first; entries come late, of former starts as well; reports get no answer; orders are lost, refused, or carried out seconds
-//! later, also by a start that they were not meant for; the duty passes to a host that knows nothing.
+//! later, also by a start that they were not meant for; the lease passes to a host that knows nothing.
 
 mod common;
 
--- a/crates/fleet/tests/examination.rs
+++ b/crates/fleet/tests/probing.rs
@@ -5,7 +5,7 @@
 use common::{endpoint, engine, ms};
 use dragonflyrill_fleet::{
     chains::{self, Chain},
-    examination::{Doubt, Examinations, Next},
+    probing::{Doubt, Next, ProbeSchedule},
 };
 
 /// Two chains that share their first stage: `f`, `g` and `f`, `h`.
@@ -28,60 +28,60 @@
 #[test]
 fn a_chain_that_stands_still_is_asked_and_one_that_runs_is_not() {
     let chains = sharing();
-    let mut examinations = Examinations::default();
-    examinations.event(&chains[0], ms(1000));
-    let next = examinations.next(&chains[0], Doubt::Still, ms(1050), Some(8));
+    let mut schedule = ProbeSchedule::default();
+    schedule.event(&chains[0], ms(1000));
+    let next = schedule.next(&chains[0], Doubt::Still, ms(1050), Some(8));
     assert_eq!(next, Next::Nothing);
-    let next = examinations.next(&chains[0], Doubt::Still, ms(1090), Some(8));
+    let next = schedule.next(&chains[0], Doubt::Still, ms(1090), Some(8));
     assert_eq!(asked(next), ["f", "g"]);
 }
 
 #[test]
 fn parts_of_a_chain_that_runs_are_not_asked_whether_they_live() {
     let chains = sharing();
-    let mut examinations = Examinations::default();
-    examinations.event(&chains[1], ms(1000));
-    let next = examinations.next(&chains[0], Doubt::Still, ms(1050), Some(8));
+    let mut schedule = ProbeSchedule::default();
+    schedule.event(&chains[1], ms(1000));
+    let next = schedule.next(&chains[0], Doubt::Still, ms(1050), Some(8));
     assert_eq!(asked(next), ["g"]);
 }
 
 #[test]
 fn parts_of_a_chain_that_runs_are_asked_whether_they_are_slow() {
     let chains = sharing();
-    let mut examinations = Examinations::default();
-    examinations.event(&chains[0], ms(1000));
-    let next = examinations.next(&chains[0], Doubt::Late, ms(1050), Some(8));
+    let mut schedule = ProbeSchedule::default();
+    schedule.event(&chains[0], ms(1000));
+    let next = schedule.next(&chains[0], Doubt::Late, ms(1050), Some(8));
     assert_eq!(asked(next), ["f", "g"]);
 }
 
 #[test]
 fn a_part_that_has_just_answered_is_not_asked_for_another_chain() {
     let chains = sharing();
-    let mut examinations = Examinations::default();
-    examinations.answered(&"f".into(), ms(1000));
-    let next = examinations.next(&chains[1], Doubt::Still, ms(1050), Some(8));
+    let mut schedule = ProbeSchedule::default();
+    schedule.answered(&"f".into(), ms(1000));
+    let next = schedule.next(&chains[1], Doubt::Still, ms(1050), Some(8));
     assert_eq!(asked(next), ["h"]);
 }
 
-/// Examinations of one chain that stands still for so long, in ms from its first doubt on.
+/// Probes of one chain that stands still for so long, in ms from its first doubt on.
 fn played(hosts: Option<u32>, until: u64) -> Vec<u64> {
     let chains = sharing();
-    let mut examinations = Examinations::default();
+    let mut schedule = ProbeSchedule::default();
     let mut times = Vec::new();
     for now in 0..until {
-        let next = examinations.next(&chains[0], Doubt::Late, ms(now), hosts);
+        let next = schedule.next(&chains[0], Doubt::Late, ms(now), hosts);
         times.extend((next != Next::Nothing).then_some(now));
     }
     times
 }
 
 #[test]
-fn a_chain_that_stays_slow_is_examined_more_and_more_seldom() {
+fn a_chain_that_stays_slow_is_probed_more_and_more_seldom() {
     assert_eq!(played(Some(1), 5000), [0, 100, 300, 700, 1500, 3100, 4700]);
 }
 
 #[test]
-fn many_hosts_together_make_no_more_examinations_than_few() {
+fn many_hosts_together_make_no_more_probes_than_few() {
     let all = |hosts: u32| played(Some(hosts), 60_000).len() * hosts as usize;
     // Four at once on each host, and eight a second over all of them.
     assert!(all(8) <= 8 * 4 + 60 * 8, "{}", all(8));
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -28,7 +28,7 @@
 /// The part of a beat over which the hosts spread the writes that a host that joins waits for.
 const JOIN_PART: f64 = 0.1;
 /// The part of that which passes before the first of them: hosts that join together are counted by one
-/// write. 295 hosts that started at once wrote 729 rows for each other without it.
+/// write.
 const JOIN_PAUSE: f64 = 0.5;
 /// The part of a beat after which a beat that failed is tried again.
 const RETRY_PART: f64 = 0.25;
@@ -39,7 +39,7 @@
 /// The least time between two writes: a surge of repeats writes a few times, not for each.
 const PAUSE: Duration = Duration::from_millis(20);
 /// How much of the store's time a host leaves to each other one before it writes for a surge. The rows
-/// are of one part of a table, which takes 5 ms for each write, and the lease of a duty is in it: all
+/// are of one part of a table, which takes 5 ms for each write, and the leader lease is in it: all
 /// hosts together take half of it at the most.
 const PAUSE_PER_HOST: Duration = Duration::from_millis(10);
 /// Up to so many hosts write at once in a surge; more spread their writes.
@@ -206,7 +206,7 @@
     }
 
     /// When the row is written for the first time: what a process of this host wrote before stands until
-    /// it would have written it again. 295 hosts that were all killed wrote 295 rows at once without this.
+    /// it would have written it again, so that hosts that were all killed do not all write at once.
     fn first_beat(&self) -> Duration {
         let found = self.gateway.bounds.found_age();
         found.map_or(Duration::ZERO, |age| self.beat().saturating_sub(age))
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -5,9 +5,9 @@
 pub mod endpoints;
 mod held_requests;
 pub mod host_row;
-mod lease;
 mod placing;
 pub mod roster;
+mod tenure;
 
 use std::time::Duration;
 
@@ -91,8 +91,8 @@
     Rows,
     /// Writes this host's own row.
     Write,
-    /// Writes the row of the duty of placing layers.
-    Duty,
+    /// Writes the row of the lease of placing layers.
+    Lease,
 }
 
 impl StoreCall {
@@ -102,7 +102,7 @@
             Self::List => "list",
             Self::Rows => "rows",
             Self::Write => "write",
-            Self::Duty => "duty",
+            Self::Lease => "lease",
         }
     }
 
@@ -120,7 +120,7 @@
             Err(_) => {
                 let why = "no answer in time".to_owned();
                 Err(match self {
-                    Self::Write | Self::Duty => PlatformError::Unknown(why),
+                    Self::Write | Self::Lease => PlatformError::Unknown(why),
                     Self::Catalogue | Self::List | Self::Rows => PlatformError::Unavailable(why),
                 })
             }
@@ -140,7 +140,7 @@
     fn note_access(self, gateway: &Gateway, outcome: Outcome, sent_at: Duration) {
         let now = gateway.now();
         match (self, outcome) {
-            (Self::Write | Self::Duty, _) => {}
+            (Self::Write | Self::Lease, _) => {}
             (_, Outcome::Answered | Outcome::Unusable) => {
                 gateway.note_access(|access| access.answered(sent_at));
             }
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -1,4 +1,4 @@
-//! Has engines load the layers that the planner gives them, on the host that holds the duty.
+//! Has engines load the layers that the planner gives them, on the host that holds the lease.
 //!
 //! What engines should load is decided in [`dragonflyrill_fleet::placement::planner`], what is known
 //! of them, and which orders that allows, in [`dragonflyrill_fleet::placement::knowledge`]; here
@@ -18,7 +18,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time;
 
-use super::lease::{Lease, Tenure};
+use super::tenure::{Tenure, Tenures};
 use crate::{
     gateway::Gateway,
     http::call::CallError,
@@ -34,16 +34,16 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Places layers while this host holds the lease, for as long as the process lives.
-pub(super) async fn keep(gateway: Rc<Gateway>, lease: Rc<Lease>) {
+pub(super) async fn keep(gateway: Rc<Gateway>, tenures: Rc<Tenures>) {
     let mut placing = Placing {
         gateway: gateway.clone(),
-        lease: lease.clone(),
+        tenures: tenures.clone(),
         tenure: None,
         known: Knowledge::default(),
         planners: FxHashMap::default(),
     };
     loop {
-        match lease.tenure(gateway.now()) {
+        match tenures.tenure(gateway.now()) {
             Some(tenure) => placing.round(tenure).await,
             None => placing.watch(),
         }
@@ -51,10 +51,10 @@
     }
 }
 
-/// The work of the host that holds the duty.
+/// The work of the host that holds the lease.
 struct Placing {
     gateway: Rc<Gateway>,
-    lease: Rc<Lease>,
+    tenures: Rc<Tenures>,
     /// The tenure in which `known` was learned.
     tenure: Option<Tenure>,
     known: Knowledge,
@@ -196,10 +196,10 @@
 
     /// Gives the orders, each only while the tenure lasts: all of them may take longer than the lease does.
     async fn order(&mut self, placements: &[Placement], tenure: Tenure) {
-        let (gateway, lease) = (&self.gateway, &self.lease);
+        let (gateway, tenures) = (&self.gateway, &self.tenures);
         let orders = self.known.orders(&gateway.directory.borrow(), placements);
         let give = async |order: Order| {
-            if !lease.holds(tenure, gateway.now()) {
+            if !tenures.holds(tenure, gateway.now()) {
                 return None;
             }
             let engines = &gateway.platform.engines;
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -1,10 +1,10 @@
-//! Counts the hosts that are alive, tells the others that this one is, and keeps the duty of placing
+//! Counts the hosts that are alive, tells the others that this one is, and keeps the lease of placing
 //! layers.
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::duty::{Duty, NOBODY, Seen, Step, Wrote};
-use dragonflyrill_protocol::exchange::{DutyRow, FleetHost, HostRow};
+use dragonflyrill_fleet::leader_lease::{LeaderLease, NOBODY, Seen, Step, Wrote};
+use dragonflyrill_protocol::exchange::{FleetHost, HostRow, LeaseRow};
 use dragonflyrill_store::PlatformError;
 use futures_util::future;
 use rustc_hash::FxHashMap;
@@ -13,20 +13,20 @@
 use super::{
     Backoff, StoreCall,
     host_row::{self, AllRows, CALL, beat, myself},
-    lease::Lease,
     placing,
+    tenure::Tenures,
 };
 use crate::{
     gateway::Gateway,
     ports::{Row, Written},
 };
 
-/// The row of the duty of placing layers.
-const DUTY_ROW: &str = "placement";
-/// How long the duty's row must stand still before another host takes over: two renewals may be
+/// The row of the lease of placing layers.
+const LEASE_ROW: &str = "placement";
+/// How long the lease's row must stand still before another host takes over: two renewals may be
 /// lost, and layers that are missing are placed within three seconds of a host's end.
 const TERM: Duration = Duration::from_millis(2400);
-/// How often the rows are read by hosts that don't hold the duty.
+/// How often the rows are read by hosts that don't hold the lease.
 const LOOK: Duration = Duration::from_millis(1200);
 /// For how many beats a host's row may stand still before it no longer counts: two may be lost.
 const ALIVE_BEATS: f64 = 2.5;
@@ -43,16 +43,16 @@
 struct Roster {
     gateway: Rc<Gateway>,
     me: String,
-    duty: Duty,
+    lease: LeaderLease,
     /// The rows of hosts: the version, when it was first seen, and what it says.
     hosts: FxHashMap<String, (u64, Duration, FleetHost)>,
     read_at: Option<Duration>,
     newcomer: Newcomer,
-    lease: Rc<Lease>,
+    tenures: Rc<Tenures>,
 }
 
 /// How far a host that has just started knows the others. When all start at once, the first read shows
-/// none of them, and each would read catalogue and list by itself: 670 and 375 reads of 295 hosts.
+/// none of them, and each would read catalogue and list by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Newcomer {
     /// It has read no rows yet.
@@ -64,28 +64,28 @@
     Settled,
 }
 
-/// Keeps the roster, this host's row and the duty for as long as the process lives.
+/// Keeps the roster, this host's row and the lease for as long as the process lives.
 pub async fn keep(gateway: Rc<Gateway>, incarnation: u64) {
     gateway.peers.set_incarnation(incarnation);
-    let lease = Rc::new(Lease::default());
+    let tenures = Rc::new(Tenures::default());
     future::join3(
         host_row::keep(gateway.clone()),
-        placing::keep(gateway.clone(), lease.clone()),
-        watch(gateway, incarnation, lease),
+        placing::keep(gateway.clone(), tenures.clone()),
+        watch(gateway, incarnation, tenures),
     )
     .await;
 }
 
-async fn watch(gateway: Rc<Gateway>, incarnation: u64, lease: Rc<Lease>) {
+async fn watch(gateway: Rc<Gateway>, incarnation: u64, tenures: Rc<Tenures>) {
     let me = format!("{} {incarnation}", gateway.settings.host);
     let mut roster = Roster {
-        duty: Duty::new(me.clone(), TERM, LOOK),
+        lease: LeaderLease::new(me.clone(), TERM, LOOK),
         me,
         gateway: gateway.clone(),
         hosts: FxHashMap::default(),
         read_at: None,
         newcomer: Newcomer::Blind,
-        lease,
+        tenures,
     };
     let mut backoff = Backoff::default();
     loop {
@@ -110,12 +110,12 @@
     async fn round(&mut self) -> Result<(), PlatformError> {
         let now = self.gateway.now();
         self.hear(now);
-        let held = self.duty.held(now);
+        let held = self.lease.held(now);
         if self.gateway.leaving() {
-            self.duty.leave();
+            self.lease.leave();
         }
         self.show_lease();
-        match self.duty.step(now) {
+        match self.lease.step(now) {
             Step::Release { expected } => self.write(NOBODY, expected).await?,
             _ if self.looks_once_more(now) => self.read().await?,
             Step::Read | Step::Write { .. } if !self.may_ask(now) => {}
@@ -129,38 +129,38 @@
         }
         self.show_lease();
         let now = self.gateway.now();
-        if held != self.duty.held(now) {
-            let holder = self.duty.holder().unwrap_or("-");
-            log::info!(target: "roster", held = !held, holder = holder; "Duty of placing layers changed.");
+        if held != self.lease.held(now) {
+            let holder = self.lease.holder().unwrap_or("-");
+            log::info!(target: "roster", held = !held, holder = holder; "Lease of placing layers changed.");
         }
         Ok(())
     }
 
     /// Shows the task that places layers whether it may.
     fn show_lease(&self) {
-        self.lease.set(self.duty.mine(), self.duty.held_until());
+        self.tenures.set(self.lease.mine(), self.lease.held_until());
     }
 
-    /// Takes the row of the duty as another host told it, while that reads it for this one.
+    /// Takes the row of the lease as another host told it, while that reads it for this one.
     fn hear(&mut self, now: Duration) {
         if self.gateway.reads_store() || self.read_at.is_none() {
             return;
         }
-        let told = self.gateway.peers.duty();
-        if told.is_some() && !self.duty.held(now) {
-            self.duty.read(now, told.as_ref().map(told_row));
+        let told = self.gateway.peers.lease();
+        if told.is_some() && !self.lease.held(now) {
+            self.lease.read(now, told.as_ref().map(told_row));
         }
     }
 
-    /// Whether this host may ask the store for the duty. Else all hosts would take a duty over at once
+    /// Whether this host may ask the store for the lease. Else all hosts would take a lease over at once
     /// that stands still because the store is away, or because its holder is gone: those that read the
-    /// store for others do, and who holds the duty.
+    /// store for others do, and who holds the lease.
     fn may_ask(&self, now: Duration) -> bool {
         let first = self.read_at.is_none();
-        first || self.gateway.asks_store() || self.duty.mine() || self.duty.held(now)
+        first || self.gateway.asks_store() || self.lease.mine() || self.lease.held(now)
     }
 
-    /// Whether the rows are to be read although the duty does not ask for it: by the hosts that
+    /// Whether the rows are to be read although the lease does not ask for it: by the hosts that
     /// read for others.
     fn rows_due(&self, now: Duration) -> bool {
         let due = |at: Duration| at + ROWS_LOOK <= now;
@@ -172,9 +172,9 @@
         let AllRows { rows, hosts } = host_row::read_all(&gateway).await?;
         let now = gateway.now();
         self.read_at = Some(now);
-        let duty = rows.iter().find(|r| r.key == DUTY_ROW);
-        self.duty.read(now, duty.map(seen));
-        gateway.peers.set_duty(duty.map(duty_row));
+        let lease = rows.iter().find(|r| r.key == LEASE_ROW);
+        self.lease.read(now, lease.map(seen));
+        gateway.peers.set_lease(lease.map(lease_row));
         self.count_hosts(now, hosts);
         self.note_others(now);
         Ok(())
@@ -220,22 +220,22 @@
         self.gateway.set_fleet(fleet);
     }
 
-    /// Writes who holds the duty.
+    /// Writes who holds the lease.
     async fn write(&mut self, holder: &str, expected: u64) -> Result<(), PlatformError> {
         let sent_at = self.gateway.now();
         let gateway = &self.gateway;
         let write = gateway
             .platform
             .store
-            .write(DUTY_ROW, holder, Some(expected));
-        let written = StoreCall::Duty.made(gateway, CALL, write).await;
+            .write(LEASE_ROW, holder, Some(expected));
+        let written = StoreCall::Lease.made(gateway, CALL, write).await;
         let now = self.gateway.now();
         let (outcome, result) = match written {
             Ok(Written::Done(version)) => (Wrote::Done(version), Ok(())),
             Ok(Written::Conflict(row)) => (Wrote::Conflict(row.as_ref().map(seen)), Ok(())),
             Err(e) => (Wrote::Unknown, Err(e)),
         };
-        self.duty.wrote(sent_at, now, outcome);
+        self.lease.wrote(sent_at, now, outcome);
         result
     }
 }
@@ -247,14 +247,14 @@
     }
 }
 
-fn duty_row(row: &Row) -> DutyRow {
-    DutyRow {
+fn lease_row(row: &Row) -> LeaseRow {
+    LeaseRow {
         holder: row.value.clone(),
         version: row.version,
     }
 }
 
-fn told_row(row: &DutyRow) -> Seen {
+fn told_row(row: &LeaseRow) -> Seen {
     Seen {
         holder: row.holder.clone(),
         version: row.version,
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/tenure.rs
@@ -1,4 +1,4 @@
-//! The lease of the duty of placing layers, as the task that places them sees it.
+//! The lease of placing layers, as the task that places them sees it.
 //!
 //! The lease is renewed by a task of its own ([`super::roster`]): to ask and order thousands of engines takes a
 //! small host longer than a term of it.
@@ -11,7 +11,7 @@
 
 /// The lease as it was last renewed.
 #[derive(Debug, Default)]
-pub(super) struct Lease {
+pub(super) struct Tenures {
     /// Counts the times that the lease has passed to this host.
     tenures: Cell<u64>,
     /// Whether the row names this host.
@@ -19,7 +19,7 @@
     until: Cell<Option<Duration>>,
 }
 
-impl Lease {
+impl Tenures {
     /// Takes whether the row names this host, and until when it may act on that.
     pub(super) fn set(&self, mine: bool, until: Option<Duration>) {
         if mine && !self.mine.get() {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -171,7 +171,7 @@
 
 /// Ends when the endpoint is known to have ended: what it was asked is lost.
 async fn until_over(gateway: &Gateway, id: &str) {
-    let mut changed = gateway.examiner.lost();
+    let mut changed = gateway.prober.lost();
     while !gateway.directory.borrow().is_over(id) {
         // The sender lives as long as the gateway does.
         let _ = changed.changed().await;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,8 +6,8 @@
 mod call;
 mod ended;
 mod events;
-mod examine;
 mod on_chain;
+mod probe;
 mod refusal;
 mod send;
 mod stream;
@@ -36,8 +36,8 @@
 
 pub use ended::Looks;
 pub use events::{Events, Taken};
-pub use examine::Examiner;
-pub(crate) use examine::prove;
+pub use probe::Prober;
+pub(crate) use probe::prove;
 use refusal::Refusal;
 pub use trail::LineBudget;
 use trail::{Step, Trail};
--- a/crates/gateway/src/forward/examine.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -4,14 +4,14 @@
 //! part that is gone from one that is busy or slow. Each part answers for itself within a few ms. One
 //! that does not answer twice is lost: it gets nothing more until it answers again or is delisted, and
 //! runs on chains with it go on elsewhere. One that says it is slow counts as slow. When a chain is
-//! examined is decided in [`dragonflyrill_fleet::examination`].
+//! probed is decided in [`dragonflyrill_fleet::probing`].
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
     chains::{Chain, Part},
     endpoints::Endpoint,
-    examination::{Doubt, Examinations, Next},
+    probing::{Doubt, Next, ProbeSchedule},
 };
 use futures_util::future;
 use rustc_hash::FxHashMap;
@@ -30,29 +30,29 @@
 /// The longest pause between such calls. Each host makes them for each part that is lost.
 const LONGEST_BACK: Duration = Duration::from_millis(1600);
 
-/// What is examined, and what was found.
-pub struct Examiner {
-    examinations: RefCell<Examinations>,
-    /// Examinations that go on, by the chain's key; true when one has ended.
+/// What is probed, and what was found.
+pub struct Prober {
+    schedule: RefCell<ProbeSchedule>,
+    /// Probes that go on, by the chain's key; true when one has ended.
     going_on: RefCell<FxHashMap<u64, watch::Receiver<bool>>>,
     /// Grows with each part that is found to be lost, and each endpoint that has ended.
     lost: watch::Sender<u64>,
 }
 
-impl Default for Examiner {
+impl Default for Prober {
     fn default() -> Self {
         Self {
-            examinations: RefCell::default(),
+            schedule: RefCell::default(),
             going_on: RefCell::default(),
             lost: watch::Sender::new(0),
         }
     }
 }
 
-impl Examiner {
+impl Prober {
     /// An event has come over a chain.
     pub(super) fn event(&self, chain: &Chain, now: Duration) {
-        self.examinations.borrow_mut().event(chain, now);
+        self.schedule.borrow_mut().event(chain, now);
     }
 
     /// Changes whenever a part is found to be lost, or an endpoint to have ended.
@@ -66,53 +66,53 @@
     }
 }
 
-/// Has a chain in doubt examined where that may tell more; gives the examination that goes on.
+/// Has a chain in doubt probed where that may tell more; gives the probe that goes on.
 pub(super) fn in_doubt(
     gateway: &Rc<Gateway>,
     chain: &Chain,
     doubt: Doubt,
 ) -> Option<watch::Receiver<bool>> {
-    let examiner = &gateway.examiner;
-    let mut going_on = examiner.going_on.borrow_mut();
+    let prober = &gateway.prober;
+    let mut going_on = prober.going_on.borrow_mut();
     going_on.retain(|_, done| !*done.borrow());
     if let Some(done) = going_on.get(&chain.key) {
         return Some(done.clone());
     }
     let (now, hosts) = (gateway.now(), gateway.counted_hosts());
-    let mut examinations = examiner.examinations.borrow_mut();
-    let Next::Ask(ids) = examinations.next(chain, doubt, now, hosts) else {
+    let mut schedule = prober.schedule.borrow_mut();
+    let Next::Ask(ids) = schedule.next(chain, doubt, now, hosts) else {
         return None;
     };
-    log::info!(target: "forward", chain = chain.to_string(), doubt:? = doubt; "A chain is in doubt and is examined.");
+    log::info!(target: "forward", chain = chain.to_string(), doubt:? = doubt; "A chain is in doubt and is probed.");
     let (ended, done) = watch::channel(false);
     going_on.insert(chain.key, done.clone());
     let asked = chain.parts.iter().filter(|p| ids.contains(&p.id));
     let asked: Vec<Part> = asked.cloned().collect();
     let gateway = gateway.clone();
     actix_rt::spawn(async move {
-        future::join_all(asked.iter().map(|part| examine(&gateway, part))).await;
+        future::join_all(asked.iter().map(|part| probe(&gateway, part))).await;
         ended.send_replace(true);
     });
     Some(done)
 }
 
-/// Has a chain over which a run broke off examined, and waits for the end of that.
+/// Has a chain over which a run broke off probed, and waits for the end of that.
 pub(super) async fn after_break(gateway: &Rc<Gateway>, chain: &Chain) {
     if let Some(mut done) = in_doubt(gateway, chain, Doubt::Still) {
-        // An examination that was dropped tells nothing more.
+        // A probe that was dropped tells nothing more.
         let _ = done.wait_for(|done| *done).await;
     }
 }
 
-async fn examine(gateway: &Rc<Gateway>, part: &Part) {
-    let examiner = &gateway.examiner;
+async fn probe(gateway: &Rc<Gateway>, part: &Part) {
+    let prober = &gateway.prober;
     if gateway.directory.borrow().is_lost(&part.id) {
         return;
     }
     if let Some(report) = answer(gateway, part).await {
         gateway.reported(&part.id, &report);
         let now = gateway.now();
-        examiner.examinations.borrow_mut().answered(&part.id, now);
+        prober.schedule.borrow_mut().answered(&part.id, now);
         let mut directory = gateway.directory.borrow_mut();
         if directory.paced(&part.id, report.pace, now) {
             log::info!(target: "fleet", endpoint = &*part.id, pace = report.pace; "Endpoint is slow.");
@@ -123,7 +123,7 @@
     let now = gateway.now();
     if gateway.directory.borrow_mut().lost(&part.id, now) {
         log::info!(target: "fleet", endpoint = &*part.id; "Endpoint does not answer and is avoided.");
-        gateway.examiner.changed();
+        gateway.prober.changed();
         actix_rt::spawn(ask_until_well(gateway.clone(), Asked::of(part), BACK));
     }
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -7,11 +7,11 @@
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
+    adaptive_timeout::Run,
     catalogue::Engine,
     chains::Chain,
     choice::{self, Chosen, Want},
     layers::LayerRange,
-    patience::Run,
 };
 use rand::Rng;
 use tokio::time::{self, Instant};
@@ -19,8 +19,8 @@
 use super::{
     Admitted, Ended, call, ended,
     events::{Events, Taken},
-    examine,
     on_chain::OnChain,
+    probe,
     refusal::Refusal,
     send::{self, Begun, Failed, Target},
     success,
@@ -30,7 +30,7 @@
 use crate::{gateway::Gateway, http::callers::Responder, ports::Incoming};
 
 /// From this fill of its fullest part on a chain gets nothing more. Requests end early as often as
-/// late, so that a chain that looks full may have room: measured, 1.15 serves less than 1.6.
+/// late, so that a chain that looks full may have room.
 const MOST_FILL: f64 = 1.6;
 /// The least time that is counted as left for an event to be on time.
 const LEAST_LEFT: Duration = Duration::from_millis(1);
@@ -271,7 +271,7 @@
             Ok(begun) => begun,
             Err(failed) => {
                 if matches!(failed, Failed::MayHaveRun(_) | Failed::BrokeOff(_)) {
-                    examine::after_break(gateway, chain).await;
+                    probe::after_break(gateway, chain).await;
                 }
                 return Ok(RunEnd::Failed(failed));
             }
@@ -345,7 +345,7 @@
                 Ok(None) if self.events.at_end_of_event() && out.started() => break,
                 Ok(None) => return Ok(broke_off("it ended inside an event")),
                 Err(e) => {
-                    examine::after_break(self.gateway, watch.chain).await;
+                    probe::after_break(self.gateway, watch.chain).await;
                     return Ok(broke_off(&e.to_string()));
                 }
             };
@@ -359,7 +359,7 @@
             since = Instant::now();
             self.last_event_at = Some(since);
             let now = self.gateway.now();
-            self.gateway.examiner.event(watch.chain, now);
+            self.gateway.prober.event(watch.chain, now);
         }
         out.end().await?;
         if begun.connection.reusable() {
--- a/crates/gateway/src/forward/watch.rs
+++ b/crates/gateway/src/forward/watch.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use dragonflyrill_fleet::{
+    adaptive_timeout::{Run, Step},
     chains::Chain,
-    examination::Doubt,
-    patience::{Run, Step},
+    probing::Doubt,
 };
 use tokio::time::{self, Instant};
 
-use super::examine;
+use super::probe;
 use crate::gateway::Gateway;
 
 /// A run that stands still.
@@ -37,8 +37,8 @@
 impl Watch<'_> {
     /// Ends when a run of which nothing has come since then is to be given up, and says why.
     pub(super) async fn until_given_up(&self, since: Instant) -> GivenUp {
-        let mut lost = self.gateway.examiner.lost();
-        let mut examined: Option<Instant> = None;
+        let mut lost = self.gateway.prober.lost();
+        let mut probed: Option<Instant> = None;
         loop {
             if self.over_part() {
                 return GivenUp {
@@ -47,16 +47,16 @@
                 };
             }
             let silent = since.elapsed();
-            match self.run.step(silent, examined.map(|at| at.elapsed())) {
+            match self.run.step(silent, probed.map(|at| at.elapsed())) {
                 Step::GiveUp if self.run.began => return GivenUp::silent("it stalled"),
                 Step::GiveUp => return GivenUp::silent("no answer in time"),
-                Step::Examine => {
+                Step::Probe => {
                     let doubt = match self.run.began {
                         true => Doubt::Still,
                         false => Doubt::Late,
                     };
-                    examine::in_doubt(self.gateway, self.chain, doubt);
-                    examined = Some(Instant::now());
+                    probe::in_doubt(self.gateway, self.chain, doubt);
+                    probed = Some(Instant::now());
                 }
                 Step::Wait(wait) => {
                     tokio::select! {
@@ -66,7 +66,7 @@
                     }
                 }
             }
-            if examined.is_some() && self.run.may_end() && self.lost_part() {
+            if probed.is_some() && self.run.may_end() && self.lost_part() {
                 return GivenUp::silent("a part of its chain is lost");
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,7 +37,7 @@
 use crate::{
     bounds::Bounds,
     control::catalogue,
-    forward::{Examiner, LineBudget, Looks},
+    forward::{LineBudget, Looks, Prober},
     http::{connection::Connection, pool::Idle},
     metrics::Metrics,
     peers::Peers,
@@ -135,7 +135,7 @@
     /// How many requests may be logged whole.
     pub lines: LineBudget,
     /// Asks the parts of chains that stand still.
-    pub examiner: Examiner,
+    pub prober: Prober,
     /// Requests under which endpoints have ended.
     pub quarantine: RefCell<Quarantine>,
     /// Looks whether endpoints have ended over which runs broke off.
@@ -179,7 +179,7 @@
             asked: Cell::new(false),
             open: Cell::new(0),
             lines,
-            examiner: Examiner::default(),
+            prober: Prober::default(),
             quarantine: RefCell::new(quarantine),
             looks: Looks::default(),
         })
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -67,7 +67,7 @@
         self.endpoint_over(&endpoint.id);
         self.loads.borrow_mut().forget(&endpoint.id);
         self.idle.drop_all(endpoint.addr);
-        self.examiner.changed();
+        self.prober.changed();
         self.metrics.endpoint_restarts.inc();
     }
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -20,7 +20,7 @@
 use super::{
     FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, documents, from_wire,
     serve::own_data_centre,
-    suspects::{self, Tellings},
+    suspects::{self, PeerSyncs},
     to_wire,
 };
 use crate::{
@@ -36,8 +36,7 @@
 pub(super) const CALL: Duration = Duration::from_millis(350);
 /// How long a host that starts again waits to hear whether the first host of its data centre has fresh
 /// news: what callers have open ended with the process before, and they come back at once. If all hosts
-/// have started again, the first is busy with the calls of all others, which it can't answer yet: with
-/// waits of 350 ms each, half of 87 hosts served 0.33 s after their start and the last 1.1 s after it.
+/// have started again, the first is busy with the calls of all others, which it can't answer yet.
 const HASTY_CALL: Duration = Duration::from_millis(40);
 
 /// How a host comes by its first news.
@@ -54,7 +53,7 @@
 struct Follower {
     gateway: Rc<Gateway>,
     clients: HashMap<SocketAddr, ExchangeClient>,
-    suspects: Tellings,
+    suspects: PeerSyncs,
     /// The host that was asked last.
     asked: Option<String>,
     beginning: Beginning,
@@ -65,7 +64,7 @@
     let mut follower = Follower {
         gateway,
         clients: HashMap::new(),
-        suspects: Tellings::default(),
+        suspects: PeerSyncs::default(),
         asked: None,
         beginning: Beginning::Unasked,
     };
@@ -253,8 +252,8 @@
         if let Some(claims) = news.claims {
             gateway.bounds.told(&claims, sent_at, now);
         }
-        if news.duty.is_some() {
-            peers.set_duty(news.duty);
+        if news.lease.is_some() {
+            peers.set_lease(news.lease);
         }
         let told = avoided_from_wire(&news.avoided);
         gateway.directory.borrow_mut().told_avoided(told, now);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,7 +25,7 @@
     endpoints::Avoided,
     store_access::Turns,
 };
-use dragonflyrill_protocol::exchange::{self, DutyRow, EndpointLoad, FleetHost, ListMark};
+use dragonflyrill_protocol::exchange::{self, EndpointLoad, FleetHost, LeaseRow, ListMark};
 use rustc_hash::{FxHashMap, FxHasher};
 use tokio::sync::Notify;
 
@@ -64,8 +64,8 @@
     heard: RefCell<FxHashMap<String, Heard>>,
     /// Up to where the list of the host that this one asks is known.
     list: Cell<ListMark>,
-    /// The row of the duty as it was last read or told.
-    duty: RefCell<Option<DutyRow>>,
+    /// The row of the lease as it was last read or told.
+    lease: RefCell<Option<LeaseRow>>,
     /// This incarnation of this host.
     incarnation: Cell<u64>,
     /// The host whose reading of the store this one is told.
@@ -113,14 +113,14 @@
         *self.fleet.borrow_mut() = fleet;
     }
 
-    /// The row of the duty.
-    pub fn duty(&self) -> Option<DutyRow> {
-        self.duty.borrow().clone()
+    /// The row of the lease.
+    pub fn lease(&self) -> Option<LeaseRow> {
+        self.lease.borrow().clone()
     }
 
-    /// Takes the row of the duty.
-    pub fn set_duty(&self, row: Option<DutyRow>) {
-        *self.duty.borrow_mut() = row;
+    /// Takes the row of the lease.
+    pub fn set_lease(&self, row: Option<LeaseRow>) {
+        *self.lease.borrow_mut() = row;
     }
 
     /// The first host of a data centre that is not passed over, of those before `me` in rank if
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -130,7 +130,7 @@
             .list
             .and_then(|mark| list_news(gateway, mark, offer.list_known_to)),
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
-        duty: peers.duty(),
+        lease: peers.lease(),
         claims: gateway.bounds.to_tell(now),
         loads: to_wire(&loads),
         avoided: match same {
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -1,14 +1,14 @@
 //! Requests under which endpoints end, as hosts tell them to each other.
 //!
 //! Each call says what has changed since the last one between the two hosts, in both directions; the first
-//! says all ([`telling`](dragonflyrill_fleet::telling)).
+//! says all ([`delta_sync`](dragonflyrill_fleet::delta_sync)).
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use dragonflyrill_fleet::{
+    delta_sync::{Cursor, DeltaSync},
     fingerprint::Fingerprint,
     quarantine::{End, Hold, Told},
-    telling::{Place, Telling},
 };
 use dragonflyrill_protocol::exchange::{
     EndpointEnd, ListMark, RequestHold, Suspect, SuspectNews, millis,
@@ -18,7 +18,7 @@
 
 /// How far this host and those that it asks have told each other.
 #[derive(Debug, Default)]
-pub(super) struct Tellings(HashMap<SocketAddr, Telling>);
+pub(super) struct PeerSyncs(HashMap<SocketAddr, DeltaSync>);
 
 /// What goes with a call to a host.
 pub(super) struct Offered {
@@ -30,13 +30,13 @@
     version: u64,
 }
 
-impl Tellings {
+impl PeerSyncs {
     /// What goes with a call to a host.
     pub(super) fn offer(&self, addr: SocketAddr, gateway: &Gateway) -> Offered {
-        let telling = self.0.get(&addr).copied().unwrap_or_default();
-        let Place { origin, version } = telling.heard();
+        let sync = self.0.get(&addr).copied().unwrap_or_default();
+        let Cursor { origin, version } = sync.heard();
         let quarantine = gateway.quarantine.borrow();
-        let changed = quarantine.changes_since(telling.told(), gateway.now());
+        let changed = quarantine.changes_since(sync.told(), gateway.now());
         Offered {
             known: ListMark { origin, version },
             suspects: changed.iter().map(to_wire).collect(),
@@ -46,8 +46,8 @@
 
     /// The call was answered, with all that the other host knows up to a mark of its own.
     pub(super) fn answered(&mut self, addr: SocketAddr, offered: &Offered, mark: ListMark) {
-        let telling = self.0.entry(addr).or_default();
-        telling.answered(offered.version, place(mark));
+        let sync = self.0.entry(addr).or_default();
+        sync.answered(offered.version, cursor(mark));
     }
 
     /// The call was not answered.
@@ -56,15 +56,15 @@
     }
 }
 
-fn place(mark: ListMark) -> Place {
+fn cursor(mark: ListMark) -> Cursor {
     let ListMark { origin, version } = mark;
-    Place { origin, version }
+    Cursor { origin, version }
 }
 
 /// What a host lacks that knows this one's suspects up to a mark.
 pub(super) fn news(gateway: &Gateway, known: ListMark) -> SuspectNews {
     let origin = gateway.peers.list_origin(&gateway.settings.host);
-    let since = place(known).known_of(origin);
+    let since = cursor(known).known_of(origin);
     let quarantine = gateway.quarantine.borrow();
     let changed = quarantine.changes_since(since, gateway.now());
     SuspectNews {
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -249,9 +249,9 @@
     pub doubted: Vec<String>,
 }
 
-/// The row of the duty of placing layers.
+/// The row of the lease of placing layers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DutyRow {
+pub struct LeaseRow {
     /// Who holds it.
     pub holder: String,
     /// The row's version.
@@ -279,8 +279,8 @@
     pub list: Option<ListNews>,
     /// The fleet, if it is another than the one known.
     pub fleet: Option<Vec<FleetHost>>,
-    /// The row of the duty, if it was read.
-    pub duty: Option<DutyRow>,
+    /// The row of the lease, if it was read.
+    pub lease: Option<LeaseRow>,
     /// The claims of shares, if the hosts' rows were read.
     pub claims: Option<ClaimsView>,
     /// The loads of all hosts but the one that asks; of one data centre, if another one asks.
