--- a/crates/fleet/src/unseen.rs
+++ b/crates/fleet/src/unseen.rs
@@ -38,8 +38,8 @@
         lately as f64 / over.as_secs_f64()
     }
 
-    /// Requests that so many other hosts have sent within `age`, one of them at the least by each that chooses in
-    /// the same moment if nothing is known of them.
+    /// Requests that so many other hosts have sent within `age`; one each if that is not known, as they may choose at
+    /// the same moment.
     pub fn by_others(&self, others: u32, age: Option<Duration>, now: Duration) -> f64 {
         let each = match age {
             Some(age) => self.per_s(now) * age.as_secs_f64(),
