How old the list of endpoints is that a host acts on, in logs and metrics

Why: of the hypotheses on requests to endpoints that had left, the first (a host is told that its news are fresh, and nothing of the list) can't be seen: list_age_ms was the time since the store had last answered, whichever host it answered, and not the age of the list.

Now 'Request is sent.' has both (store_age_ms, list_age_ms), two metrics tell the list's age and the answers that left it out, and a line says when a host is not told the list that it asked for. No decision reads any of it.

--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -58,11 +58,13 @@
 impl Follower {
     async fn read(&mut self) -> Result<(), PlatformError> {
         let read = self.gateway.platform.store.endpoints(self.mark, WAIT);
+        let sent_at = self.gateway.now();
         let limit = self.whole.limit(self.mark.is_none(), WAIT + SLACK);
         let read = StoreCall::List.made(&self.gateway, limit, read).await;
         self.whole.ended(&read);
         match read {
             Ok(news) => {
+                self.gateway.list_known(sent_at);
                 self.take(news);
                 Ok(())
             }
--- a/crates/gateway/src/forward/trail.rs
+++ b/crates/gateway/src/forward/trail.rs
@@ -71,8 +71,10 @@
         expected: Duration,
         /// How full the fullest part is taken to be, in hundredths; zero for a plain call.
         fill: u64,
-        /// How long ago the store was last heard of, by which the endpoints are known.
-        list_age: Duration,
+        /// How long ago the store was last heard of.
+        store_age: Duration,
+        /// How old the list of endpoints was; `None` if none is known.
+        list_age: Option<Duration>,
         /// The last event that was passed on.
         after_event: Option<u64>,
     },
@@ -123,6 +125,7 @@
                 send,
                 expected,
                 fill,
+                store_age,
                 list_age,
                 after_event,
             } => log::info!(
@@ -133,7 +136,8 @@
                 send = *send,
                 expected_ms = ms(*expected),
                 fill_percent = *fill,
-                list_age_ms = ms(*list_age),
+                store_age_ms = ms(*store_age),
+                list_age_ms:? = list_age.map(ms),
                 after_event:? = after_event;
                 "Request is sent."
             ),
@@ -208,7 +212,8 @@
             send: self.sends.get(),
             expected,
             fill: (fill * 100.0) as u64,
-            list_age: self.gateway.heard_age().unwrap_or_default(),
+            store_age: self.gateway.heard_age().unwrap_or_default(),
+            list_age: self.gateway.list_age(),
             after_event,
         });
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,6 +89,8 @@
     pub codec: ServiceConfig,
     /// When the store last answered on the catalogue, and on the list of endpoints.
     heard_at: Cell<[Option<Duration>; 2]>,
+    /// As of when the list of endpoints that this host acts on is the newest, at least.
+    list_as_of: Cell<Option<Duration>>,
     /// Endpoints whose entries lapsed while the store was in trouble, and until when they may come
     /// back.
     pub doubted: RefCell<FxHashMap<Rc<str>, Duration>>,
@@ -155,6 +157,7 @@
             platform,
             codec,
             heard_at: Cell::default(),
+            list_as_of: Cell::default(),
             doubted: RefCell::default(),
             ignored: RefCell::default(),
             list_mark: Cell::new(0),
@@ -237,6 +240,7 @@
         let seconds = |age: Option<Duration>| age.map_or(f64::INFINITY, |a| a.as_secs_f64());
         metrics.proof_age_seconds.set(seconds(self.proof_age()));
         metrics.store_silence_seconds.set(seconds(self.heard_age()));
+        metrics.list_age_seconds.set(seconds(self.list_age()));
     }
 
     /// The store has answered on something, this host or the one that it asks.
@@ -325,6 +329,17 @@
         }
     }
 
+    /// The list of endpoints was read, or told by another host, as the store had it at that time.
+    pub fn list_known(&self, as_of: Duration) {
+        let before = self.list_as_of.get();
+        self.list_as_of.set(before.max(Some(as_of)));
+    }
+
+    /// How old the list of endpoints is that this host acts on, at most.
+    pub fn list_age(&self) -> Option<Duration> {
+        Some(self.now().saturating_sub(self.list_as_of.get()?))
+    }
+
     /// How long ago the store last answered, on whichever is longer ago.
     pub fn heard_age(&self) -> Option<Duration> {
         let [catalogue, list] = self.heard_at.get();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,10 @@
     pub proof_age_seconds: Gauge,
     /// How long ago the store last answered, this host or the one that it asks.
     pub store_silence_seconds: Gauge,
+    /// How old the list of endpoints is that this host acts on.
+    pub list_age_seconds: Gauge,
+    /// Answers of other hosts that told nothing of the list of endpoints, though it was asked for.
+    pub lists_not_told: IntCounter,
 }
 
 impl Default for Metrics {
@@ -188,6 +192,11 @@
                 "store_silence_seconds",
                 "Since the store last answered",
             ),
+            list_age_seconds: seconds("list_age_seconds", "Age of the list of endpoints in use"),
+            lists_not_told: counter(
+                "lists_not_told_total",
+                "Answers of other hosts without the list of endpoints",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -56,6 +56,8 @@
     suspects: PeerSyncs,
     /// The host that was asked last.
     asked: Option<String>,
+    /// It told what it knows of the list of endpoints.
+    list_told: bool,
     beginning: Beginning,
 }
 
@@ -66,6 +68,7 @@
         clients: HashMap::new(),
         suspects: PeerSyncs::default(),
         asked: None,
+        list_told: true,
         beginning: Beginning::Unasked,
     };
     loop {
@@ -213,10 +216,12 @@
             away: news.away,
             turn: news.turn,
         };
-        if let Some(at) = heard.and_then(|age| sent_at.checked_sub(age)) {
+        let heard_at = heard.and_then(|age| sent_at.checked_sub(age));
+        if let Some(at) = heard_at {
             gateway.heard(On::Catalogue, at);
             gateway.heard(On::List, at);
         }
+        self.note_list(host, &news, heard_at);
         let reader = news.reader.clone().unwrap_or_else(|| host.host.clone());
         *peers.reader.borrow_mut() = Some(reader);
         // A host that comes later knows less of the loads: the first is told them by all the others.
@@ -228,6 +233,22 @@
         Some(told)
     }
 
+    /// Notes whether the other host has told what it knows of the list, and how old that is.
+    fn note_list(&mut self, host: &FleetHost, news: &News, heard_at: Option<Duration>) {
+        let gateway = &self.gateway;
+        match (&news.list, heard_at) {
+            (Some(_), Some(at)) => gateway.list_known(at),
+            (None, Some(_)) => {
+                gateway.metrics.lists_not_told.inc();
+                if self.list_told {
+                    log::info!(target: "peers", host = &*host.host, known_to = gateway.list_mark.get(); "The list of endpoints is not told.");
+                }
+            }
+            (_, None) => {}
+        }
+        self.list_told = news.list.is_some();
+    }
+
     fn take(&mut self, news: News, sent_at: Duration, age: Option<Duration>) {
         let gateway = &self.gateway;
         let peers = &gateway.peers;
