A host that is not told the list of endpoints reads it

Cause: a host takes the news of another one as a whole. A list of over 100 endpoints is told by its changes only; a host whose list ends before the first change that the asked host knows of, as when that one has started or read the list later, gets nothing of it. It was told all the same how lately the store had been heard of, took its own list for as new as that, and left the reading to the other host for good: an endpoint that left later stayed in use until another host was asked. No deployment with up to 100 endpoints has such a list.

Change: news of the list count only with the list. A host that has fresh news without it reads the list from the store, as one that has just started does, and is told the changes from there on. The special case for a host that knows no list yet is this one and goes.

Why it holds: the age of the list that a host acts on follows from what it took, whatever the other host knows.

--- a/crates/fleet/src/store_access.rs
+++ b/crates/fleet/src/store_access.rs
@@ -141,6 +141,8 @@
     pub away: bool,
     /// It leaves the next try to this host.
     pub turn: bool,
+    /// It has told what it knows of the list of endpoints.
+    pub list: bool,
 }
 
 /// What a host does about the store.
@@ -162,10 +164,15 @@
 ///
 /// News that are fresh were read lately. Once the store no longer answers whoever read them there will be no
 /// more: the next reader is looked for at once, and not when they have grown old.
+///
+/// A host that is not told the list reads it, and can be told what changes from there on.
 pub fn role(told: Option<Told>, goes_on: bool) -> Role {
     match told {
         None => Role::Reads,
-        Some(told) if told.fresh && !told.from_here && !told.away => Role::IsTold,
+        Some(told) if told.fresh && !told.from_here && !told.away => match told.list {
+            true => Role::IsTold,
+            false => Role::Reads,
+        },
         Some(told) if goes_on || told.turn => Role::Reads,
         Some(_) => Role::Waits,
     }
--- a/crates/fleet/tests/store_access.rs
+++ b/crates/fleet/tests/store_access.rs
@@ -47,6 +47,23 @@
     assert!(!access.away());
 }
 
+#[test]
+fn a_host_that_is_told_fresh_news_without_the_list_reads_it() {
+    let told = |list| {
+        Some(Told {
+            fresh: true,
+            from_here: false,
+            away: false,
+            turn: false,
+            list,
+        })
+    };
+    assert_eq!(store_access::role(told(true), false), Role::IsTold);
+    for goes_on in [false, true] {
+        assert_eq!(store_access::role(told(false), goes_on), Role::Reads);
+    }
+}
+
 #[test]
 fn a_host_that_is_told_that_the_store_is_away_waits_for_its_turn() {
     let told = |fresh, from_here, turn| {
@@ -55,6 +72,7 @@
             from_here,
             away: !fresh,
             turn,
+            list: true,
         })
     };
     let role = store_access::role;
@@ -79,6 +97,7 @@
             from_here: false,
             away: true,
             turn,
+            list: true,
         })
     };
     let role = store_access::role;
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -146,11 +146,7 @@
     fn take_role(&self, told: Option<Told>) {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let role = match store_access::role(told, gateway.goes_on_reading()) {
-            // The list was too long to be told whole: it is read from the store once.
-            Role::IsTold if !gateway.endpoints_known.get() => Role::Reads,
-            role => role,
-        };
+        let role = store_access::role(told, gateway.goes_on_reading());
         match (role, told) {
             (Role::IsTold, _) => gateway.note_access(|access| access.answered(now)),
             // A host that tries for the others asks for one thing only, too.
@@ -215,11 +211,14 @@
             from_here: news.reader.as_ref() == Some(&gateway.settings.host),
             away: news.away,
             turn: news.turn,
+            list: news.list.is_some(),
         };
         let heard_at = heard.and_then(|age| sent_at.checked_sub(age));
         if let Some(at) = heard_at {
             gateway.heard(On::Catalogue, at);
-            gateway.heard(On::List, at);
+            if told.list {
+                gateway.heard(On::List, at);
+            }
         }
         self.note_list(host, &news, heard_at);
         let reader = news.reader.clone().unwrap_or_else(|| host.host.clone());
