A request is not sent to an endpoint that left after it was chosen

What callers saw: nothing yet; found in looking for other ways by which a request reaches an endpoint that has left.

Cause: between the choice of an endpoint and the first byte a request may wait for a repeat to be written down (60 ms) and for a connection (300 ms), and the list was not looked at again. What comes last before bytes leave looked at the key and at held requests only.

Change: the last check also asks whether the endpoint, or one of a chain's, is still listed and not leaving; if not, nothing was sent, and another one is tried.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -134,6 +134,7 @@
         name: &endpoint.name,
         addr: endpoint.addr,
         chain: &[],
+        parts: &[&endpoint.id],
         after_event: None,
         leaves: Cell::new(false),
     };
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -47,12 +47,20 @@
     pub(super) name: &'a str,
     pub(super) addr: SocketAddr,
     pub(super) chain: &'a [(SocketAddr, LayerRange)],
+    /// The ids of all endpoints that will run a part of it.
+    pub(super) parts: &'a [&'a Rc<str>],
     pub(super) after_event: Option<u64>,
     /// Becomes true before the first byte of the request leaves.
     pub(super) leaves: Cell<bool>,
 }
 
 impl Target<'_> {
+    /// An endpoint that has left since it was chosen.
+    fn left(&self, directory: &Directory) -> Option<&Rc<str>> {
+        let mut parts = self.parts.iter().copied();
+        parts.find(|id| !directory.listed(id))
+    }
+
     /// What becomes of a send that is given up on the way: it may have run as soon as a byte has left.
     pub(super) fn given_up(&self, why: &str) -> Failed {
         match self.leaves.get() {
@@ -90,6 +98,9 @@
     if admitted.held(gateway).is_some() {
         return Err(Failed::NotSent("endpoints have ended under it".to_owned()));
     }
+    if let Some(id) = target.left(&gateway.directory.borrow()) {
+        return Err(Failed::NotSent(format!("{id} has left")));
+    }
     target.leaves.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -248,11 +248,13 @@
         let on = OnChain::new(gateway, chain, &planned.want);
         let hops: Vec<(SocketAddr, LayerRange)> =
             chain.parts.iter().map(|p| (p.addr, p.layers)).collect();
+        let parts: Vec<&Rc<str>> = chain.parts.iter().map(|p| &p.id).collect();
         let target = Target {
             id: &chain.first().id,
             name: &chain.first().name,
             addr: chain.first().addr,
             chain: &hops,
+            parts: &parts,
             after_event: self.events.last(),
             leaves: Cell::new(false),
         };
