The limits that endpoints name are read, logged and counted

Why: of the hypotheses on the engine that named a limit none can be told from another by logs alone, as nothing in them says which answers named a limit, when a host had the first, and how many sends followed.

Now an answer's limit is read into a type, a line says when an endpoint begins, changes or ends to name one, and three metrics count endpoints with a limit, sends to them and limits that can't be read. No decision reads any of it.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -101,6 +101,7 @@
     if let Some(id) = target.left(&gateway.directory.borrow()) {
         return Err(Failed::NotSent(format!("{id} has left")));
     }
+    gateway.count_limited_send(target.parts);
     target.leaves.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
@@ -147,6 +148,7 @@
     if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
         return Err(Failed::MayHaveRun("the answer is another's".to_owned()));
     }
+    gateway.note_limit(target.id, facts);
     if facts.not_run || facts.misdirected {
         let at = facts.fault_at.unwrap_or(target.addr);
         note_refusal(gateway, at, facts.misdirected, after);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 //!
 //! All tasks run on one thread, so that nothing here needs a lock; no borrow is held over a wait.
 
+mod limits;
 mod listing;
 mod suspects;
 
@@ -19,6 +20,7 @@
     catalogue::{Catalogue, Engine, Service},
     chains::{self, Chain},
     choice::Loads,
+    endpoint_limits::EndpointLimits,
     endpoints::Directory,
     freshness::Freshness,
     outage::Outage,
@@ -142,6 +144,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Looks whether endpoints have ended over which runs broke off.
     pub looks: Looks,
+    /// The limits that endpoints name.
+    pub limits: RefCell<EndpointLimits>,
 }
 
 impl Gateway {
@@ -185,6 +189,7 @@
             prober: Prober::default(),
             quarantine: RefCell::new(quarantine),
             looks: Looks::default(),
+            limits: RefCell::default(),
         })
     }
 
@@ -234,6 +239,9 @@
         let divisor = self.bounds.divisor(now);
         metrics.share_hosts.set(i64::from(divisor.unwrap_or(0)));
         metrics.open.set(i64::from(self.open.get()));
+        metrics
+            .limited_endpoints
+            .set(self.limits.borrow().count() as i64);
         let held = self.quarantine.borrow().held_now(now);
         metrics.held_requests.set(held as i64);
         // Never proven is as old as can be.
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -66,6 +66,7 @@
         log::info!(target: "fleet", endpoint = &*endpoint.id, by = by; "Endpoint has ended: another start is in its place.");
         self.endpoint_over(&endpoint.id);
         self.loads.borrow_mut().forget(&endpoint.id);
+        self.limits.borrow_mut().forget(&endpoint.id);
         self.idle.drop_all(endpoint.addr);
         self.prober.changed();
         self.metrics.endpoint_restarts.inc();
@@ -127,6 +128,7 @@
         if self.directory.borrow_mut().remove(id).is_some() {
             log::info!(target: "fleet", endpoint = id; "Endpoint is gone.");
             self.loads.borrow_mut().forget(id);
+            self.limits.borrow_mut().forget(id);
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -85,6 +85,12 @@
     pub ended_under: IntCounter,
     /// Requests that are not sent any more, as endpoints have ended under them.
     pub held_requests: IntGauge,
+    /// Endpoints that name a limit.
+    pub limited_endpoints: IntGauge,
+    /// Sends to endpoints that name a limit.
+    pub limited_sends: IntCounter,
+    /// Answers that name a limit that can't be read.
+    pub unreadable_limits: IntCounter,
     /// How old the proof is that the catalogue is the newest.
     pub proof_age_seconds: Gauge,
     /// How long ago the store last answered, this host or the one that it asks.
@@ -184,6 +190,15 @@
                 "held_requests",
                 "Requests that are not sent, as endpoints end under them",
             ),
+            limited_endpoints: gauge("limited_endpoints", "Endpoints that name a limit"),
+            limited_sends: counter(
+                "limited_sends_total",
+                "Requests sent to endpoints that name a limit",
+            ),
+            unreadable_limits: counter(
+                "unreadable_limits_total",
+                "Answers that name a limit that can't be read",
+            ),
             proof_age_seconds: seconds(
                 "proof_age_seconds",
                 "Age of the proof that the catalogue is the newest",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,7 +6,8 @@
 use actix_http::{RequestHead, ResponseHead, header::HeaderMap};
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    catalogue::Catalogue, endpoints::Endpoint, incarnations::Born, layers::LayerRange,
+    catalogue::Catalogue, endpoint_limits::RequestRate, endpoints::Endpoint, incarnations::Born,
+    layers::LayerRange,
 };
 use dragonflyrill_store::PlatformError;
 use futures_util::future::LocalBoxFuture;
@@ -63,6 +64,20 @@
     pub fault_at: Option<SocketAddr>,
     /// The body is not as the endpoint made it.
     pub encoded: bool,
+    /// What it said of the requests that it takes.
+    pub limit: StatedLimit,
+}
+
+/// What an answer says of how many requests a second its endpoint takes from all hosts together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// It names no limit.
+    #[default]
+    None,
+    /// It takes so many.
+    Rate(RequestRate),
+    /// It names one that can't be read.
+    Unreadable,
 }
 
 /// A header that can't be used; names it.
