All hosts together keep to the limits that endpoints name

Cause: hosts judged an endpoint by what they put on it themselves and by its refusals. That it said how much it takes was read by nobody, and nothing bounded what all hosts together send to one endpoint.

Change: limits are read from answers and told between hosts, the newer account holds. Each host has an even share; shares are pooled at the host that the others of a data centre ask for news, which lends permits with the calls that are made anyway, and takes back what was not used. A send takes a permit of each endpoint of its chain as the last step before bytes leave: first sends, resumes and repeats alike. Chains and endpoints without a permit are not chosen; what nothing else can take is refused at once as not run. Probes and reports take permits as well; one that was not made says nothing of its endpoint.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 //! - [`store_access`] says which hosts of a data centre ask a store that does not answer.
 //! - [`budget`] bounds how often a request is sent a second time; [`share`] says what part of such a
 //!   bound a host may use.
-//! - [`endpoint_limits`] keeps what endpoints take from all hosts together, where they say so.
+//! - [`endpoint_limits`] divides what endpoints take from all hosts together, where they say so.
 //! - [`fingerprint`] tells whether two requests are the same one, asked for again; [`quarantine`] holds
 //!   back those under which endpoints end; [`delta_sync`] says what of it another host was not told yet.
 //! - [`token_bucket`] bounds a rate, of log lines or of bytes.
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -183,12 +183,17 @@
         &self,
         endpoints: &'a [Rc<Endpoint>],
     ) -> Vec<(&'a Rc<Endpoint>, Option<EngineReport>)> {
-        let engines = &self.gateway.platform.engines;
+        let gateway = &self.gateway;
+        let report = async |e: &Endpoint| {
+            if !gateway.take_permits(&[&e.id]) {
+                return None;
+            }
+            let report = gateway.platform.engines.report(e.addr);
+            time::timeout(CALL, report).await.ok()?.ok()
+        };
+        let report = &report;
         stream::iter(endpoints)
-            .map(|e| async move {
-                let report = time::timeout(CALL, engines.report(e.addr)).await;
-                (e, report.ok().and_then(Result::ok))
-            })
+            .map(|e| async move { (e, report(e).await) })
             .buffer_unordered(AT_ONCE)
             .collect()
             .await
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -62,8 +62,12 @@
         if admitted.left().is_zero() || !admitted.may_send(gateway, &mut tries) {
             break;
         }
-        let Some(endpoint) = pick(gateway, admitted, &tried) else {
-            break;
+        let endpoint = match pick(gateway, admitted, &tried) {
+            Ok(endpoint) => endpoint,
+            Err(refusal) => {
+                refusal.into_iter().for_each(|r| tries.not_sent(r));
+                break;
+            }
         };
         if tries.sent() > 0 && !admitted.take_repeat(gateway).await {
             break;
@@ -115,11 +119,20 @@
     more && whole.begun.head.status.is_server_error()
 }
 
-fn pick(gateway: &Gateway, admitted: &Admitted, tried: &[Rc<str>]) -> Option<Rc<Endpoint>> {
+/// The endpoint of the next send, and what to answer if there is none.
+fn pick(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    tried: &[Rc<str>],
+) -> Result<Rc<Endpoint>, Option<Refusal>> {
     let directory = gateway.directory.borrow();
     let now = gateway.now();
     let near = &gateway.settings.data_centre;
-    directory.pick(&admitted.service.name, near, tried, now)
+    let mut but = gateway.without_permit(&admitted.service.name);
+    let limited = !but.is_empty();
+    but.extend_from_slice(tried);
+    let picked = directory.pick(&admitted.service.name, near, &but, now);
+    picked.ok_or(limited.then_some(Refusal::AtLimit))
 }
 
 async fn attempt_at(
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -109,7 +109,11 @@
     if gateway.directory.borrow().is_lost(&part.id) {
         return;
     }
-    if let Some(report) = answer(gateway, part).await {
+    let reply = answer(gateway, part).await;
+    if let Reply::Withheld = reply {
+        return;
+    }
+    if let Reply::Report(report) = reply {
         gateway.reported(&part.id, &report);
         let now = gateway.now();
         prober.schedule.borrow_mut().answered(&part.id, now);
@@ -152,23 +156,43 @@
     }
 }
 
+/// What became of a call to an endpoint.
+enum Reply {
+    /// It said how it is.
+    Report(EngineReport),
+    /// It did not answer.
+    Silent,
+    /// The call was not made, as the limit that the endpoint names left no permit: nothing is known.
+    Withheld,
+}
+
 /// What an endpoint answers to one call.
-async fn ask(gateway: &Gateway, addr: SocketAddr) -> Option<EngineReport> {
+async fn ask(gateway: &Gateway, id: &Rc<str>, addr: SocketAddr) -> Reply {
+    if !gateway.take_permits(&[id]) {
+        return Reply::Withheld;
+    }
     let report = gateway.platform.engines.report(addr);
-    time::timeout(ANSWER, report).await.ok()?.ok()
+    match time::timeout(ANSWER, report).await {
+        Ok(Ok(report)) => Reply::Report(report),
+        Ok(Err(_)) | Err(_) => Reply::Silent,
+    }
 }
 
-/// What a part answers to one of two calls.
-async fn answer(gateway: &Gateway, part: &Part) -> Option<EngineReport> {
-    let first = std::pin::pin!(ask(gateway, part.addr));
+/// What a part answers to one of two calls; it is silent only if it answers neither.
+async fn answer(gateway: &Gateway, part: &Part) -> Reply {
+    let first = std::pin::pin!(ask(gateway, &part.id, part.addr));
     let second = std::pin::pin!(async {
         time::sleep(SECOND).await;
-        ask(gateway, part.addr).await
+        ask(gateway, &part.id, part.addr).await
     });
     let (answered, other) = future::select(first, second).await.factor_first();
-    match answered {
-        Some(report) => Some(report),
-        None => other.await,
+    if let Reply::Report(report) = answered {
+        return Reply::Report(report);
+    }
+    match (answered, other.await) {
+        (_, Reply::Report(report)) => Reply::Report(report),
+        (Reply::Silent, Reply::Silent) => Reply::Silent,
+        _ => Reply::Withheld,
     }
 }
 
@@ -181,7 +205,10 @@
         if !gateway.directory.borrow().listed(&part.id) {
             return;
         }
-        let report = ask(&gateway, part.addr).await;
+        let report = match ask(&gateway, &part.id, part.addr).await {
+            Reply::Report(report) => Some(report),
+            Reply::Silent | Reply::Withheld => None,
+        };
         if let Some(report) = &report {
             gateway.reported(&part.id, report);
         }
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -35,6 +35,8 @@
     NoWorkspace,
     /// No endpoint can take it; it was not run.
     NoEndpoint(&'static str),
+    /// The endpoints that could take it name limits, of which nothing is left now; it was not run.
+    AtLimit,
     /// Endpoints have ended under it, and it is not sent for so long; this attempt was not run.
     EndsEndpoints(Duration),
     /// All endpoints that were asked refused it; it was not run.
@@ -54,6 +56,7 @@
             Self::Leaving
             | Self::Stale
             | Self::NoEndpoint(_)
+            | Self::AtLimit
             | Self::EndsEndpoints(_)
             | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -27,6 +27,9 @@
 /// its layers up.
 const MAY_BE_FULL: f64 = 0.6;
 
+/// Why nothing was sent to an endpoint that takes no more requests now.
+const LIMIT_REACHED: &str = "an endpoint's limit is reached";
+
 /// Why a send brought no answer that can be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Failed {
@@ -101,7 +104,9 @@
     if let Some(id) = target.left(&gateway.directory.borrow()) {
         return Err(Failed::NotSent(format!("{id} has left")));
     }
-    gateway.count_limited_send(target.parts);
+    if !gateway.take_permits(target.parts) {
+        return Err(Failed::NotSent(LIMIT_REACHED.to_owned()));
+    }
     target.leaves.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -180,12 +180,19 @@
         let now = gateway.now();
         let want = self.want(engine);
         let loads = gateway.loads.borrow();
-        let untried = |chain: &Chain| !self.tried.contains(&chain.key);
+        let without_permit = gateway.without_permit(&self.admitted.service.name);
+        let permitted = |chain: &Chain| !chain.parts.iter().any(|p| without_permit.contains(&p.id));
+        let untried = |chain: &Chain| !self.tried.contains(&chain.key) && permitted(chain);
         let with_room = |chain: &Chain| untried(chain) && !loads.full(chain, now);
         let draw = rand::rng().random();
         let chosen = choice::choose(&chains, &loads, &want, now, draw, with_room)
-            .or_else(|| choice::choose(&chains, &loads, &want, now, draw, untried))?;
-        let Chosen { place, expected } = chosen;
+            .or_else(|| choice::choose(&chains, &loads, &want, now, draw, untried));
+        let Some(Chosen { place, expected }) = chosen else {
+            if !chains.is_empty() && !without_permit.is_empty() {
+                self.tries.not_sent(Refusal::AtLimit);
+            }
+            return None;
+        };
         if expected.fill > MOST_FILL {
             let short = Refusal::NoEndpoint("memory is short everywhere");
             self.tries.not_sent(short);
--- a/crates/gateway/src/gateway/limits.rs
+++ b/crates/gateway/src/gateway/limits.rs
@@ -1,8 +1,8 @@
-//! The limits that endpoints name for all hosts together, as this host knows them.
+//! The limits that endpoints name for all hosts together, as this host knows and keeps to them.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::endpoint_limits::Change;
+use dragonflyrill_fleet::endpoint_limits::{Change, RequestRate, Shares};
 
 use super::Gateway;
 use crate::ports::{AnswerFacts, StatedLimit};
@@ -20,23 +20,63 @@
                 return;
             }
         };
-        let change = self.limits.borrow_mut().named(id, stated);
-        match change {
-            Some(Change::Named(rate)) => {
-                log::info!(target: "fleet", endpoint = &**id, per_s = rate.per_s(); "Endpoint names a limit.");
-            }
-            Some(Change::Lifted) => {
-                log::info!(target: "fleet", endpoint = &**id; "Endpoint names no limit any more.");
-            }
-            None => {}
+        let change = self.limits.borrow_mut().named(id, stated, self.now());
+        log_change(id, change, "an answer");
+    }
+
+    /// Takes what another host told of an endpoint's limit, unless the endpoint is known not to be listed.
+    pub(crate) fn told_limit(&self, id: &Rc<str>, rate: Option<RequestRate>, as_of: Duration) {
+        if self.endpoints_known.get() && self.directory.borrow().get(id).is_none() {
+            return;
+        }
+        let change = self.limits.borrow_mut().told(id, rate, as_of);
+        log_change(id, change, "another host");
+    }
+
+    /// The shares of limits that this host holds.
+    pub(crate) fn limit_shares(&self) -> Shares {
+        Shares {
+            asked_by: self.peers.asked_by(&self.settings, self.now()),
+            hosts: self.counted_hosts(),
+        }
+    }
+
+    /// The endpoints of a service of whose limits this host has no permit now, for a request that wants one.
+    pub fn without_permit(&self, service: &str) -> Vec<Rc<str>> {
+        let mut limits = self.limits.borrow_mut();
+        if limits.is_empty() {
+            return Vec::new();
+        }
+        let directory = self.directory.borrow();
+        let serves = |id: &str| directory.get(id).is_some_and(|e| &*e.service == service);
+        limits.without_permit(serves, self.limit_shares(), self.now())
+    }
+
+    /// Takes a permit of each of some endpoints that names a limit; false, and none is taken, if one has none left.
+    pub fn take_permits(&self, ids: &[&Rc<str>]) -> bool {
+        let mut limits = self.limits.borrow_mut();
+        if limits.is_empty() {
+            return true;
+        }
+        let limited = ids.iter().any(|id| limits.rate(id).is_some());
+        let taken = limits.take(ids, self.limit_shares(), self.now());
+        match (limited, taken) {
+            (true, true) => self.metrics.limited_sends.inc(),
+            (_, false) => self.metrics.permits_refused.inc(),
+            (false, true) => {}
         }
+        taken
     }
+}
 
-    /// Counts a send to endpoints, if one of them names a limit.
-    pub fn count_limited_send(&self, ids: &[&Rc<str>]) {
-        let limits = self.limits.borrow();
-        if ids.iter().any(|id| limits.rate(id).is_some()) {
-            self.metrics.limited_sends.inc();
+fn log_change(id: &Rc<str>, change: Option<Change>, by: &str) {
+    match change {
+        Some(Change::Named(rate)) => {
+            log::info!(target: "fleet", endpoint = &**id, per_s = rate.per_s(), by = by; "Endpoint names a limit.");
+        }
+        Some(Change::Lifted) => {
+            log::info!(target: "fleet", endpoint = &**id, by = by; "Endpoint names no limit any more.");
         }
+        None => {}
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,8 @@
     pub limited_endpoints: IntGauge,
     /// Sends to endpoints that name a limit.
     pub limited_sends: IntCounter,
+    /// Sends that were not made, as the limit of an endpoint left no permit.
+    pub permits_refused: IntCounter,
     /// Answers that name a limit that can't be read.
     pub unreadable_limits: IntCounter,
     /// How old the proof is that the catalogue is the newest.
@@ -195,6 +197,10 @@
                 "limited_sends_total",
                 "Requests sent to endpoints that name a limit",
             ),
+            permits_refused: counter(
+                "permits_refused_total",
+                "Sends that the limit of an endpoint left no permit for",
+            ),
             unreadable_limits: counter(
                 "unreadable_limits_total",
                 "Answers that name a limit that can't be read",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -18,7 +18,7 @@
 use tokio::time;
 
 use super::{
-    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, documents, from_wire,
+    FIRST_HOSTS, Heard, avoided_from_wire, avoided_to_wire, documents, from_wire, limits,
     serve::own_data_centre,
     suspects::{self, PeerSyncs},
     to_wire,
@@ -131,8 +131,13 @@
     /// Whether a host says at once that it has fresh news.
     async fn has_news(&mut self, host: &FleetHost) -> bool {
         let offer = self.offer(&LoadMap::default(), false);
+        let sent_at = self.gateway.now();
         let asked = time::timeout(HASTY_CALL, self.exchange(host.addr, offer)).await;
-        asked.ok().flatten().is_some_and(|news| self.fresh(&news))
+        let news = asked.ok().flatten();
+        news.is_some_and(|news| {
+            limits::take(&self.gateway, &news.limits, sent_at);
+            self.fresh(&news)
+        })
     }
 
     /// Whether news are of a store that was heard of lately.
@@ -200,9 +205,14 @@
             self.asked = Some(host.host.clone());
         }
         let loads = gateway.loads.borrow().own().clone();
-        let offer = self.offer(&loads, true);
+        let mut offer = self.offer(&loads, true);
+        let lends = host.host < gateway.settings.host;
         let sent_at = gateway.now();
+        offer.limits = limits::offer(&gateway, lends);
         let news = self.call(host, offer).await?;
+        if lends {
+            limits::take_permits(&gateway, &news.limits, sent_at);
+        }
         peers.works(&host.host);
         let age = news.proof_age_us.map(Duration::from_micros);
         let heard = news.heard_age_us.map(Duration::from_micros);
@@ -287,7 +297,8 @@
             let Some(host) = peers.first(&centre, None, gateway.now()) else {
                 continue;
             };
-            let offer = self.offer(&own_data_centre(&gateway), false);
+            let mut offer = self.offer(&own_data_centre(&gateway), false);
+            offer.limits = limits::offer(&gateway, false);
             if let Some(news) = self.call(&host, offer).await {
                 let told = Heard {
                     from: host.clone(),
@@ -325,6 +336,7 @@
                 true => avoided_to_wire(&gateway.directory.borrow().avoided(gateway.now())),
                 false => Vec::new(),
             },
+            limits: Vec::new(),
             suspects_known: ListMark::default(),
             suspects: Vec::new(),
             unpacks: true,
@@ -343,8 +355,10 @@
         let mut offered = self.suspects.offer(host.addr, &self.gateway);
         offer.suspects_known = offered.known;
         offer.suspects = std::mem::take(&mut offered.suspects);
+        let sent_at = self.gateway.now();
         let called = time::timeout(CALL, self.exchange(host.addr, offer)).await;
         if let Ok(Some(mut news)) = called {
+            limits::take(&self.gateway, &news.limits, sent_at);
             let told = std::mem::take(&mut news.suspects.changed);
             let mark = news.suspects.mark;
             self.suspects.answered(host.addr, &offered, mark);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 
 mod documents;
 pub mod follow;
+mod limits;
 pub mod serve;
 mod suspects;
 
@@ -22,6 +23,7 @@
 
 use dragonflyrill_fleet::{
     choice::{Load, LoadMap},
+    endpoint_limits,
     endpoints::Avoided,
     store_access::Turns,
 };
@@ -199,6 +201,16 @@
         heard.insert(told.from.host.clone(), told);
     }
 
+    /// How many hosts of this data centre that come later have lately asked this one.
+    pub fn asked_by(&self, settings: &Settings, now: Duration) -> u32 {
+        let heard = self.heard.borrow();
+        let asked = heard.values().filter(|h| {
+            let near = h.from.data_centre == *settings.data_centre;
+            near && h.from.host > settings.host && h.at + endpoint_limits::ASKS > now
+        });
+        asked.count() as u32
+    }
+
     /// Whether a host that asks is to try the store now, which does not answer this one.
     fn turn(&self, host: &str, data_centre: &str, now: Duration) -> bool {
         let heard = self.heard.borrow();
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -23,7 +23,7 @@
     task::JoinSet,
 };
 
-use super::{Heard, add, avoided_from_wire, avoided_to_wire, from_wire, suspects, to_wire};
+use super::{Heard, add, avoided_from_wire, avoided_to_wire, from_wire, limits, suspects, to_wire};
 use crate::gateway::Gateway;
 
 /// The most endpoints of a list that is told whole: 15 KB, which a link of 20 Mbit/s takes to 60 hosts in
@@ -94,6 +94,7 @@
     };
     peers.hear(told);
     suspects::take(gateway, &offer.suspects);
+    let limits = limits::answer(gateway, &offer.from, &offer.limits);
     let waits = gateway.reads_in_vain();
     if waits && same && read_age.is_some() {
         // It may have an answer from the store that this host lacks.
@@ -137,6 +138,7 @@
             true => avoided_to_wire(&avoided_but(gateway, from)),
             false => Vec::new(),
         },
+        limits,
         suspects: suspects::news(gateway, offer.suspects_known),
     }
 }
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -33,6 +33,21 @@
     pub left_ms: u32,
 }
 
+/// What a host knows of the requests that an endpoint takes from all hosts together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointLimit {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Requests a second; `None` if it names no limit any more.
+    pub per_s: Option<f64>,
+    /// How long ago an answer showed it, in microseconds.
+    pub age_us: u64,
+    /// Permits: those that the host that asks wants, or those that it is lent.
+    pub permits: u32,
+    /// Permits that the host that asks gives back.
+    pub returned: u32,
+}
+
 /// A place in the changes of one host's list of endpoints, or of the requests that it suspects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ListMark {
@@ -117,6 +132,8 @@
     pub loads: Vec<EndpointLoad>,
     /// What the host avoids by what it saw itself; nothing if it calls another data centre's.
     pub avoided: Vec<Avoided>,
+    /// Limits that endpoints name, as far as the host knows. Permits are wanted of hosts nearby only.
+    pub limits: Vec<EndpointLimit>,
     /// Up to where it knows the requests that the host suspects that it calls.
     pub suspects_known: ListMark,
     /// What it has not told that host yet of the requests that it suspects itself.
@@ -288,6 +305,8 @@
     /// What this data centre's hosts avoid by what they saw themselves, without the one that asks;
     /// nothing if another data centre's asks.
     pub avoided: Vec<Avoided>,
+    /// Limits that endpoints name, and the permits that the host is lent.
+    pub limits: Vec<EndpointLimit>,
     /// What the host lacks of the requests under which endpoints have ended.
     pub suspects: SuspectNews,
 }
