Limits that endpoints name are kept in rows for hosts that all start at once

What callers saw: nothing yet; found in asking how a host comes to know a limit. One that starts is told by others. When all start at once nobody is left to tell, and each sends what it likes until an answer names the limit.

Change: the host of each data centre that reads the store keeps the limits in its row, and writes it when an endpoint begins or ends to name one, once a second at most. A host that starts takes those of the last minute, also before it knows the list.

Mixed versions: rows of older programs have no such field, and older programs pass over it.

--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use tokio::time;
 
-use super::{Backoff, StoreCall, held_requests};
+use super::{Backoff, StoreCall, held_requests, kept_limits};
 use crate::{
     gateway::Gateway,
     ports::{HostRows, Row, Written},
@@ -42,6 +42,8 @@
 /// are of one part of a table, which takes 5 ms for each write, and the leader lease is in it: all
 /// hosts together take half of it at the most.
 const PAUSE_PER_HOST: Duration = Duration::from_millis(10);
+/// The least time between two writes for limits that endpoints begin or end to name.
+const LIMITS_PAUSE: Duration = Duration::from_secs(1);
 /// Up to so many hosts write at once in a surge; more spread their writes.
 const AT_ONCE: u32 = 16;
 
@@ -69,6 +71,9 @@
     let me = &gateway.settings.host;
     let own = hosts.iter().find(|(_, row)| row.host.host == *me);
     let as_of = (read.version, read.clock);
+    if gateway.bounds.row().is_none() {
+        kept_limits::take(gateway, &hosts, read.clock);
+    }
     gateway
         .bounds
         .read(&hosts, own, as_of, sent_at, gateway.now());
@@ -106,6 +111,10 @@
     divisor: Option<u32>,
     /// The store was away when it was last looked.
     away: bool,
+    /// The endpoints whose limits the row keeps.
+    limited: Vec<String>,
+    /// Not before then is the row written for other limits.
+    limits_at: Duration,
 }
 
 /// Keeps the row for as long as the process lives.
@@ -118,6 +127,8 @@
         left: false,
         divisor: None,
         away: false,
+        limited: Vec::new(),
+        limits_at: Duration::ZERO,
     };
     let mut backoff = Backoff::default();
     loop {
@@ -175,7 +186,14 @@
         let beat_at = *self.beat_at.get_or_insert(now + first_beat);
         // Each moment counts in which the hosts may all end.
         let holds = gateway.quarantine.borrow().keep_due();
-        records || holds || (!self.left && (beat_at <= now || joins))
+        let limits = self.limits_at <= now && self.limited_now() != self.limited;
+        records || holds || (!self.left && (beat_at <= now || joins || limits))
+    }
+
+    /// The endpoints whose limits the row is to keep.
+    fn limited_now(&self) -> Vec<String> {
+        let kept = kept_limits::to_keep(&self.gateway, Duration::ZERO);
+        kept.into_iter().map(|limit| limit.endpoint).collect()
     }
 
     /// Looks whether the store is away: nothing is written then, and nothing waits for it. What has
@@ -238,7 +256,14 @@
             claim: Some(draft.claim()),
             repeats: draft.repeats(),
             held_requests: held_requests::spelled(&holds, clock),
+            endpoint_limits: kept_limits::to_keep(gateway, clock),
         };
+        self.limited = row
+            .endpoint_limits
+            .iter()
+            .map(|l| l.endpoint.clone())
+            .collect();
+        self.limits_at = now + LIMITS_PAUSE;
         let row = serde_json::to_string(&row);
         let row = row.map_err(|e| PlatformError::Malformed(e.to_string()))?;
         let key = format!("{HOST_ROW}{}", gateway.settings.host);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoints;
 mod held_requests;
 pub mod host_row;
+mod kept_limits;
 mod placing;
 pub mod roster;
 mod tenure;
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -112,6 +112,17 @@
     pub until_ms: u64,
 }
 
+/// The limit of an endpoint as a host's row keeps it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KeptLimit {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Requests a second that it takes from all hosts together.
+    pub per_s: f64,
+    /// When an answer last showed it, by the store's clock, in milliseconds.
+    pub as_of_ms: u64,
+}
+
 /// What a host tells and what it knows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
@@ -158,7 +169,7 @@
 /// A host's row in the store: that it is alive, and its part in the bounds that all hosts share.
 ///
 /// The process that starts next on the host reads it, and so do all other hosts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HostRow {
     /// The host.
     #[serde(flatten)]
@@ -172,6 +183,9 @@
     /// Requests that no host sends any more, as this one found.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub held_requests: Vec<KeptHold>,
+    /// Limits that endpoints name, if the host reads the store for others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub endpoint_limits: Vec<KeptLimit>,
 }
 
 /// A host's claim of a share of the bounds over all hosts.
