A host that ends keeps the lease of placing until its orders are answered

What callers saw: nothing; found in reading the code. Since placing and renewing the lease are two tasks, a host that is asked to end gave the lease up while up to eight of its orders were under way, for 0.7 s at most, so that the next holder could plan with an engine as empty that had begun to load.

Change: orders that are under way are counted; the lease is released once there are none. No new ones are given meanwhile, as before, and 0.7 s is less than the 2.4 s after which a lease that stands still is taken over.

--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -207,6 +207,7 @@
             if !tenures.holds(tenure, gateway.now()) {
                 return None;
             }
+            let _under_way = tenures.order();
             let engines = &gateway.platform.engines;
             let placed = engines.place(order.endpoint.addr, order.layers, Some(order.begun));
             let outcome = time::timeout(CALL, placed).await;
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -116,6 +116,8 @@
         }
         self.show_lease();
         match self.lease.step(now) {
+            // The next holder takes an engine for empty that has begun to load.
+            Step::Release { .. } if self.tenures.ordering() => {}
             Step::Release { expected } => self.write(NOBODY, expected).await?,
             _ if self.looks_once_more(now) => self.read().await?,
             Step::Read | Step::Write { .. } if !self.may_ask(now) => {}
--- a/crates/gateway/src/control/tenure.rs
+++ b/crates/gateway/src/control/tenure.rs
@@ -17,6 +17,17 @@
     /// Whether the row names this host.
     mine: Cell<bool>,
     until: Cell<Option<Duration>>,
+    /// Orders that were given and not answered yet.
+    under_way: Cell<u32>,
+}
+
+/// An order that is under way until this is dropped.
+pub(super) struct OrderUnderWay<'a>(&'a Tenures);
+
+impl Drop for OrderUnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get() - 1);
+    }
 }
 
 impl Tenures {
@@ -35,6 +46,17 @@
         held.then_some(Tenure(self.tenures.get()))
     }
 
+    /// An order is given.
+    pub(super) fn order(&self) -> OrderUnderWay<'_> {
+        self.under_way.set(self.under_way.get() + 1);
+        OrderUnderWay(self)
+    }
+
+    /// Whether an order is under way.
+    pub(super) fn ordering(&self) -> bool {
+        self.under_way.get() > 0
+    }
+
     /// Whether this host may act now on what it has learned since a tenure began.
     pub(super) fn holds(&self, tenure: Tenure, now: Duration) -> bool {
         self.tenure(now) == Some(tenure)
