The limit of an endpoint whose entry lapses or is harmed for a moment is kept

What callers saw: nothing; found in writing the soak of limits. An endpoint whose entry lapsed, or that another writer's entry stood in the place of, was forgotten with its limit, and got what hosts liked once it was listed again, until an answer named the limit anew.

Change: a limit is forgotten with its endpoint's start, or when the endpoint has not been listed for a minute. Other hosts are told of it meanwhile, and pass over what is not listed with them.

Evidence: an_endpoint_that_is_listed_again_soon_is_still_limited; before, forgetting was the listing's, with no time in it.

--- a/crates/fleet/src/endpoint_limits.rs
+++ b/crates/fleet/src/endpoint_limits.rs
@@ -27,6 +27,8 @@
 const LEAST_PER_S: f64 = 0.25;
 /// For how long other hosts are told that an endpoint no longer names a limit; they hear of it within a second.
 const LIFT_TOLD: Duration = Duration::from_secs(10);
+/// For how long the limit of an endpoint that is not listed is kept: it may be listed again, as the one it was.
+const KEPT_UNLISTED: Duration = Duration::from_secs(60);
 /// Two accounts of an endpoint that are no further apart count as of the same moment: calls between hosts take time.
 const SAME_MOMENT: Duration = Duration::from_millis(50);
 
@@ -200,10 +202,21 @@
         newest.then(|| self.named(id, rate, as_of))?
     }
 
+    /// Forgets what is over: lifted limits that others have heard of, and those of endpoints that have long not been
+    /// listed.
+    pub fn expire(&mut self, listed: impl Fn(&str) -> bool, now: Duration) {
+        self.known.retain(|id, known| {
+            let kept = match known.rate {
+                Some(_) if listed(id) => return true,
+                Some(_) => KEPT_UNLISTED,
+                None => LIFT_TOLD,
+            };
+            known.as_of + kept > now
+        });
+    }
+
     /// What other hosts are told.
-    pub fn to_tell(&mut self, now: Duration) -> Vec<Account> {
-        self.known
-            .retain(|_, k| k.rate.is_some() || k.as_of + LIFT_TOLD > now);
+    pub fn to_tell(&self, now: Duration) -> Vec<Account> {
         let account = |(id, known): (&Rc<str>, &Known)| Account {
             id: id.clone(),
             rate: known.rate,
--- a/crates/fleet/tests/endpoint_limits.rs
+++ b/crates/fleet/tests/endpoint_limits.rs
@@ -262,9 +262,24 @@
         1,
         "others hear that it is over"
     );
+    limits.expire(|_| true, ms(60_000));
     assert_eq!(limits.to_tell(ms(60_000)), [], "and it is forgotten then");
 }
 
+/// Entries lapse while the store is away, and are harmed by other writers.
+#[test]
+fn an_endpoint_that_is_listed_again_soon_is_still_limited() {
+    let id: Rc<str> = ENDPOINT.into();
+    let mut limits = EndpointLimits::default();
+    limits.named(&id, Some(rate(5.0)), ms(1000));
+    limits.expire(|_| false, ms(10_000));
+    assert_eq!(limits.rate(&id), Some(rate(5.0)));
+    limits.expire(|_| true, ms(90_000));
+    assert_eq!(limits.rate(&id), Some(rate(5.0)));
+    limits.expire(|_| false, ms(90_000));
+    assert_eq!(limits.rate(&id), None);
+}
+
 #[test]
 fn a_host_that_does_not_know_how_many_hosts_there_are_sends_nothing_to_an_endpoint_with_a_limit() {
     let (limited, free): (Rc<str>, Rc<str>) = (ENDPOINT.into(), "i-2".into());
--- a/crates/gateway/src/gateway/limits.rs
+++ b/crates/gateway/src/gateway/limits.rs
@@ -33,6 +33,13 @@
         log_change(id, change, "another host");
     }
 
+    /// Forgets limits that are over.
+    pub(crate) fn expire_limits(&self) {
+        let directory = self.directory.borrow();
+        let listed = |id: &str| directory.get(id).is_some();
+        self.limits.borrow_mut().expire(listed, self.now());
+    }
+
     /// The shares of limits that this host holds.
     pub(crate) fn limit_shares(&self) -> Shares {
         Shares {
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -128,7 +128,6 @@
         if self.directory.borrow_mut().remove(id).is_some() {
             log::info!(target: "fleet", endpoint = id; "Endpoint is gone.");
             self.loads.borrow_mut().forget(id);
-            self.limits.borrow_mut().forget(id);
         }
     }
 }
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -73,6 +73,7 @@
     };
     loop {
         let began = time::Instant::now();
+        follower.gateway.expire_limits();
         follower.round().await;
         let period = match follower.gateway.heard_age() {
             None => FIRST_PERIOD,
