--- a/crates/fleet/src/endpoint_limits.rs
+++ b/crates/fleet/src/endpoint_limits.rs
@@ -10,8 +10,8 @@
 //! meanwhile. Thus the pools of all hosts together fill at the rate of the limit, whoever can reach whom, and a
 //! data centre that is cut off keeps the shares of its own hosts.
 //!
-//! In a window W the endpoint so gets at most what it takes in W, [`VALID`] and [`FILL`], and one request more for each
-//! pool.
+//! In any window the endpoint so gets at most what it takes in the window, in the time for which a pool fills and in that
+//! for which a permit is good, and one request more for each pool.
 
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
