Test: a permit that was lent lapses while its lender is out of reach

Eleven safeguards of the division of limits were taken out one by one; ten were noticed by a test. This one, the time for which a permit is good, was not, as each call gives permits back; it is now.

--- a/crates/fleet/tests/endpoint_limits.rs
+++ b/crates/fleet/tests/endpoint_limits.rs
@@ -374,3 +374,15 @@
         assert!(RequestRate::try_from(number).is_err(), "{number}");
     }
 }
+
+#[test]
+fn a_permit_that_was_lent_lapses_while_its_lender_is_out_of_reach() {
+    let id: Rc<str> = ENDPOINT.into();
+    let unknown = Shares::default();
+    let mut limits = EndpointLimits::default();
+    limits.named(&id, Some(rate(1.0)), ms(0));
+    limits.ask(ms(1000));
+    limits.lent(&id, 2, ms(1000));
+    assert!(limits.take(&[&id], unknown, ms(1300)));
+    assert!(!limits.take(&[&id], unknown, ms(1400)));
+}
