Limits of endpoints: the choice of a plain endpoint notes why there is none, as that of a chain does; a clearer name

Found in reading the change: a result within an option, and a constant whose name did not say what lasts. No behaviour changes.

--- a/crates/fleet/src/endpoint_limits.rs
+++ b/crates/fleet/src/endpoint_limits.rs
@@ -21,8 +21,8 @@
 const VALID: Duration = Duration::from_millis(350);
 /// For how long a pool fills at most.
 const FILL: Duration = Duration::from_secs(1);
-/// How long a host that has asked another one has no pool of its own share: the other one counts it as long.
-pub const ASKS: Duration = Duration::from_millis(1500);
+/// How long the share of a host that has asked another one stays in the pool of that one.
+pub const POOLED_FOR: Duration = Duration::from_millis(1500);
 /// An endpoint that takes less still gets so much: its answers are what shows that it takes more again.
 const LEAST_PER_S: f64 = 0.25;
 /// For how long other hosts are told that an endpoint no longer names a limit; they hear of it within a second.
@@ -87,7 +87,7 @@
 /// The shares that a host's pools hold.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Shares {
-    /// Hosts that have asked this one within [`ASKS`].
+    /// Hosts that have asked this one within [`POOLED_FOR`].
     pub asked_by: u32,
     /// All hosts; `None` until that is known: there are no permits then.
     pub hosts: Option<u32>,
@@ -305,7 +305,7 @@
 
     /// Whether another host has this one's share.
     fn borrows(&self, now: Duration) -> bool {
-        self.asked_at.is_some_and(|at| at + ASKS > now)
+        self.asked_at.is_some_and(|at| at + POOLED_FOR > now)
     }
 
     /// The limit that an endpoint names.
--- a/crates/fleet/tests/endpoint_limits.rs
+++ b/crates/fleet/tests/endpoint_limits.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::endpoint_limits::{
-    ASKS, Account, Change, EndpointLimits, RequestRate, Shares,
+    Account, Change, EndpointLimits, POOLED_FOR, RequestRate, Shares,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -114,7 +114,10 @@
     fn shares(&self, i: usize, now: Duration) -> Shares {
         let asked_by = &self.hosts[i].asked_by;
         Shares {
-            asked_by: asked_by.values().filter(|at| **at + ASKS > now).count() as u32,
+            asked_by: asked_by
+                .values()
+                .filter(|at| **at + POOLED_FOR > now)
+                .count() as u32,
             hosts: Some(self.case.hosts as u32),
         }
     }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -62,12 +62,8 @@
         if admitted.left().is_zero() || !admitted.may_send(gateway, &mut tries) {
             break;
         }
-        let endpoint = match pick(gateway, admitted, &tried) {
-            Ok(endpoint) => endpoint,
-            Err(refusal) => {
-                refusal.into_iter().for_each(|r| tries.not_sent(r));
-                break;
-            }
+        let Some(endpoint) = pick(gateway, admitted, &tried, &mut tries) else {
+            break;
         };
         if tries.sent() > 0 && !admitted.take_repeat(gateway).await {
             break;
@@ -119,20 +115,23 @@
     more && whole.begun.head.status.is_server_error()
 }
 
-/// The endpoint of the next send, and what to answer if there is none.
+/// The endpoint of the next send; the tries note if limits leave none.
 fn pick(
     gateway: &Gateway,
     admitted: &Admitted,
     tried: &[Rc<str>],
-) -> Result<Rc<Endpoint>, Option<Refusal>> {
-    let directory = gateway.directory.borrow();
-    let now = gateway.now();
+    tries: &mut Tries,
+) -> Option<Rc<Endpoint>> {
+    let service = &admitted.service.name;
+    let without_permit = gateway.without_permit(service);
+    let passed_over = [tried, &without_permit].concat();
     let near = &gateway.settings.data_centre;
-    let mut but = gateway.without_permit(&admitted.service.name);
-    let limited = !but.is_empty();
-    but.extend_from_slice(tried);
-    let picked = directory.pick(&admitted.service.name, near, &but, now);
-    picked.ok_or(limited.then_some(Refusal::AtLimit))
+    let directory = gateway.directory.borrow();
+    let picked = directory.pick(service, near, &passed_over, gateway.now());
+    if picked.is_none() && !without_permit.is_empty() {
+        tries.not_sent(Refusal::AtLimit);
+    }
+    picked
 }
 
 async fn attempt_at(
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -206,7 +206,7 @@
         let heard = self.heard.borrow();
         let asked = heard.values().filter(|h| {
             let near = h.from.data_centre == *settings.data_centre;
-            near && h.from.host > settings.host && h.at + endpoint_limits::ASKS > now
+            near && h.from.host > settings.host && h.at + endpoint_limits::POOLED_FOR > now
         });
         asked.count() as u32
     }
