A reported answer to a request that is not known yet is kept

What callers saw: after a restart one of three hosts sent a request that the two others refused as quarantined, although an endpoint had answered it.

Cause: a host that received the report of an answer to a request of which it knew neither terminations nor a quarantine dropped it, while the reporting host counted it as reported and did not report it again. The quarantine that the answer had ended could then arrive from a third host and was adopted.

Change: such an answer is recorded. Only requests that were suspected at some host are reported, so that the bound on records is unchanged.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -272,8 +272,11 @@
     }
 
     fn merge_report(&mut self, report: &SuspectReport, now: Moment) {
+        // An answer to a request that is not known here yet is kept too: another host may still report
+        // the quarantine that it ended, and the answer is not reported a second time.
         let unknown = !self.records.contains_key(&report.request);
-        if unknown && report.terminations.is_empty() && report.period.is_none() {
+        let empty = report.terminations.is_empty() && report.period.is_none();
+        if unknown && empty && report.answer_age.is_none() {
             return;
         }
         let first_duration = self.first_duration;
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -269,6 +269,18 @@
     assert!(a.persist_due() && a.to_persist(s(9)).1.is_empty());
 }
 
+#[test]
+fn an_answer_reported_before_the_quarantine_is_known_ends_it() {
+    let new = || Quarantine::new(FIRST_DURATION);
+    let (mut a, mut b, mut c) = (new(), new(), new());
+    quarantine_by_three_terminations(&mut a, s(0));
+    report(&a, &mut b, s(4));
+    a.note_answer(&request(1), s(6));
+    report(&a, &mut c, s(7));
+    report(&b, &mut c, s(8));
+    assert_eq!(c.quarantined_for(&request(1), s(8)), None);
+}
+
 #[test]
 fn stored_quarantines_apply_to_the_next_process() {
     let mut before = Quarantine::new(FIRST_DURATION);
