Hosts agree on the order of an answer and a quarantine that are close in time

Cause: each host places a reported event later by the time that the report was in transit, so that hosts order an answer and a quarantine that began within that time differently. An answer within a second of the known one was also taken for the same, though a quarantine had begun in between.

Change: what begins less than a second after an answer counts as before it, and the answer is then recorded as no earlier than what it ended. Each host that receives it ends the same, whatever the transit times.

--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -12,7 +12,8 @@
 const MAX_DOUBLINGS: u32 = 8;
 /// Times of one event that are reported over different paths differ by the time that the reports were in
 /// transit from host to host. A report with a later time counts as new only from this difference on, so that
-/// hosts don't exchange reports endlessly.
+/// hosts don't exchange reports endlessly. Events that begin less than this after an answer count as before
+/// it, as hosts would otherwise disagree about their order.
 const REPORT_TIME_TOLERANCE: Duration = Duration::from_secs(1);
 
 /// A time, counted from [`TIME_BEFORE_START`](super::TIME_BEFORE_START) before this process started.
@@ -63,11 +64,12 @@
 
 /// What is known of one request.
 ///
-/// Invariants: all terminations are later than `answered_at` and than the end of the period; the period began
-/// after `answered_at`.
+/// Invariants: all terminations are later than the end of the period; they and the beginning of the period are
+/// later than `answered_at` by more than [`REPORT_TIME_TOLERANCE`].
 #[derive(Debug, Default)]
 pub(super) struct RequestRecord {
     pub(super) terminations: Vec<CountedTermination>,
+    /// The last answer, or the last event that counts as before it.
     pub(super) answered_at: Option<Moment>,
     pub(super) period: Option<RequestPeriod>,
     /// The version of the quarantine with which this record last changed.
@@ -84,7 +86,8 @@
 
     /// Adds a termination if it is new and counts; returns whether it did.
     pub(super) fn add_termination(&mut self, endpoint: &Rc<str>, at: Moment) -> bool {
-        let counts = self.settled_at().is_none_or(|settled_at| settled_at < at);
+        let expired = self.period.is_none_or(|p| p.span.until < at);
+        let counts = expired && !self.is_before_answer(at);
         let known = self.terminations.iter().any(|t| t.endpoint == *endpoint);
         if !counts || known {
             return false;
@@ -115,33 +118,67 @@
         true
     }
 
+    /// Whether an event counts as before the last answer.
+    fn is_before_answer(&self, at: Moment) -> bool {
+        self.answered_at
+            .is_some_and(|answered_at| at <= answered_at + REPORT_TIME_TOLERANCE)
+    }
+
     /// Applies an answer of an endpoint: terminations and periods before it no longer count.
+    ///
+    /// The answer is recorded as no earlier than what it ends, so that each host to which it is reported ends
+    /// that as well.
     pub(super) fn apply_answer(&mut self, at: Moment) {
         self.answered_at = self.answered_at.max(Some(at));
-        self.terminations.retain(|t| t.at > at);
-        self.period = self.period.filter(|p| p.span.since > at);
+        while let Some(ended) = self.latest_before_answer() {
+            self.answered_at = self.answered_at.max(Some(ended));
+            let answered_at = self.answered_at;
+            self.terminations.retain(|t| Some(t.at) > answered_at);
+            self.period = self.period.filter(|p| Some(p.span.since) > answered_at);
+        }
     }
 
-    /// Applies a reported answer if it is later than the known one; returns whether it was.
+    /// The time of the latest termination or beginning of a period that counts as before the last answer.
+    fn latest_before_answer(&self) -> Option<Moment> {
+        let terminations = self.terminations.iter().map(|t| t.at);
+        let period = self.period.iter().map(|p| p.span.since);
+        terminations
+            .chain(period)
+            .filter(|at| self.is_before_answer(*at))
+            .max()
+    }
+
+    /// Applies a reported answer if it is later than the known one, or if a period or terminations count as
+    /// before it; returns whether it does.
     pub(super) fn merge_answer(&mut self, at: Moment) -> bool {
         let later = self
             .answered_at
             .is_none_or(|own| own + REPORT_TIME_TOLERANCE < at);
-        if later {
+        let ends = |event: Moment| event <= at + REPORT_TIME_TOLERANCE;
+        let applies = later
+            || self.period.is_some_and(|p| ends(p.span.since))
+            || self.terminations.iter().any(|t| ends(t.at));
+        if applies {
             self.apply_answer(at);
         }
-        later
+        applies
     }
 
     /// Adopts a reported period if it is newer than the known one: a higher count, or the same count and a
-    /// later end. Returns whether it did.
+    /// later end. Returns whether this record has changed: the answer that has ended a reported period is
+    /// recorded as no earlier than that period, so that the reporting host ends it as well.
     pub(super) fn merge_period(&mut self, reported: RequestPeriod) -> bool {
-        let answered = self.answered_at.is_some_and(|at| reported.span.since <= at);
+        let since = reported.span.since;
+        if self.is_before_answer(since) {
+            let later = self.answered_at < Some(since);
+            self.answered_at = self.answered_at.max(Some(since));
+            return later;
+        }
         let newer = self.period.is_none_or(|own| {
             let longer = reported.span.until > own.span.until + REPORT_TIME_TOLERANCE;
             reported.count > own.count || (reported.count == own.count && longer)
         });
-        if answered || !newer {
+        if !newer {
             return false;
         }
         let own = self.period.is_some_and(|p| p.own) || reported.own;
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -281,6 +281,26 @@
     assert_eq!(c.quarantined_for(&request(1), s(8)), None);
 }
 
+#[test]
+fn a_reported_answer_soon_after_the_known_one_ends_a_quarantine_from_in_between() {
+    let new = || Quarantine::new(FIRST_DURATION);
+    let (mut a, mut b, mut c) = (new(), new(), new());
+    let ms = Duration::from_millis;
+    b.note_termination(request(1), &incarnation(8), s(1));
+    c.note_termination(request(1), &incarnation(9), s(1));
+    c.note_answer(&request(1), ms(2000));
+    for n in 1..=MIN_TERMINATIONS {
+        a.note_termination(request(1), &incarnation(n), ms(2300));
+    }
+    report(&a, &mut c, ms(2400));
+    b.note_answer(&request(1), ms(2600));
+    report(&b, &mut c, ms(2700));
+    report(&c, &mut a, ms(2800));
+    for host in [&a, &b, &c] {
+        assert_eq!(host.quarantined_for(&request(1), ms(2800)), None);
+    }
+}
+
 #[test]
 fn stored_quarantines_apply_to_the_next_process() {
     let mut before = Quarantine::new(FIRST_DURATION);
