Terminations before a restart of all hosts count towards a quarantine

Cause: terminations short of a quarantine were known to processes only. Only quarantines were stored in the hosts' rows.

Change: the host of a data centre that the others poll, which receives what they report, stores the terminations that count in its row, with times of the store's clock; hosts read them with the rows. One host of a data centre writes, at most once a second and at once after the first change, so that the crash of an engine with hundreds of streams costs one write for each data centre. At most 128 requests are stored (20 KB), those with most terminations first. Rows of hosts of the version before are read as rows without them.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -38,6 +38,8 @@
 const MAX_RECORDS: usize = 1024;
 /// Maximum number of quarantine periods that are stored in one place: some 25 KB.
 const MAX_PERSISTED: usize = 256;
+/// Maximum number of suspected requests whose terminations are stored in one place: some 20 KB.
+const MAX_PERSISTED_SUSPECTS: usize = 128;
 /// How long before its own start this process can represent times that are reported to it.
 const TIME_BEFORE_START: Duration = Duration::from_secs(30 * 24 * 3600);
 
@@ -134,6 +136,8 @@
     /// Grows with each change of what is to be stored.
     persist_revision: PersistRevision,
     persisted_revision: PersistRevision,
+    /// Grows with each change of the terminations that count towards a quarantine.
+    suspects_revision: PersistRevision,
 }
 
 impl Quarantine {
@@ -147,6 +151,7 @@
             version: 0,
             persist_revision: PersistRevision::default(),
             persisted_revision: PersistRevision::default(),
+            suspects_revision: PersistRevision::default(),
         }
     }
 
@@ -238,11 +243,7 @@
         let changed = self.records.iter().filter(|(_, r)| r.changed > version);
         let reports = changed.map(|(request, record)| SuspectReport {
             request: *request,
-            terminations: record
-                .terminations
-                .iter()
-                .map(|t| t.to_report(now))
-                .collect(),
+            terminations: record.termination_reports(now),
             answer_age: record.answered_at.map(|at| now.saturating_sub(at)),
             period: record.period.map(|period| period.to_report(now)),
         });
@@ -324,6 +325,49 @@
         )
     }
 
+    /// Revision of the terminations that count towards a quarantine.
+    pub fn suspects_revision(&self) -> PersistRevision {
+        self.suspects_revision
+    }
+
+    /// The requests with terminations that count towards a quarantine, those with the most and latest
+    /// terminations first, as the next processes of all hosts need them if all hosts end at once.
+    pub fn suspects_to_persist(&self, now: Duration) -> Vec<SuspectReport> {
+        let now = moment(now);
+        let mut suspects: Vec<(&Fingerprint, &RequestRecord)> = self
+            .records
+            .iter()
+            .filter(|(_, r)| !r.terminations.is_empty())
+            .collect();
+        suspects.sort_by_key(|(request, r)| {
+            let order = (r.terminations.len(), r.updated_at, **request);
+            std::cmp::Reverse(order)
+        });
+        suspects.truncate(MAX_PERSISTED_SUSPECTS);
+        let report = |(request, record): (&Fingerprint, &RequestRecord)| SuspectReport {
+            request: *request,
+            terminations: record.termination_reports(now),
+            answer_age: None,
+            period: None,
+        };
+        suspects.into_iter().map(report).collect()
+    }
+
+    /// Restores the stored terminations of all hosts; returns the requests that are newly quarantined.
+    /// Terminations that are older than a first quarantine lasts no longer count.
+    pub fn restore_suspects(
+        &mut self,
+        mut stored: Vec<SuspectReport>,
+        now: Duration,
+    ) -> Vec<Fingerprint> {
+        let max_age = self.first_duration;
+        for suspect in &mut stored {
+            suspect.terminations.retain(|t| t.age < max_age);
+        }
+        stored.retain(|suspect| !suspect.terminations.is_empty());
+        self.merge_reports(stored, now)
+    }
+
     /// Notes that what was to be stored at this revision has been.
     pub fn mark_persisted(&mut self, revision: PersistRevision) {
         self.persisted_revision = self.persisted_revision.max(revision);
@@ -379,6 +423,10 @@
         self.version += 1;
         if let Some(record) = self.records.get_mut(request) {
             record.changed = self.version;
+            let had_terminations = record.has_stored_terminations;
+            record.has_stored_terminations = !record.terminations.is_empty();
+            self.suspects_revision.0 +=
+                u64::from(had_terminations || record.has_stored_terminations);
         }
     }
 
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -72,6 +72,8 @@
     /// The last answer, or the last event that counts as before it.
     pub(super) answered_at: Option<Moment>,
     pub(super) period: Option<RequestPeriod>,
+    /// Whether there were terminations when this record last changed, so that they may be stored.
+    pub(super) has_stored_terminations: bool,
     /// The version of the quarantine with which this record last changed.
     pub(super) changed: u64,
     /// When this record was last updated.
@@ -79,6 +81,11 @@
 }
 
 impl RequestRecord {
+    /// The terminations in the form in which they are reported.
+    pub(super) fn termination_reports(&self, now: Moment) -> Vec<Termination> {
+        self.terminations.iter().map(|t| t.to_report(now)).collect()
+    }
+
     /// The time up to which terminations no longer count.
     pub(super) fn settled_at(&self) -> Option<Moment> {
         self.answered_at.max(self.period.map(|p| p.span.until))
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -328,6 +328,61 @@
     );
 }
 
+#[test]
+fn stored_terminations_count_at_the_next_process() {
+    let mut before = Quarantine::new(FIRST_DURATION);
+    let unchanged = before.suspects_revision();
+    before.note_termination(request(1), &incarnation(1), s(1));
+    before.note_termination(request(1), &incarnation(2), s(2));
+    assert!(before.suspects_revision() > unchanged);
+    let stored = before.suspects_to_persist(s(10));
+    let mut after = Quarantine::new(FIRST_DURATION);
+    assert_eq!(after.restore_suspects(stored.clone(), s(0)), []);
+    assert!(
+        after
+            .note_termination(request(1), &incarnation(3), s(1))
+            .is_some()
+    );
+    assert!(after.suspects_to_persist(s(1)).is_empty());
+    // What led to the quarantine does not count again when the row is read once more.
+    assert_eq!(after.restore_suspects(stored, s(2)), []);
+    assert!(after.suspects_to_persist(s(2)).is_empty());
+}
+
+#[test]
+fn stored_terminations_are_forgotten_after_an_answer_and_with_time() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    quarantine.note_termination(request(1), &incarnation(1), s(1));
+    quarantine.note_termination(request(2), &incarnation(1), s(1));
+    let stored = quarantine.suspects_to_persist(s(1));
+    quarantine.note_answer(&request(1), s(5));
+    quarantine.restore_suspects(stored.clone(), s(6));
+    let suspects = quarantine.suspects_to_persist(s(6));
+    assert!(suspects.iter().all(|s| s.request != request(1)));
+    let mut later = Quarantine::new(FIRST_DURATION);
+    let mut aged = stored;
+    aged.iter_mut()
+        .flat_map(|suspect| &mut suspect.terminations)
+        .for_each(|t| t.age = FIRST_DURATION);
+    later.restore_suspects(aged, s(0));
+    assert!(later.is_empty());
+}
+
+#[test]
+fn the_number_of_stored_suspects_is_bounded_and_those_with_most_terminations_stay() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    quarantine.note_termination(request(1), &incarnation(1), s(1));
+    quarantine.note_termination(request(1), &incarnation(2), s(2));
+    for n in 0..500u32 {
+        let mut bytes = [7; 16];
+        bytes[..4].copy_from_slice(&n.to_be_bytes());
+        quarantine.note_termination(Fingerprint::from(bytes), &incarnation(1), s(3));
+    }
+    let stored = quarantine.suspects_to_persist(s(4));
+    assert!(stored.len() <= 128, "{}", stored.len());
+    assert_eq!(stored[0].request, request(1));
+}
+
 #[test]
 fn a_host_that_stores_a_period_stores_a_longer_reported_one() {
     let (mut a, mut b) = (
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -7,6 +7,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_fleet::quarantine::PersistRevision;
 use dragonflyrill_protocol::exchange::{FleetHost, HostRow};
 use dragonflyrill_store::PlatformError;
 use rand::Rng;
@@ -45,6 +46,8 @@
 const WRITE_PAUSE_PER_HOST: Duration = Duration::from_millis(10);
 /// The minimum time between two writes that are caused by endpoints that start or stop stating a limit.
 const MIN_LIMITS_WRITE_PAUSE: Duration = Duration::from_secs(1);
+/// The minimum time between two writes that are caused by terminations of endpoints.
+const MIN_SUSPECTS_WRITE_PAUSE: Duration = Duration::from_secs(1);
 /// The largest fleet whose hosts may all write at once in a burst; the hosts of larger fleets spread their writes.
 const MAX_CONCURRENT_WRITERS: u32 = 16;
 
@@ -116,6 +119,10 @@
     limited_endpoints: Vec<String>,
     /// The earliest time of the next write that is caused by changed limits.
     limits_at: Duration,
+    /// The revision of the suspected requests that the row contains.
+    suspects_revision: PersistRevision,
+    /// The earliest time of the next write that is caused by terminations of endpoints.
+    suspects_at: Duration,
 }
 
 /// Writes the row whenever that is due, until the process exits.
@@ -130,6 +137,8 @@
         store_unavailable: false,
         limited_endpoints: Vec::new(),
         limits_at: Duration::ZERO,
+        suspects_revision: PersistRevision::default(),
+        suspects_at: Duration::ZERO,
     };
     let mut backoff = Backoff::default();
     loop {
@@ -196,9 +205,19 @@
             self.limits_at <= now && self.current_limited_endpoints() != self.limited_endpoints;
         record
             || quarantined
+            || self.suspects_due(now)
             || (!self.shutdown_recorded && (heartbeat_at <= now || join || limits))
     }
 
+    /// Whether the suspected requests have changed and this host is to store them. The first change is written without
+    /// delay, as all hosts may end at any moment.
+    fn suspects_due(&self, now: Duration) -> bool {
+        let revision = self.gateway.quarantine.borrow().suspects_revision();
+        revision > self.suspects_revision
+            && self.suspects_at <= now
+            && quarantine_rows::stores_suspects(&self.gateway)
+    }
+
     /// The endpoints whose limits the row is to contain.
     fn current_limited_endpoints(&self) -> Vec<String> {
         let limits = limit_rows::to_rows(&self.gateway, Duration::ZERO);
@@ -271,8 +290,14 @@
             claim: Some(draft.claim()),
             retries: draft.retries(),
             quarantined_requests: quarantine_rows::to_rows(&records, clock),
+            suspected_requests: quarantine_rows::suspects_to_rows(gateway, clock),
             endpoint_limits: limit_rows::to_rows(gateway, clock),
         };
+        let suspects_revision = match quarantine_rows::stores_suspects(gateway) {
+            true => gateway.quarantine.borrow().suspects_revision(),
+            false => self.suspects_revision,
+        };
+        self.suspects_at = now + MIN_SUSPECTS_WRITE_PAUSE;
         self.limited_endpoints = row
             .endpoint_limits
             .iter()
@@ -287,6 +312,7 @@
             RowWriteOutcome::Done(version) => {
                 bounds.confirm_write(&draft, version, gateway.now());
                 gateway.quarantine.borrow_mut().mark_persisted(revision);
+                self.suspects_revision = suspects_revision;
             }
             RowWriteOutcome::Conflict(row) => {
                 bounds.set_row_version(row.map_or(0, |r| r.version));
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -78,6 +78,20 @@
         self.quarantine.borrow().to_persist(self.now())
     }
 
+    /// The suspected requests to store for the hosts of this data centre.
+    pub fn suspects_to_persist(&self) -> Vec<SuspectReport> {
+        self.quarantine.borrow().suspects_to_persist(self.now())
+    }
+
+    /// Restores the suspected requests of all hosts' rows.
+    pub fn restore_suspects(&self, suspects: Vec<SuspectReport>) {
+        let quarantined = self
+            .quarantine
+            .borrow_mut()
+            .restore_suspects(suspects, self.now());
+        log_quarantined(&quarantined);
+    }
+
     /// Restores the quarantine records of a host's row; `own` is whether that is this host's row.
     pub fn restore_quarantines(&self, records: Vec<QuarantineRecord>, own: bool) {
         let quarantined = self
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Whether the other hosts are known as far as possible.
+    pub fn is_fleet_known(&self) -> bool {
+        self.fleet_known.get()
+    }
+
     /// Whether there is another host of this data centre to poll before this host reads the store.
     pub fn has_host_to_poll(&self, settings: &Settings, now: Duration) -> bool {
         let before = Some(settings.host.as_str());
--- a/crates/protocol/src/exchange.rs
+++ b/crates/protocol/src/exchange.rs
@@ -207,11 +207,33 @@
         rename = "held_requests"
     )]
     pub quarantined_requests: Vec<QuarantineRow>,
+    /// Requests during which endpoints have terminated, but not often enough for a quarantine; present only if
+    /// the host reads the store for others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspected_requests: Vec<SuspectRow>,
     /// Limits that endpoints declare; present only if the host reads the store for others.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub endpoint_limits: Vec<EndpointLimitRow>,
 }
 
+/// A request during which endpoints have terminated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRow {
+    /// Fingerprint of the request, in hexadecimal.
+    pub request: String,
+    /// The terminations that count towards a quarantine.
+    pub terminations: Vec<TerminationRow>,
+}
+
+/// The termination of an incarnation of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TerminationRow {
+    /// Id of the incarnation.
+    pub endpoint: String,
+    /// Time of the termination, in milliseconds of the store's clock.
+    pub at_ms: u64,
+}
+
 /// A host's claim of a share of the bounds over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareClaim {
