Writes for joining hosts and refused writes are spread by the number of hosts

What callers saw: retries were not allowed for long after all hosts of a large fleet had started, and each host called the store more often the more hosts there were.

Meanwhile each host wrote again for every group of rows that had got through, as the pause before that write was computed from the few hosts that were known when the first of them joined.

Change: refused writes are retried at a random time within 4 s, then 8 s. The write for joining hosts is deferred as long as the known hosts become more, by 10 ms for each, which is half of what the part takes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 //! - [`outage`] determines when missing entries may have lapsed because the store was unavailable.
 //! - [`store_access`] decides which hosts of a data centre call a store that does not answer.
 //! - [`budget`] bounds how often requests are retried; [`share`] determines the part of such a bound
-//!   that a host may use.
+//!   that a host may use, and [`row_writes`] when a host writes its row for others.
 //! - [`endpoint_limits`] divides the limits that endpoints set for all hosts together.
 //! - [`fingerprint`] determines whether one request is a retry of another; [`quarantine`] withholds
 //!   requests during which endpoints terminate; [`delta_sync`] tracks which changes of it another
@@ -44,6 +44,7 @@
 pub mod placement;
 pub mod probing;
 pub mod quarantine;
+pub mod row_writes;
 pub mod share;
 pub mod store_access;
 pub mod token_bucket;
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -7,7 +7,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::quarantine::PersistRevision;
+use dragonflyrill_fleet::{
+    quarantine::PersistRevision,
+    row_writes::{self, JoinWrite, RefusedWrites, WRITE_PAUSE_PER_HOST},
+};
 use dragonflyrill_protocol::exchange::{FleetHost, HostRow};
 use dragonflyrill_store::PlatformError;
 use rand::Rng;
@@ -26,12 +29,6 @@
 const HEARTBEAT_PER_HOST: Duration = Duration::from_millis(250);
 const MIN_HEARTBEAT: Duration = Duration::from_secs(8);
 const MAX_HEARTBEAT: Duration = Duration::from_secs(30);
-/// The time over which the hosts spread the writes that a joining host waits for, as a fraction of the heartbeat
-/// interval.
-const JOIN_SPREAD_FRACTION: f64 = 0.1;
-/// The time that passes before the first of those writes, as a fraction of the time over which they are spread: hosts
-/// that join together are counted by one write.
-const MIN_JOIN_PAUSE_FRACTION: f64 = 0.5;
 /// The pause before a failed write is retried, as a fraction of the heartbeat interval.
 const RETRY_FRACTION: f64 = 0.25;
 /// The time limit of a call to the store.
@@ -40,10 +37,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The minimum pause between two writes: a burst of retries causes a few writes, not one for each retry.
 const MIN_WRITE_PAUSE: Duration = Duration::from_millis(20);
-/// The pause between writes in a burst, per host beyond [`MAX_CONCURRENT_WRITERS`]. All rows, and the row of the leader
-/// lease, are in one part of a table, in which each write takes 5 ms: with this pause all hosts together use at most
-/// half of its capacity.
-const WRITE_PAUSE_PER_HOST: Duration = Duration::from_millis(10);
 /// The minimum time between two writes that are caused by endpoints that start or stop stating a limit.
 const MIN_LIMITS_WRITE_PAUSE: Duration = Duration::from_secs(1);
 /// The minimum time between two writes that are caused by terminations of endpoints.
@@ -105,8 +98,11 @@
     gateway: Rc<Gateway>,
     /// The time of the next regular write; `None` until the rows were read.
     heartbeat_at: Option<Duration>,
-    /// The time of the next write for a host that waits to be counted.
-    join_at: Option<Duration>,
+    /// The write for hosts that wait to be counted.
+    join: JoinWrite,
+    refused: RefusedWrites,
+    /// Nothing is written before this time, as the store has refused a write for its rate.
+    refused_until: Duration,
     /// The time of the next write that permits more retries.
     record_at: Option<Duration>,
     /// The shutdown of this host has been noticed, and the write for it has been triggered.
@@ -130,7 +126,9 @@
     let mut writer = RowWriter {
         gateway: gateway.clone(),
         heartbeat_at: None,
-        join_at: None,
+        join: JoinWrite::default(),
+        refused: RefusedWrites::default(),
+        refused_until: Duration::ZERO,
         record_at: None,
         shutdown_recorded: false,
         divisor: None,
@@ -145,12 +143,14 @@
         writer.check_store();
         if writer.due() {
             match writer.write().await {
-                Ok(()) => backoff.reset(&gateway),
+                Ok(()) => {
+                    writer.refused.reset();
+                    backoff.reset(&gateway);
+                }
                 Err(e) => {
                     gateway.bounds.record_write_failure();
-                    writer.heartbeat_at =
-                        Some(gateway.now() + writer.heartbeat_interval().mul_f64(RETRY_FRACTION));
                     log::warn!(target: "roster", why:% = e; "This host's row can't be written.");
+                    writer.defer_retry(&e);
                     backoff.pause(&gateway).await;
                 }
             }
@@ -182,16 +182,14 @@
             self.shutdown_recorded = true;
             return true;
         }
-        if self.store_unavailable {
+        if self.store_unavailable || now < self.refused_until {
             return false;
         }
         let initial_delay = self.initial_delay();
-        self.join_at = match (bounds.awaited(), self.join_at) {
-            (false, _) => None,
-            (true, Some(at)) => Some(at),
-            (true, None) => Some(now + self.join_pause()),
-        };
-        let join = self.join_at.is_some_and(|at| at <= now);
+        let spread = self.join_spread();
+        let join = self
+            .join
+            .is_due(bounds.awaited(), spread, now, || rand::rng().random());
         self.record_at = match (bounds.record_due(now), self.record_at) {
             (false, _) => None,
             (true, Some(at)) => Some(at),
@@ -233,7 +231,7 @@
             (false, true) => gateway.bounds.record_write_failure(),
             (true, false) => {
                 gateway.bounds.clear_write_failure();
-                let earliest = gateway.now() + self.join_pause();
+                let earliest = gateway.now() + self.join_spread().mul_f64(rand::rng().random());
                 self.heartbeat_at = self.heartbeat_at.map(|at| at.max(earliest));
             }
             _ => {}
@@ -250,9 +248,22 @@
         (WRITE_PAUSE_PER_HOST * others).mul_f64(rand::rng().random())
     }
 
-    fn join_pause(&self) -> Duration {
-        let max = self.heartbeat_interval().mul_f64(JOIN_SPREAD_FRACTION);
-        max.mul_f64(rand::rng().random_range(MIN_JOIN_PAUSE_FRACTION..1.0))
+    /// The time over which all hosts spread writes that they owe at the same moment.
+    fn join_spread(&self) -> Duration {
+        let hosts = self.gateway.counted_hosts().unwrap_or(1);
+        row_writes::join_spread(hosts, self.heartbeat_interval())
+    }
+
+    /// Defers the next write after a failed one.
+    fn defer_retry(&mut self, error: &PlatformError) {
+        let now = self.gateway.now();
+        let pause = self.heartbeat_interval().mul_f64(RETRY_FRACTION);
+        self.heartbeat_at = Some(now + pause);
+        if matches!(error, PlatformError::RateLimited { .. }) {
+            let pause = self.refused.record_refusal(rand::rng().random());
+            self.refused_until = now + pause;
+            self.heartbeat_at = Some(self.refused_until);
+        }
     }
 
     /// The delay of the first write. The row of an earlier process of this host remains valid until that process would
@@ -319,7 +330,7 @@
                 self.heartbeat_at = Some(Duration::ZERO);
             }
         }
-        self.join_at = None;
+        self.join.record_write();
         self.record_at = None;
         Ok(())
     }
