--- a/crates/fleet/tests/row_writes.rs
+++ b/crates/fleet/tests/row_writes.rs
@@ -105,7 +105,8 @@
             let join = host
                 .join
                 .is_due(awaited, spread, now, || rng.random::<f64>());
-            if now < host.paused_until || !(join || !host.written) {
+            let due = join || !host.written;
+            if now < host.paused_until || !due {
                 continue;
             }
             let Some(draft) = host.share.draft(now) else {
--- a/crates/fleet/tests/write_batch.rs
+++ b/crates/fleet/tests/write_batch.rs
@@ -45,7 +45,9 @@
 #[test]
 fn rows_without_a_conflict_are_submitted_once_more() {
     let mut batch = WriteBatch::new(3);
-    (0..4).for_each(|row| drop(batch.add(write(row, 5, 100))));
+    for row in 0..4 {
+        batch.add(write(row, 5, 100));
+    }
     let next = batch.next_call(ms(50));
     let conflicts = batch.record_conflict(next.writes, |row| if *row == 1 { 9 } else { 5 });
     assert_eq!(conflicts, [Conflict { row: 1, version: 9 }]);
