Sums of reported loads are updated with each report

On larger fleets the host that all others of its data centre poll would answer late, and hosts that are not answered in time stop polling it.

Cause: each of N hosts polls four times a second, and each answer added up the reports of all N hosts and went through all endpoints of the list for changes: N times N reports, and N times the endpoints, a second.

Change: a report is subtracted from and added to the sum of its data centre; an answer copies the sum. A polling host that knows the newest version of the list needs no search.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -282,6 +282,15 @@
     /// unknown.
     pub fn changes_since(&self, version: Option<u64>) -> ListChanges {
         let known = version.filter(|v| *v >= self.forgotten_version && *v <= self.list_version);
+        // Most hosts that poll know the newest version, and the list may have thousands of endpoints.
+        if known == Some(self.list_version) {
+            return ListChanges {
+                version: self.list_version,
+                complete: false,
+                changed: Vec::new(),
+                removed: Vec::new(),
+            };
+        }
         let after = known.unwrap_or(0);
         let changed = self.changed_at.iter().filter(|(_, at)| **at > after);
         let removed = self.removed.iter().filter(|(at, _)| *at > after);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`layers`] has ranges of the layers of a model; [`chains`] finds chains of endpoints that cover all
 //!   layers; [`choice`] selects one of them for a request; [`dispatch_rate`] estimates what other hosts
 //!   have sent since their last report.
+//! - [`reported_loads`] sums the loads that other hosts have reported.
 //! - [`probing`] decides when the stages of a chain are probed.
 //! - [`adaptive_timeout`] decides how long to wait for a run, and when its chain is probed.
 //! - [`freshness`] limits how long a catalogue may be used without a freshness proof from the store.
@@ -45,6 +46,7 @@
 pub mod placement;
 pub mod probing;
 pub mod quarantine;
+pub mod reported_loads;
 pub mod row_writes;
 pub mod share;
 pub mod store_access;
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -335,16 +335,15 @@
             if let Some(news) = self.call(&host, offer).await {
                 let report = PeerReport {
                     from: host.clone(),
-                    loads: from_wire(&news.loads),
                     avoided: Vec::new(),
                     read_at: None,
                     received_at: gateway.now(),
                 };
-                peers.record_report(report);
+                peers.record_report(report, from_wire(&news.loads));
             }
         }
         let now = gateway.now();
-        let others = peers.sum_loads(now, |_, _| true);
+        let others = peers.loads.borrow_mut().sum(now);
         gateway.loads.borrow_mut().apply_update(others, now);
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -29,6 +29,7 @@
     choice::{Load, LoadMap},
     endpoint_limits,
     endpoints::AvoidedEndpoint,
+    reported_loads::ReportedLoads,
     store_access::ProbeSlots,
 };
 use dragonflyrill_protocol::exchange::{self, EndpointLoad, FleetHost, LeaseRow, ListPosition};
@@ -51,7 +52,6 @@
 /// What another host has reported with a call or an answer.
 struct PeerReport {
     from: FleetHost,
-    loads: LoadMap,
     /// Endpoints that the reporting host avoids, with the remaining time at `received_at`.
     avoided: Vec<AvoidedEndpoint>,
     /// When the store last answered the reporting host, if that host reads the store itself.
@@ -60,7 +60,6 @@
 }
 
 /// What this host knows of the other hosts.
-#[derive(Default)]
 pub struct Peers {
     /// All live hosts, including this one, sorted.
     fleet: RefCell<Vec<FleetHost>>,
@@ -71,6 +70,8 @@
     /// The last reports of the hosts of this data centre and of the reading hosts of others, by
     /// host name.
     reports: RefCell<FxHashMap<String, PeerReport>>,
+    /// The loads in these reports.
+    loads: RefCell<ReportedLoads>,
     /// Position up to which the polled host's list of endpoints is known.
     list_position: Cell<ListPosition>,
     /// The row of the lease, as last read or received.
@@ -92,6 +93,27 @@
     fleet_known: Cell<bool>,
 }
 
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            fleet: RefCell::default(),
+            fleet_hash: Cell::default(),
+            skipped: RefCell::default(),
+            reports: RefCell::default(),
+            loads: RefCell::new(ReportedLoads::new(PEER_REPORT_TTL)),
+            list_position: Cell::default(),
+            lease: RefCell::default(),
+            incarnation: Cell::default(),
+            reader: RefCell::default(),
+            probe_slots: RefCell::default(),
+            documents: CatalogueDocuments::default(),
+            row_writes: row_writes::RowWrites::default(),
+            poll_requested: Notify::default(),
+            fleet_known: Cell::default(),
+        }
+    }
+}
+
 impl Peers {
     /// Sets this host's incarnation.
     pub fn set_incarnation(&self, incarnation: u64) {
@@ -218,7 +240,14 @@
     }
 
     /// Records another host's report of its own loads or of those of its data centre.
-    fn record_report(&self, report: PeerReport) {
+    fn record_report(&self, report: PeerReport, loads: LoadMap) {
+        let FleetHost {
+            host, data_centre, ..
+        } = &report.from;
+        let now = report.received_at;
+        self.loads
+            .borrow_mut()
+            .record(host, data_centre, loads, now);
         let mut reports = self.reports.borrow_mut();
         reports.retain(|_, r| r.received_at + PEER_REPORT_TTL > report.received_at);
         reports.insert(report.from.host.clone(), report);
@@ -266,19 +295,6 @@
         newest.map(|(_, r)| r.from.clone())
     }
 
-    /// Sums the loads reported by the hosts that `includes` accepts by name and data centre.
-    fn sum_loads(&self, now: Duration, includes: impl Fn(&str, &str) -> bool) -> LoadMap {
-        let mut sum = LoadMap::default();
-        for (host, report) in self.reports.borrow().iter() {
-            if report.received_at + PEER_REPORT_TTL > now
-                && includes(host, &report.from.data_centre)
-            {
-                add(&mut sum, &report.loads);
-            }
-        }
-        sum
-    }
-
     /// The endpoints that the reporting hosts except `host` avoid, with the remaining time.
     fn avoided_except(&self, host: &str, now: Duration) -> Vec<AvoidedEndpoint> {
         let reports = self.reports.borrow();
@@ -292,13 +308,6 @@
     }
 }
 
-fn add(sum: &mut LoadMap, loads: &LoadMap) {
-    for (id, load) in loads {
-        let entry = sum.entry(id.clone()).or_default();
-        *entry = entry.plus(*load);
-    }
-}
-
 fn to_wire(loads: &LoadMap) -> Vec<EndpointLoad> {
     let one = |(id, load): (&Rc<str>, &Load)| EndpointLoad {
         endpoint: id.to_string(),
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -6,6 +6,7 @@
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::{AvoidedEndpoint, Endpoint},
+    reported_loads,
 };
 use dragonflyrill_protocol::{
     MAX_FRAME,
@@ -27,7 +28,7 @@
 };
 
 use super::{
-    PeerReport, add, avoided_from_wire, avoided_to_wire, from_wire, limits, row_writes, suspects,
+    PeerReport, avoided_from_wire, avoided_to_wire, from_wire, limits, row_writes, suspects,
     to_wire,
 };
 use crate::gateway::Gateway;
@@ -100,12 +101,11 @@
     let read_age = offer.read_age_us.map(Duration::from_micros);
     let report = PeerReport {
         from: offer.from.clone(),
-        loads: from_wire(&offer.loads),
         avoided: avoided_from_wire(&offer.avoided),
         read_at: read_age.and_then(|age| now.checked_sub(age)),
         received_at: now,
     };
-    peers.record_report(report);
+    peers.record_report(report, from_wire(&offer.loads));
     suspects::merge(gateway, &offer.suspects);
     let limits = limits::answer(gateway, &offer.from, &offer.limits);
     let store_fails = gateway.store_reads_fail();
@@ -198,16 +198,18 @@
 
 /// The loads caused by all hosts except `host`.
 fn loads_except(gateway: &Gateway, host: &str) -> LoadMap {
-    let mut sum = gateway.peers.sum_loads(gateway.now(), |h, _| h != host);
-    add(&mut sum, gateway.loads.borrow().own());
+    let now = gateway.now();
+    let mut sum = gateway.peers.loads.borrow_mut().sum_except(host, now);
+    reported_loads::add(&mut sum, gateway.loads.borrow().own());
     sum
 }
 
 /// The loads caused by the hosts of this data centre.
 pub(super) fn own_data_centre_loads(gateway: &Gateway) -> LoadMap {
     let near = &*gateway.settings.data_centre;
-    let mut sum = gateway.peers.sum_loads(gateway.now(), |_, d| d == near);
-    add(&mut sum, gateway.loads.borrow().own());
+    let now = gateway.now();
+    let mut sum = gateway.peers.loads.borrow_mut().sum_of(near, now);
+    reported_loads::add(&mut sum, gateway.loads.borrow().own());
     sum
 }
 
