Chains are searched only in data centres in which something has changed

Cause: the chains of all data centres were kept under one generation of the directory.

Change: the chains of a data centre are kept with what they depend on of its endpoints, and searched again only if that differs. A catalogue that states other figures of the engine is noticed as well now. The chains are the same.

Evidence: a test counts searches at 5, 20 and 80 data centres, one for each change, and compares the chains with those of a new search; what it tests did not exist before.

--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -120,7 +120,7 @@
 }
 
 /// Performance model of the model engines of a service.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
     /// Number of layers of the model.
     pub layers: u32,
@@ -179,7 +179,7 @@
 }
 
 /// A kind of accelerator.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Accelerator {
     /// Name of the accelerator kind.
     pub name: Rc<str>,
--- a/crates/fleet/src/chains.rs
+++ b/crates/fleet/src/chains.rs
@@ -6,6 +6,9 @@
 //! possible. Chains are computed when the set of endpoints changes, not per request: first the
 //! fastest chain of a data centre, then the fastest chain that avoids endpoints already in use, and
 //! so on until no new endpoint is used.
+//!
+//! [`ChainFinder`] searches only the data centres in which something has changed: a fleet of
+//! thousands of endpoints changes several times a second, and requests wait for the search.
 
 use std::{
     fmt,
@@ -100,7 +103,7 @@
 }
 
 /// Performance parameters of an endpoint that holds layers.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct LayerHolder {
     /// Layers that the endpoint holds.
     pub(crate) layers: LayerRange,
@@ -210,26 +213,120 @@
     engine: &Engine,
     endpoints: impl Iterator<Item = (&'a Endpoint, f64)>,
 ) -> Vec<Chain> {
-    let holders =
-        endpoints.filter_map(|(e, slowdown_factor)| endpoint_holder(engine, e, slowdown_factor));
-    let mut holders: Vec<EndpointHolder<'a>> = holders.collect();
-    // The order breaks ties and must be the same on all hosts.
-    holders.sort_by(|a, b| a.endpoint.id.cmp(&b.endpoint.id));
-    let mut data_centres: Vec<Rc<str>> = holders
-        .iter()
-        .map(|h| h.endpoint.data_centre.clone())
-        .collect();
-    data_centres.sort();
-    data_centres.dedup();
-    let mut chains = Vec::new();
-    for data_centre in data_centres {
-        let (local, rest): (Vec<_>, Vec<_>) = holders
-            .into_iter()
-            .partition(|h| h.endpoint.data_centre == data_centre);
-        find_in_data_centre(engine, &data_centre, &local, &mut chains);
-        holders = rest;
+    ChainFinder::default().find(engine, endpoints)
+}
+
+/// What the chains of a data centre depend on, of one endpoint.
+#[derive(Debug, PartialEq)]
+struct SearchedHolder {
+    id: Rc<str>,
+    name: Rc<str>,
+    addr: SocketAddr,
+    layer_holder: LayerHolder,
+}
+
+impl SearchedHolder {
+    fn is(&self, holder: &EndpointHolder<'_>) -> bool {
+        let endpoint = holder.endpoint;
+        self.layer_holder == holder.layer_holder
+            && self.id == endpoint.id
+            && self.name == endpoint.name
+            && self.addr == endpoint.addr
+    }
+}
+
+impl From<&EndpointHolder<'_>> for SearchedHolder {
+    fn from(holder: &EndpointHolder<'_>) -> Self {
+        Self {
+            id: holder.endpoint.id.clone(),
+            name: holder.endpoint.name.clone(),
+            addr: holder.endpoint.addr,
+            layer_holder: holder.layer_holder,
+        }
+    }
+}
+
+/// The chains of a data centre, and the endpoints among which they were found.
+#[derive(Debug)]
+struct SearchedDataCentre {
+    name: Rc<str>,
+    holders: Vec<SearchedHolder>,
+    chains: Vec<Chain>,
+}
+
+impl SearchedDataCentre {
+    fn is_current(&self, name: &str, holders: &[EndpointHolder<'_>]) -> bool {
+        let mut both = self.holders.iter().zip(holders);
+        *self.name == *name
+            && self.holders.len() == holders.len()
+            && both.all(|(searched, holder)| searched.is(holder))
+    }
+}
+
+/// Finds chains, and keeps those of data centres in which nothing has changed.
+#[derive(Debug, Default)]
+pub struct ChainFinder {
+    engine: Option<Engine>,
+    searched: Vec<SearchedDataCentre>,
+    searches: u64,
+}
+
+impl ChainFinder {
+    /// Finds the chains through the given endpoints like [`find`].
+    pub fn find<'a>(
+        &mut self,
+        engine: &Engine,
+        endpoints: impl Iterator<Item = (&'a Endpoint, f64)>,
+    ) -> Vec<Chain> {
+        if self.engine.as_ref() != Some(engine) {
+            self.engine = Some(engine.clone());
+            self.searched.clear();
+        }
+        let holders = endpoints
+            .filter_map(|(e, slowdown_factor)| endpoint_holder(engine, e, slowdown_factor));
+        let mut holders: Vec<EndpointHolder<'a>> = holders.collect();
+        // The order breaks ties and must be the same on all hosts.
+        holders.sort_by(|a, b| {
+            let (a, b) = (a.endpoint, b.endpoint);
+            a.data_centre.cmp(&b.data_centre).then(a.id.cmp(&b.id))
+        });
+        let before = std::mem::take(&mut self.searched);
+        for local in holders.chunk_by(|a, b| a.endpoint.data_centre == b.endpoint.data_centre) {
+            let name = &local[0].endpoint.data_centre;
+            let known = before.iter().find(|s| s.is_current(name, local));
+            let chains = match known {
+                Some(known) => known.chains.clone(),
+                None => self.search(engine, name, local),
+            };
+            self.searched.push(SearchedDataCentre {
+                name: name.clone(),
+                holders: local.iter().map(SearchedHolder::from).collect(),
+                chains,
+            });
+        }
+        self.searched
+            .iter()
+            .flat_map(|s| &s.chains)
+            .cloned()
+            .collect()
+    }
+
+    /// Number of data centres that were searched so far.
+    pub fn searches(&self) -> u64 {
+        self.searches
+    }
+
+    fn search(
+        &mut self,
+        engine: &Engine,
+        data_centre: &Rc<str>,
+        holders: &[EndpointHolder<'_>],
+    ) -> Vec<Chain> {
+        self.searches += 1;
+        let mut chains = Vec::new();
+        find_in_data_centre(engine, data_centre, holders, &mut chains);
+        chains
     }
-    chains
 }
 
 fn endpoint_holder<'a>(
--- a/crates/fleet/tests/chains.rs
+++ b/crates/fleet/tests/chains.rs
@@ -4,8 +4,9 @@
 
 use common::{candidates_of_33, endpoint, engine, placed};
 use dragonflyrill_fleet::{
-    chains::{self, Chain},
+    chains::{self, Chain, ChainFinder},
     endpoints::Endpoint,
+    layers::LayerRange,
     placement,
 };
 use proptest::prelude::*;
@@ -120,3 +121,52 @@
     assert!(uses("g", 1.0) && uses("g", 2.0));
     assert!(uses("h", 12.0));
 }
+
+/// Guards against a search for chains of the whole fleet whenever one endpoint changes.
+#[test]
+fn only_data_centres_in_which_something_has_changed_are_searched() {
+    for data_centres in [5, 20, 80u64] {
+        let mut endpoints: Vec<Endpoint> = (0..data_centres)
+            .flat_map(|n| {
+                let centre = format!("dc{n:02}");
+                [
+                    endpoint(&format!("{centre}a"), &centre, "a100", 0, 40),
+                    endpoint(&format!("{centre}b"), &centre, "a100", 40, 80),
+                ]
+            })
+            .collect();
+        let mut finder = ChainFinder::default();
+        let all = |endpoints: &[Endpoint], finder: &mut ChainFinder| {
+            let found = finder.find(&engine(), endpoints.iter().map(|e| (e, 1.0)));
+            assert_eq!(
+                found,
+                chains::find(&engine(), endpoints.iter().map(|e| (e, 1.0)))
+            );
+            finder.searches()
+        };
+        assert_eq!(all(&endpoints, &mut finder), data_centres);
+        assert_eq!(all(&endpoints, &mut finder), data_centres);
+        endpoints[0].layers = LayerRange::new(0, 50);
+        assert_eq!(all(&endpoints, &mut finder), data_centres + 1);
+        endpoints.pop();
+        assert_eq!(all(&endpoints, &mut finder), data_centres + 2);
+        endpoints[2].addr = ([127, 0, 0, 1], 1).into();
+        assert_eq!(all(&endpoints, &mut finder), data_centres + 3);
+        let mut changed = engine();
+        changed.step_ms *= 2.0;
+        finder.find(&changed, endpoints.iter().map(|e| (e, 1.0)));
+        assert_eq!(finder.searches(), 2 * data_centres + 3);
+    }
+}
+
+#[test]
+fn a_data_centre_with_a_slower_endpoint_is_searched_again() {
+    let endpoints = [
+        endpoint("e1", "a", "a100", 0, 40),
+        endpoint("e2", "a", "a100", 40, 80),
+    ];
+    let mut finder = ChainFinder::default();
+    finder.find(&engine(), endpoints.iter().map(|e| (e, 1.0)));
+    finder.find(&engine(), endpoints.iter().map(|e| (e, 3.0)));
+    assert_eq!(finder.searches(), 2);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use dragonflyrill_fleet::{
     budget::BudgetState,
     catalogue::{Catalogue, Engine, Service},
-    chains::{self, Chain},
+    chains::{Chain, ChainFinder},
     choice::Loads,
     endpoint_limits::EndpointLimits,
     endpoints::Directory,
@@ -75,10 +75,13 @@
 }
 
 /// The chains of one service in one state of the directory.
+#[derive(Default)]
 struct CachedChains {
-    generation: u64,
+    /// The generation of the directory; `None` before the first search.
+    generation: Option<u64>,
     expires_at: Option<Duration>,
     chains: Rc<Vec<Chain>>,
+    finder: ChainFinder,
 }
 
 /// The state of an entry host.
@@ -375,23 +378,18 @@
         let now = self.now();
         let directory = self.directory.borrow();
         let mut cache = self.chain_cache.borrow_mut();
-        if let Some(cached) = cache.get(service) {
-            let expired = cached.expires_at.is_some_and(|t| t <= now);
-            if cached.generation == directory.generation() && !expired {
-                return cached.chains.clone();
-            }
+        let cached = cache.entry(service.clone()).or_default();
+        let expired = cached.expires_at.is_some_and(|t| t <= now);
+        if cached.generation == Some(directory.generation()) && !expired {
+            return cached.chains.clone();
         }
         let usable = directory
             .iter()
             .filter(|e| e.service == *service && directory.usable(&e.id, now));
         let with_slowdown = usable.map(|e| (&**e, directory.slowdown_factor(&e.id, now)));
-        let chains = Rc::new(chains::find(engine, with_slowdown));
-        let entry = CachedChains {
-            generation: directory.generation(),
-            expires_at: directory.next_expiry(now),
-            chains: chains.clone(),
-        };
-        cache.insert(service.clone(), entry);
-        chains
+        cached.chains = Rc::new(cached.finder.find(engine, with_slowdown));
+        cached.generation = Some(directory.generation());
+        cached.expires_at = directory.next_expiry(now);
+        cached.chains.clone()
     }
 }
