Rows that wait after a conflict are always written, and none too late

- A call that a full batch had caused, and that ended with a conflict, put the other rows back after the task that gathers rows had ended.
Nothing wrote them then, nor later ones, until the batch was full again.
Each task now writes until no row waits.
- A gathered row could be sent four seconds after its claim was drafted, and a write without an answer may take effect 12 s after it was sent: more than the 15 s that a claim must still have left.
Rows are sent within two seconds of their draft, and gathered for 1.5 s.

Evidence: a_row_that_another_writer_has_changed_does_not_keep_others_from_being_renewed passes; it did not fail before, as eight rows do not fill a batch. Tests of decisions and of the retry budget pass.

--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -29,9 +29,14 @@
 /// the check and the sending of the request.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(2);
 
-/// A claim is renewed without interruption only while at least this much of it is left. A write without an
-/// answer may take effect some 12 s later, and must not make a claim look uninterrupted that had expired in
-/// the meantime.
+/// How long after a claim was drafted its row may be sent to the store, by this host or by one that writes the
+/// rows of several hosts.
+pub const MAX_SUBMISSION_DELAY: Duration = Duration::from_secs(2);
+
+/// A claim is renewed without interruption only while at least this much of it is left. A row may be sent
+/// [`MAX_SUBMISSION_DELAY`] after it was drafted, by a clock that is a second ahead, and a write without an
+/// answer may take effect some 12 s later. It must not make a claim look uninterrupted that had expired in the
+/// meantime.
 const LATE_WRITE_MARGIN: Duration = Duration::from_secs(15);
 
 /// The part of a bound that a host may use by itself, without a lease. Only for bounds where exceeding them
--- a/crates/gateway/src/peers/row_writes.rs
+++ b/crates/gateway/src/peers/row_writes.rs
@@ -9,7 +9,10 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::write_batch::{PendingWrite, WriteBatch};
+use dragonflyrill_fleet::{
+    share::MAX_SUBMISSION_DELAY,
+    write_batch::{PendingWrite, WriteBatch},
+};
 use dragonflyrill_protocol::exchange::{RowWriteRequest, RowWriteResponse};
 use dragonflyrill_store::PlatformError;
 use tarpc::context;
@@ -23,11 +26,9 @@
 };
 
 /// How long rows are gathered before they are written.
-const GATHER_TIME: Duration = Duration::from_secs(2);
-/// How long after its request a row may be written.
-const MAX_WRITE_DELAY: Duration = Duration::from_secs(4);
+const GATHER_TIME: Duration = Duration::from_millis(1500);
 /// How long a host waits for the outcome: the gathering and a call to the store.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A row that is to be written, and who waits for the outcome.
 struct SubmittedRow {
@@ -65,7 +66,7 @@
     if first {
         actix_rt::spawn(write_gathered(gateway.clone()));
     } else if full {
-        actix_rt::spawn(write_one_call(gateway.clone()));
+        actix_rt::spawn(write_all(gateway.clone()));
     }
     // The sender is dropped only if this process ends.
     outcome.await.unwrap_or(RowWriteResponse::Unknown)
@@ -73,13 +74,18 @@
 
 async fn write_gathered(gateway: Rc<Gateway>) {
     time::sleep(GATHER_TIME).await;
+    write_all(gateway).await;
+}
+
+/// Writes the waiting rows, and those of a call that are submitted once more because of a conflict.
+async fn write_all(gateway: Rc<Gateway>) {
     while !gateway.peers.row_writes.0.borrow().is_empty() {
-        write_one_call(gateway.clone()).await;
+        write_one_call(&gateway).await;
     }
 }
 
 /// Writes as many of the waiting rows as one call takes.
-async fn write_one_call(gateway: Rc<Gateway>) {
+async fn write_one_call(gateway: &Gateway) {
     let batch = &gateway.peers.row_writes.0;
     let now = gateway.now();
     // Without the store's clock it is unknown whether a row is still to be written.
@@ -96,7 +102,7 @@
         value: write.row.value.clone(),
         expected: write.expected,
     });
-    match host_row::write_rows(&gateway, rows.collect()).await {
+    match host_row::write_rows(gateway, rows.collect()).await {
         Ok(RowsWriteOutcome::Done(version)) => {
             respond_all(next.writes, &RowWriteResponse::Done(version));
         }
@@ -139,7 +145,7 @@
     let host = gateway
         .peers
         .first_available(&settings.data_centre, me, now)?;
-    let not_after = gateway.bounds.store_clock(now)? + MAX_WRITE_DELAY;
+    let not_after = gateway.bounds.store_clock(now)? + MAX_SUBMISSION_DELAY;
     let request = RowWriteRequest {
         host: settings.host.clone(),
         value: value.to_owned(),
