A refused call for many rows does not cause a call for each of them

- If the store refused the call of the polled host, each host whose row was in it wrote its row itself at the same moment.
It does so after a while now, at a random time.
- A record of retries that was due, but whose time had not come, ended the wait for a routine write, which was then submitted again, some ten times a second for up to ten seconds in a fleet of a thousand.
Only a record whose time has come ends the wait.

Neither case has a test of its own.

--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -124,7 +124,10 @@
     heartbeat_at: Option<Duration>,
     /// The write for hosts that wait to be counted.
     join: JoinWrite,
+    /// Refusals of writes in a row.
     refused: RefusedWrites,
+    /// The polled host could not write this host's row the last time, so that this host writes it itself.
+    writes_alone: bool,
     /// Nothing is written before this time, as the store has refused a write for its rate.
     refused_until: Duration,
     /// The time of the next write that permits more retries.
@@ -152,6 +155,7 @@
         heartbeat_at: None,
         join: JoinWrite::default(),
         refused: RefusedWrites::default(),
+        writes_alone: false,
         refused_until: Duration::ZERO,
         record_at: None,
         shutdown_recorded: false,
@@ -167,7 +171,7 @@
         writer.check_store();
         if let Some(urgency) = writer.due() {
             match writer.write(urgency).await {
-                Ok(WriteResult::Superseded) => continue,
+                Ok(WriteResult::Superseded | WriteResult::Deferred) => continue,
                 Ok(WriteResult::Answered) => {
                     writer.refused.reset();
                     backoff.reset(&gateway);
@@ -257,8 +261,10 @@
                 () = time::sleep(CHECK_INTERVAL) => {}
             }
             let now = gateway.now();
-            let due = gateway.bounds.record_due(now) || self.persistence_due(now);
-            if gateway.is_shutting_down() || due {
+            // The time of a record that has just become due is not set yet.
+            let record =
+                gateway.bounds.record_due(now) && self.record_at.is_none_or(|at| at <= now);
+            if gateway.is_shutting_down() || record || self.persistence_due(now) {
                 return;
             }
         }
@@ -386,7 +392,15 @@
                 self.heartbeat_at = Some(now);
                 return Ok(WriteResult::Superseded);
             }
+            WrittenRow::Refused => {
+                let pause = self.heartbeat_interval().mul_f64(RETRY_FRACTION);
+                self.heartbeat_at = Some(gateway.now() + pause.mul_f64(rand::rng().random()));
+                self.join.record_write();
+                self.writes_alone = true;
+                return Ok(WriteResult::Deferred);
+            }
         }
+        self.writes_alone = false;
         self.join.record_write();
         self.record_at = None;
         Ok(WriteResult::Answered)
@@ -401,7 +415,7 @@
         urgency: Urgency,
     ) -> Result<WrittenRow, PlatformError> {
         let gateway = &self.gateway;
-        if urgency == Urgency::Routine {
+        if urgency == Urgency::Routine && !self.writes_alone {
             let written = tokio::select! {
                 written = peer_writes::write_by_polled_host(gateway, row, expected) => written,
                 () = self.superseded() => return Ok(WrittenRow::Superseded),
@@ -411,7 +425,8 @@
                 Some(RowWriteResponse::Conflict(version)) => {
                     return Ok(WrittenRow::Conflict(version));
                 }
-                Some(RowWriteResponse::NotWritten | RowWriteResponse::Unknown) | None => {}
+                Some(RowWriteResponse::NotWritten) => return Ok(WrittenRow::Refused),
+                Some(RowWriteResponse::Unknown) | None => {}
             }
         }
         let key = row_key(&gateway.settings.host);
@@ -449,6 +464,9 @@
     Conflict(u64),
     /// The row may be written later by the polled host. A newer content is to be written at once.
     Superseded,
+    /// The polled host has not written the row. If the store has refused its call, it would refuse those of all
+    /// hosts whose rows were in it as well.
+    Refused,
 }
 
 /// Whether a write of the row was answered.
@@ -457,6 +475,8 @@
     Answered,
     /// The row is due again at once, with another content.
     Superseded,
+    /// The row is due again after a while.
+    Deferred,
 }
 
 /// The description of this host that other hosts receive.
--- a/crates/gateway/src/peers/row_writes.rs
+++ b/crates/gateway/src/peers/row_writes.rs
@@ -132,8 +132,8 @@
     let _ = row.answer.send(response);
 }
 
-/// Has this host's row written by the host that it polls. `None` if there is no such host, or if it has not answered
-/// that the row was written or has another version: this host then writes the row itself.
+/// Has this host's row written by the host that it polls. `None` if there is no such host, or if it has not answered:
+/// this host then writes the row itself.
 pub(crate) async fn write_by_polled_host(
     gateway: &Gateway,
     value: &str,
@@ -159,10 +159,5 @@
         cx.deadline = std::time::Instant::now() + ANSWER_TIMEOUT;
         client.write_row(cx, request).await.ok()
     };
-    let answer = time::timeout(ANSWER_TIMEOUT, answer).await.ok()??;
-    matches!(
-        answer,
-        RowWriteResponse::Done(_) | RowWriteResponse::Conflict(_)
-    )
-    .then_some(answer)
+    time::timeout(ANSWER_TIMEOUT, answer).await.ok()?
 }
