--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -7,6 +7,7 @@
 use crate::{
     incarnations::{Incarnations, StartTime, Verdict},
     layers::LayerRange,
+    stated_availability::{RequestedBackoff, StatedAvailability},
 };
 
 /// One incarnation of an endpoint, as listed by the platform.
@@ -86,6 +87,15 @@
     pub remaining: Duration,
 }
 
+/// The statement of an endpoint by which it accepts no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StatedRefusal {
+    /// It is draining.
+    Draining,
+    /// It accepts none for this time.
+    Backoff(Duration),
+}
+
 /// Effect of an entry on the directory.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PutOutcome {
@@ -127,6 +137,7 @@
     /// Ids among the removed ones whose incarnations are known to have ended.
     superseded: FxHashSet<Rc<str>>,
     incarnations: Incarnations,
+    stated: StatedAvailability,
     /// Changes up to this version can no longer be listed individually.
     forgotten_version: u64,
 }
@@ -370,6 +381,32 @@
         self.endpoints.get(id).is_some_and(|e| !e.draining)
     }
 
+    /// Records that an endpoint has stated that it is draining; returns whether that is new.
+    pub fn record_stated_draining(&mut self, id: &str, now: Duration) -> bool {
+        self.stated.record_draining(id, now)
+    }
+
+    /// Records that an endpoint has stated that it accepts no new work for a while; returns whether it
+    /// accepted work before.
+    pub fn record_backoff(&mut self, id: &str, backoff: RequestedBackoff, now: Duration) -> bool {
+        self.stated.record_backoff(id, backoff, now)
+    }
+
+    /// The statement by which an endpoint accepts no new work now.
+    pub fn stated_refusal(&self, id: &str, now: Duration) -> Option<StatedRefusal> {
+        if self.stated.is_draining(id) {
+            return Some(StatedRefusal::Draining);
+        }
+        let remaining = self.stated.remaining_backoff(id, now);
+        (!remaining.is_zero()).then_some(StatedRefusal::Backoff(remaining))
+    }
+
+    /// Removes statements of endpoints that no longer apply.
+    pub fn expire_statements(&mut self, now: Duration) {
+        let endpoints = &self.endpoints;
+        self.stated.expire(|id| endpoints.contains_key(id), now);
+    }
+
     /// Records that an endpoint failed, or refused a request that it should have accepted.
     pub fn record_failure(&mut self, id: &str, now: Duration) {
         if !self.endpoints.contains_key(id) {
@@ -442,6 +479,13 @@
         }
     }
 
+    /// Whether this host avoids an endpoint because of what it has observed itself.
+    pub fn is_avoided(&self, id: &str, now: Duration) -> bool {
+        self.observations
+            .get(id)
+            .is_some_and(|seen| seen.avoid_until > now)
+    }
+
     /// Records a successful response of an endpoint.
     pub fn record_success(&mut self, id: &str) {
         if let Some(seen) = self.observations.get_mut(id) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! - [`catalogue`] holds routes, services, workspaces and their keys, as one immutable version.
 //! - [`endpoints`] holds the known endpoints and determines which of them may get new work;
-//!   [`incarnations`] distinguishes the incarnations of an endpoint.
+//!   [`incarnations`] distinguishes the incarnations of an endpoint, and [`stated_availability`] holds what
+//!   endpoints state in their answers about new work.
 //! - [`placement`] decides which endpoint holds which layers; [`leader_lease`] decides which host may
 //!   order it.
 //! - [`layers`] has ranges of the layers of a model; [`chains`] finds chains of endpoints that cover all
@@ -49,6 +50,7 @@
 pub mod reported_loads;
 pub mod row_writes;
 pub mod share;
+pub mod stated_availability;
 pub mod store_access;
 pub mod token_bucket;
 pub mod write_batch;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -189,14 +189,16 @@
     if result.is_ok() {
         gateway.record_answer(admitted.fingerprint());
     }
-    let mut directory = gateway.directory.borrow_mut();
+    let directory = &gateway.directory;
     match &result {
         Ok(complete) if complete.answer.head.status.is_server_error() => {
-            directory.record_error(&endpoint.id, gateway.now());
+            let now = gateway.now();
+            directory.borrow_mut().record_error(&endpoint.id, now);
         }
-        Ok(_) => directory.record_success(&endpoint.id),
+        Ok(_) => gateway.record_endpoint_success(&endpoint.id),
         Err(DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_)) => {
-            directory.record_failure(&endpoint.id, gateway.now())
+            let now = gateway.now();
+            directory.borrow_mut().record_failure(&endpoint.id, now);
         }
         _ => {}
     }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -117,6 +117,7 @@
     if !gateway.try_acquire_permits(target.endpoint_ids) {
         return Err(DispatchError::NotSent(LIMIT_REACHED.to_owned()));
     }
+    gateway.count_unwanted_send(target.endpoint_ids);
     target.sending.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
@@ -167,7 +168,11 @@
     elapsed: Duration,
 ) -> Result<Answer, DispatchError> {
     let head = &answer.head;
-    // This check comes first: the answer to another request says nothing about this one.
+    // Another incarnation may listen at the address, and a later one refuses the requests of an earlier one.
+    if !facts.misdirected {
+        gateway.record_availability(target.id, facts.availability);
+    }
+    // The answer to another request says nothing more about this one.
     if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
         return Err(DispatchError::MayHaveRun(
             "the answer belongs to another request".to_owned(),
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -321,11 +321,8 @@
             .await?;
         if let RunEnd::Complete(_) = end {
             gateway.record_answer(self.admitted.fingerprint());
-            let mut directory = gateway.directory.borrow_mut();
-            chain
-                .stages
-                .iter()
-                .for_each(|p| directory.record_success(&p.id));
+            let stages = chain.stages.iter();
+            stages.for_each(|p| gateway.record_endpoint_success(&p.id));
         }
         Ok(end)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 //!
 //! All tasks run on one thread, so the state needs no locks; no borrow is held across an await.
 
+mod availability;
 mod limits;
 mod listing;
 mod reading;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,14 @@
     pub permits_refused: IntCounter,
     /// Answers that state a limit that can't be parsed.
     pub unreadable_limits: IntCounter,
+    /// Answers by which endpoints request a backoff.
+    pub backoffs: IntCounter,
+    /// Answers that request a backoff that can't be parsed.
+    pub unreadable_backoffs: IntCounter,
+    /// Dispatches to endpoints that have stated that they accept no new work, by what they stated.
+    pub unwanted_sends: IntCounterVec,
+    /// Successes that ended the avoidance of an endpoint early.
+    pub avoidances_ended: IntCounter,
     /// The age of the freshness proof of the catalogue.
     pub proof_age_seconds: Gauge,
     /// The time since the store last answered this host or the host that it polls.
@@ -207,6 +215,23 @@
                 "unreadable_limits_total",
                 "Answers that name a limit that can't be read",
             ),
+            backoffs: counter(
+                "backoffs_requested_total",
+                "Answers by which endpoints request a backoff",
+            ),
+            unreadable_backoffs: counter(
+                "unreadable_backoffs_total",
+                "Answers that request a backoff that can't be read",
+            ),
+            unwanted_sends: vector(
+                "unwanted_sends_total",
+                "Requests sent to endpoints that accept no new work by their answers",
+                &["stated"],
+            ),
+            avoidances_ended: counter(
+                "avoidances_ended_total",
+                "Successes that ended the avoidance of an endpoint early",
+            ),
             proof_age_seconds: seconds(
                 "proof_age_seconds",
                 "Age of the proof that the catalogue is the newest",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -79,6 +79,7 @@
     loop {
         let started_at = time::Instant::now();
         follower.gateway.expire_limits();
+        follower.gateway.expire_availability();
         follower.poll().await;
         let interval = match follower.gateway.store_answer_age() {
             None => STARTUP_POLL_INTERVAL,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     catalogue::Catalogue, endpoint_limits::RequestRate, endpoints::Endpoint,
-    incarnations::StartTime, layers::LayerRange,
+    incarnations::StartTime, layers::LayerRange, stated_availability::RequestedBackoff,
 };
 use dragonflyrill_store::PlatformError;
 use futures_util::future::LocalBoxFuture;
@@ -65,6 +65,29 @@
     pub encoded: bool,
     /// The request rate that the endpoint states it accepts.
     pub limit: StatedLimit,
+    /// What the endpoint states about new work of this host.
+    pub availability: AnswerAvailability,
+}
+
+/// What an endpoint's answer states about new work.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct AnswerAvailability {
+    /// The endpoint is draining.
+    pub draining: bool,
+    /// The time for which it accepts nothing from this host.
+    pub backoff: StatedBackoff,
+}
+
+/// The backoff that an answer requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedBackoff {
+    /// The answer requests none.
+    #[default]
+    None,
+    /// The answer requests this one.
+    For(RequestedBackoff),
+    /// The answer requests one that can't be parsed.
+    Unreadable,
 }
 
 /// The limit that an answer states on the requests a second that its endpoint accepts from all hosts together.
