An endpoint that requests a backoff gets nothing until it ends

A host avoided an endpoint for a time of its own, 0.15 s with little memory left, else 0.4 s and doubling; a success of a run that began before the refusal cleared that; an avoided endpoint was chosen where there was no other, and its state was lost with its entry. The class: a statement of the other side about itself, replaced by a guess that weaker evidence could overwrite.

Change: a requested backoff is a statement of an incarnation, kept apart from what a host observes. The one that ends last applies, and nothing else ends it: no success, no delisting, no lack of other endpoints. Every way to an endpoint asks for it: the choice of calls and of chains, the last check before bytes leave (what was planned or has waited), polls of probes, of placing and of engines that were unresponsive, orders. Where a later stage refuses through the first one both are left alone. A caller whose request waits for backoffs only is refused at once and told when the first of them ends.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -87,15 +87,6 @@
     pub remaining: Duration,
 }
 
-/// The statement of an endpoint by which it accepts no new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StatedRefusal {
-    /// It is draining.
-    Draining,
-    /// It accepts none for this time.
-    Backoff(Duration),
-}
-
 /// Effect of an entry on the directory.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PutOutcome {
@@ -151,6 +142,8 @@
     pub avoided: i64,
     /// Endpoints that have announced that they are draining.
     pub draining: i64,
+    /// Endpoints that have stated that they accept no new work for a while.
+    pub backing_off: i64,
 }
 
 /// Changes of a list of endpoints.
@@ -330,18 +323,33 @@
             match (endpoint.draining, self.usable(&endpoint.id, now)) {
                 (true, _) => counts.draining += 1,
                 (false, true) => counts.usable += 1,
-                (false, false) => counts.avoided += 1,
+                (false, false) if self.accepts_work(&endpoint.id, now) => counts.avoided += 1,
+                (false, false) => counts.backing_off += 1,
             }
         }
         counts
     }
 
-    /// Whether an endpoint may get new work.
+    /// Whether an endpoint may get new work, and neither this host nor hosts nearby avoid it.
     pub fn usable(&self, id: &str, now: Duration) -> bool {
-        let listed = self.endpoints.get(id).is_some_and(|e| !e.draining);
         let avoided_until = self.observations.get(id).map(|s| s.avoid_until);
         let peer_until = self.peer_avoided.get(id).copied();
-        listed && avoided_until.max(peer_until).is_none_or(|t| t <= now)
+        self.accepts_work(id, now) && avoided_until.max(peer_until).is_none_or(|t| t <= now)
+    }
+
+    /// Whether an endpoint is active and not in a backoff. Unlike avoidance, a backoff binds even if there is no
+    /// other endpoint.
+    pub fn accepts_work(&self, id: &str, now: Duration) -> bool {
+        self.is_active(id) && self.remaining_backoff(id, now).is_zero()
+    }
+
+    /// The shortest time until the backoff of an active endpoint of a service ends; `None` if none has one.
+    pub fn shortest_backoff(&self, service: &str, now: Duration) -> Option<Duration> {
+        let active = self
+            .iter()
+            .filter(|e| &*e.service == service && !e.draining);
+        let backoffs = active.map(|e| self.remaining_backoff(&e.id, now));
+        backoffs.filter(|remaining| !remaining.is_zero()).min()
     }
 
     /// Returns the endpoints that are avoided because of what this host itself observed.
@@ -389,16 +397,19 @@
     /// Records that an endpoint has stated that it accepts no new work for a while; returns whether it
     /// accepted work before.
     pub fn record_backoff(&mut self, id: &str, backoff: RequestedBackoff, now: Duration) -> bool {
-        self.stated.record_backoff(id, backoff, now)
+        let began = self.stated.record_backoff(id, backoff, now);
+        self.generation += u64::from(began);
+        began
     }
 
-    /// The statement by which an endpoint accepts no new work now.
-    pub fn stated_refusal(&self, id: &str, now: Duration) -> Option<StatedRefusal> {
-        if self.stated.is_draining(id) {
-            return Some(StatedRefusal::Draining);
-        }
-        let remaining = self.stated.remaining_backoff(id, now);
-        (!remaining.is_zero()).then_some(StatedRefusal::Backoff(remaining))
+    /// Whether an endpoint has stated that it is draining.
+    pub fn has_stated_draining(&self, id: &str) -> bool {
+        self.stated.is_draining(id)
+    }
+
+    /// The rest of an endpoint's backoff; zero if it has none.
+    pub fn remaining_backoff(&self, id: &str, now: Duration) -> Duration {
+        self.stated.remaining_backoff(id, now)
     }
 
     /// Removes statements of endpoints that no longer apply.
@@ -503,12 +514,13 @@
         }
     }
 
-    /// Returns the next time at which an endpoint stops being avoided or stops counting as slow.
+    /// Returns the next time at which an endpoint stops being avoided or slow, or its backoff ends.
     pub fn next_expiry(&self, now: Duration) -> Option<Duration> {
         let seen = self.observations.values().map(|s| s.avoid_until);
         let slow = self.observations.values().filter_map(|s| s.slowdown);
         let seen = seen.chain(slow.map(|(_, until)| until));
         let later = seen.chain(self.peer_avoided.values().copied());
+        let later = later.chain(self.stated.backoff_ends());
         later.filter(|t| *t > now).min()
     }
 
@@ -532,7 +544,7 @@
     /// Selects the endpoint of a plain service for one request: the least loaded one, preferring
     /// the own data centre.
     ///
-    /// An avoided endpoint is selected only if there is no other.
+    /// An avoided endpoint is selected only if there is no other, and one that accepts no work never.
     pub fn pick(
         &self,
         service: &str,
@@ -541,7 +553,9 @@
         now: Duration,
     ) -> Option<Rc<Endpoint>> {
         let fits = |e: &&Rc<Endpoint>| {
-            &*e.service == service && !e.draining && !tried.iter().any(|t| *t == e.id)
+            &*e.service == service
+                && self.accepts_work(&e.id, now)
+                && !tried.iter().any(|t| *t == e.id)
         };
         let rank = |e: &Rc<Endpoint>| {
             let avoided = !self.usable(&e.id, now);
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -20,7 +20,7 @@
 
 use super::tenure::{LeaseState, Tenure};
 use crate::{
-    gateway::Gateway,
+    gateway::{EnginePoll, Gateway},
     http::call::CallError,
     ports::{EngineReport, OrderAnswer},
 };
@@ -190,13 +190,11 @@
         endpoints: &'a [Rc<Endpoint>],
     ) -> Vec<(&'a Rc<Endpoint>, Option<EngineReport>)> {
         let gateway = &self.gateway;
-        let report = async |e: &Endpoint| {
-            if !gateway.try_acquire_permits(&[&e.id]) {
-                return None;
-            }
-            let report = gateway.platform.engines.report(e.addr);
-            time::timeout(CALL_TIMEOUT, report).await.ok()?.ok()
-        };
+        let report =
+            async |e: &Endpoint| match gateway.poll_engine(&e.id, e.addr, CALL_TIMEOUT).await {
+                EnginePoll::Report(report) => Some(report),
+                EnginePoll::Silent | EnginePoll::Withheld => None,
+            };
         let report = &report;
         stream::iter(endpoints)
             .map(|e| async move { (e, report(e).await) })
@@ -214,15 +212,12 @@
                 return None;
             }
             let _pending = lease.begin_order();
-            let engines = &gateway.platform.engines;
-            let placed = engines.place(
-                order.endpoint.addr,
-                order.layers,
-                Some(order.expected_orders),
-            );
-            let outcome = time::timeout(CALL_TIMEOUT, placed).await;
-            let timed_out = || CallError::Unknown("no answer in time".to_owned());
-            Some((order, outcome.unwrap_or_else(|_| Err(timed_out()))))
+            let Endpoint { id, addr, .. } = &*order.endpoint;
+            let (layers, orders) = (order.layers, order.expected_orders);
+            let outcome = gateway
+                .order_engine(id, *addr, layers, orders, CALL_TIMEOUT)
+                .await?;
+            Some((order, outcome))
         };
         let outcomes: Vec<(Order, Result<OrderAnswer, CallError>)> = stream::iter(orders)
             .map(give)
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -1,5 +1,7 @@
 //! What is known about a request after failed dispatches.
 
+use std::time::Duration;
+
 use super::{refusal::Refusal, send::DispatchError};
 
 /// The failed attempts to dispatch one request.
@@ -39,6 +41,14 @@
         }
     }
 
+    /// Records that no attempt can be made until a backoff ends. This replaces the refusals of endpoints: the caller is
+    /// to return when one accepts work again.
+    pub(super) fn record_backoff(&mut self, remaining: Duration) {
+        if !self.may_have_run {
+            self.refusal = Refusal::Backoff(remaining);
+        }
+    }
+
     /// Records a failed attempt.
     pub(super) fn record_failed_attempt(&mut self, error: DispatchError) {
         self.dispatches += u32::from(!matches!(error, DispatchError::NotSent(_)));
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -133,8 +133,8 @@
     may_retry && complete.answer.head.status.is_server_error()
 }
 
-/// Selects the endpoint of the next dispatch. If there is none and endpoints lack permits, `attempts` records this
-/// as the reason.
+/// Selects the endpoint of the next dispatch. If there is none because endpoints lack permits, or because all of them
+/// are in a backoff, `attempts` records this as the reason.
 fn pick(
     gateway: &Gateway,
     admitted: &AdmittedRequest,
@@ -146,11 +146,19 @@
     let excluded = [tried, &without_permit].concat();
     let near = &gateway.settings.data_centre;
     let directory = gateway.directory.borrow();
-    let picked = directory.pick(service, near, &excluded, gateway.now());
-    if picked.is_none() && !without_permit.is_empty() {
+    let now = gateway.now();
+    let picked = directory.pick(service, near, &excluded, now);
+    if picked.is_some() {
+        return picked;
+    }
+    if !without_permit.is_empty() {
         attempts.record_not_sent(Refusal::AtLimit);
+    } else if directory.pick(service, near, &[], now).is_none()
+        && let Some(remaining) = gateway.shortest_backoff(service)
+    {
+        attempts.record_backoff(remaining);
     }
-    picked
+    None
 }
 
 async fn attempt(
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -17,7 +17,7 @@
 use rustc_hash::FxHashMap;
 use tokio::{sync::watch, time};
 
-use crate::{gateway::Gateway, ports::EngineReport};
+use crate::gateway::{EnginePoll, Gateway};
 
 /// The timeout of a call. The answer needs no slot of the engine and the network takes 1 ms at most; the rest
 /// allows for busy hosts. With this timeout, all hosts know within 0.1 s that a stage is unresponsive.
@@ -111,10 +111,10 @@
         return;
     }
     let reply = call_twice(gateway, stage).await;
-    if let Reply::Withheld = reply {
+    if let EnginePoll::Withheld = reply {
         return;
     }
-    if let Reply::Report(report) = reply {
+    if let EnginePoll::Report(report) = reply {
         gateway.apply_engine_report(&stage.id, &report);
         let now = gateway.now();
         prober.schedule.borrow_mut().record_answer(&stage.id, now);
@@ -169,44 +169,26 @@
     }
 }
 
-/// The result of a call to an endpoint.
-enum Reply {
-    /// The endpoint reported its state.
-    Report(EngineReport),
-    /// The endpoint did not answer, or the call failed.
-    Silent,
-    /// The call was not made, because the limit stated by the endpoint leaves no permit. Nothing is known about the
-    /// endpoint.
-    Withheld,
-}
-
 /// Calls an endpoint once.
-async fn call(gateway: &Gateway, id: &Rc<str>, addr: SocketAddr) -> Reply {
-    if !gateway.try_acquire_permits(&[id]) {
-        return Reply::Withheld;
-    }
-    let report = gateway.platform.engines.report(addr);
-    match time::timeout(CALL_TIMEOUT, report).await {
-        Ok(Ok(report)) => Reply::Report(report),
-        Ok(Err(_)) | Err(_) => Reply::Silent,
-    }
+async fn call(gateway: &Gateway, id: &Rc<str>, addr: SocketAddr) -> EnginePoll {
+    gateway.poll_engine(id, addr, CALL_TIMEOUT).await
 }
 
 /// Calls a stage twice, the second time after a delay. The result is silent only if neither call is answered.
-async fn call_twice(gateway: &Gateway, stage: &Stage) -> Reply {
+async fn call_twice(gateway: &Gateway, stage: &Stage) -> EnginePoll {
     let first = std::pin::pin!(call(gateway, &stage.id, stage.addr));
     let second = std::pin::pin!(async {
         time::sleep(SECOND_CALL_DELAY).await;
         call(gateway, &stage.id, stage.addr).await
     });
     let (answered, other) = future::select(first, second).await.factor_first();
-    if let Reply::Report(report) = answered {
-        return Reply::Report(report);
+    if let EnginePoll::Report(report) = answered {
+        return EnginePoll::Report(report);
     }
     match (answered, other.await) {
-        (_, Reply::Report(report)) => Reply::Report(report),
-        (Reply::Silent, Reply::Silent) => Reply::Silent,
-        _ => Reply::Withheld,
+        (_, EnginePoll::Report(report)) => EnginePoll::Report(report),
+        (EnginePoll::Silent, EnginePoll::Silent) => EnginePoll::Silent,
+        _ => EnginePoll::Withheld,
     }
 }
 
@@ -220,8 +202,8 @@
             return;
         }
         let report = match call(&gateway, &endpoint.id, endpoint.addr).await {
-            Reply::Report(report) => Some(report),
-            Reply::Silent | Reply::Withheld => None,
+            EnginePoll::Report(report) => Some(report),
+            EnginePoll::Silent | EnginePoll::Withheld => None,
         };
         if let Some(report) = &report {
             gateway.apply_engine_report(&endpoint.id, report);
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -37,6 +37,9 @@
     NoEndpoint(&'static str),
     /// The endpoints that could run the request state limits that are used up; it was not run.
     AtLimit,
+    /// The endpoints that could run the request accept no work, the first of them again after this time; it was not
+    /// run.
+    Backoff(Duration),
     /// The request is quarantined for this long, because endpoints terminated while they ran it; this attempt
     /// was not run.
     EndsEndpoints(Duration),
@@ -58,6 +61,7 @@
             | Self::Stale
             | Self::NoEndpoint(_)
             | Self::AtLimit
+            | Self::Backoff(_)
             | Self::EndsEndpoints(_)
             | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -74,6 +78,7 @@
             // Another host accepts the request at once.
             Self::Leaving => Some(MAX_OTHER_HOST_DELAY.mul_f64(draw)),
             Self::EndsEndpoints(remaining) => Some(*remaining),
+            Self::Backoff(remaining) => Some(*remaining + RETRY_DELAY_SPREAD.mul_f64(draw)),
             // Layers must be loaded first, or other requests must end.
             Self::NoEndpoint(_) => Some(NO_ENDPOINT_DELAY + NO_ENDPOINT_DELAY_SPREAD.mul_f64(draw)),
             _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -61,10 +61,17 @@
 }
 
 impl Target<'_> {
-    /// An endpoint that has become inactive since it was chosen.
-    fn inactive_endpoint(&self, directory: &Directory) -> Option<&Rc<str>> {
+    /// An endpoint that no longer accepts work, though it did when it was chosen.
+    fn unavailable_endpoint(&self, directory: &Directory, now: Duration) -> Option<&Rc<str>> {
         let mut endpoint_ids = self.endpoint_ids.iter().copied();
-        endpoint_ids.find(|id| !directory.is_active(id))
+        endpoint_ids.find(|id| !directory.accepts_work(id, now))
+    }
+
+    /// The later stage of the chain that listens at an address.
+    fn later_stage(&self, addr: SocketAddr) -> Option<&Rc<str>> {
+        let stages = self.chain.iter().zip(self.endpoint_ids).skip(1);
+        let mut at = stages.filter(|((stage, _), _)| *stage == addr);
+        at.next().map(|(_, id)| *id)
     }
 
     /// The error of a dispatch that is abandoned: the request may have run from the first byte sent on.
@@ -111,8 +118,9 @@
             "the request is quarantined".to_owned(),
         ));
     }
-    if let Some(id) = target.inactive_endpoint(&gateway.directory.borrow()) {
-        return Err(DispatchError::NotSent(format!("{id} is no longer active")));
+    let unavailable = target.unavailable_endpoint(&gateway.directory.borrow(), gateway.now());
+    if let Some(id) = unavailable {
+        return Err(DispatchError::NotSent(format!("{id} accepts no work")));
     }
     if !gateway.try_acquire_permits(target.endpoint_ids) {
         return Err(DispatchError::NotSent(LIMIT_REACHED.to_owned()));
@@ -171,6 +179,9 @@
     // Another incarnation may listen at the address, and a later one refuses the requests of an earlier one.
     if !facts.misdirected {
         gateway.record_availability(target.id, facts.availability);
+        if let Some(id) = facts.failed_endpoint.and_then(|at| target.later_stage(at)) {
+            gateway.record_backoff(id, facts.availability.backoff);
+        }
     }
     // The answer to another request says nothing more about this one.
     if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -202,6 +202,10 @@
         let Some(Choice { index, estimate }) = chosen else {
             if !chains.is_empty() && !without_permit.is_empty() {
                 self.attempts.record_not_sent(Refusal::AtLimit);
+            } else if chains.is_empty()
+                && let Some(remaining) = gateway.shortest_backoff(&self.admitted.service.name)
+            {
+                self.attempts.record_backoff(remaining);
             }
             return None;
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 //! All tasks run on one thread, so the state needs no locks; no borrow is held across an await.
 
 mod availability;
+mod engine_calls;
 mod limits;
 mod listing;
 mod reading;
@@ -37,6 +38,7 @@
     time::{self, Instant},
 };
 
+pub(crate) use self::engine_calls::EnginePoll;
 use self::listing::IgnoredEntry;
 use crate::{
     bounds::SharedBounds,
@@ -234,6 +236,7 @@
             ("usable", states.usable),
             ("avoided", states.avoided),
             ("leaving", states.draining),
+            ("backoff", states.backing_off),
         ] {
             metrics.endpoints.with_label_values(&[state]).set(n);
         }
@@ -374,7 +377,7 @@
     }
 
     /// The chains of a service's usable endpoints. They are cached until the directory changes or
-    /// an endpoint stops being avoided or stops counting as slow.
+    /// an endpoint becomes usable or stops counting as slow.
     pub fn chains(&self, service: &Rc<str>, engine: &Engine) -> Rc<Vec<Chain>> {
         let now = self.now();
         let directory = self.directory.borrow();
--- a/crates/gateway/src/gateway/availability.rs
+++ b/crates/gateway/src/gateway/availability.rs
@@ -1,8 +1,6 @@
 //! What endpoints state in their answers about new work, as this host knows it.
 
-use std::rc::Rc;
-
-use dragonflyrill_fleet::endpoints::StatedRefusal;
+use std::{rc::Rc, time::Duration};
 
 use super::Gateway;
 use crate::ports::{AnswerAvailability, StatedBackoff};
@@ -10,23 +8,41 @@
 impl Gateway {
     /// Records what an endpoint's answer states about new work.
     pub(crate) fn record_availability(&self, id: &str, stated: AnswerAvailability) {
-        let (mut directory, now) = (self.directory.borrow_mut(), self.now());
-        if stated.draining && directory.record_stated_draining(id, now) {
+        if stated.draining {
+            self.record_stated_draining(id);
+        }
+        self.record_backoff(id, stated.backoff);
+    }
+
+    fn record_stated_draining(&self, id: &str) {
+        let mut directory = self.directory.borrow_mut();
+        if directory.record_stated_draining(id, self.now()) {
             log::info!(target: "fleet", endpoint = id; "Endpoint states that it is draining.");
         }
-        match stated.backoff {
-            StatedBackoff::None => {}
-            StatedBackoff::For(backoff) => {
-                self.metrics.backoffs.inc();
-                let seconds = backoff.duration().as_secs_f64();
-                if directory.record_backoff(id, backoff, now) {
-                    log::info!(target: "fleet", endpoint = id, seconds = seconds; "Endpoint requests a backoff.");
-                }
-            }
-            StatedBackoff::Unreadable => self.metrics.unreadable_backoffs.inc(),
+    }
+
+    /// Records the backoff that an endpoint requests, with its own answer or through the first stage of a chain.
+    pub(crate) fn record_backoff(&self, id: &str, stated: StatedBackoff) {
+        let backoff = match stated {
+            StatedBackoff::None => return,
+            StatedBackoff::For(backoff) => backoff,
+            StatedBackoff::Unreadable => return self.metrics.unreadable_backoffs.inc(),
+        };
+        self.metrics.backoffs.inc();
+        let mut directory = self.directory.borrow_mut();
+        if directory.record_backoff(id, backoff, self.now()) {
+            let seconds = backoff.duration().as_secs_f64();
+            log::info!(target: "fleet", endpoint = id, seconds = seconds; "Endpoint requests a backoff.");
         }
     }
 
+    /// The time until the first endpoint of a service ends its backoff; `None` if none is in one.
+    pub(crate) fn shortest_backoff(&self, service: &str) -> Option<Duration> {
+        self.directory
+            .borrow()
+            .shortest_backoff(service, self.now())
+    }
+
     /// Removes statements that no longer apply.
     pub(crate) fn expire_availability(&self) {
         self.directory.borrow_mut().expire_statements(self.now());
@@ -35,18 +51,18 @@
     /// Counts a dispatch to endpoints of which one has stated that it accepts no new work.
     pub(crate) fn count_unwanted_send(&self, ids: &[&Rc<str>]) {
         let (directory, now) = (self.directory.borrow(), self.now());
-        let refusals = ids
-            .iter()
-            .filter_map(|id| directory.stated_refusal(id, now));
-        for refusal in refusals {
-            let label = match refusal {
-                StatedRefusal::Draining => "leaving",
-                StatedRefusal::Backoff(_) => "backoff",
-            };
+        let unwanted = |label: &str| {
             self.metrics
                 .unwanted_sends
                 .with_label_values(&[label])
-                .inc();
+                .inc()
+        };
+        if ids.iter().any(|id| directory.has_stated_draining(id)) {
+            unwanted("leaving");
+        }
+        let backs_off = |id: &&Rc<str>| !directory.remaining_backoff(id, now).is_zero();
+        if ids.iter().any(backs_off) {
+            unwanted("backoff");
         }
     }
 
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -78,10 +78,7 @@
     /// of the known entry, the known incarnation has ended, and the endpoint is listed as it is
     /// reported.
     pub fn apply_engine_report(self: &Rc<Self>, id: &str, report: &EngineReport) {
-        let known = self.directory.borrow().get(id).cloned();
-        let Some(known) =
-            known.filter(|e| e.started_at.is_some() && report.started_at > e.started_at)
-        else {
+        let Some(known) = self.ended_incarnation(id, report) else {
             return;
         };
         self.list_endpoint(Endpoint {
@@ -93,6 +90,20 @@
         });
     }
 
+    /// The known incarnation `id` of an engine, if the report is of a later one.
+    fn ended_incarnation(&self, id: &str, report: &EngineReport) -> Option<Rc<Endpoint>> {
+        let known = self.directory.borrow().get(id).cloned();
+        known.filter(|e| e.started_at.is_some() && report.started_at > e.started_at)
+    }
+
+    /// The id of the incarnation that made a report when `id` was polled.
+    pub(super) fn reporting_incarnation(&self, id: &Rc<str>, report: &EngineReport) -> Rc<str> {
+        match self.ended_incarnation(id, report) {
+            Some(ended) => incarnations::id(&ended.name, report.started_at),
+            None => id.clone(),
+        }
+    }
+
     /// Ignores an entry that describes no usable endpoint, and removes the endpoint that was listed
     /// under the same name. Requests that run there go on.
     pub fn ignore_entry(&self, entry: UnusableEntry) {
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -83,6 +83,8 @@
 pub struct Answer {
     /// Its status.
     pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
 }
@@ -133,7 +135,8 @@
                 }
             })?;
         let unknown = |e: AnswerError| CallError::Unknown(e.to_string());
-        let head = connection.read_head().await.map_err(unknown)?;
+        let mut head = connection.read_head().await.map_err(unknown)?;
+        let headers = std::mem::take(&mut head.headers);
         let body = connection
             .read_body(MAX_ANSWER_BYTES)
             .await
@@ -143,6 +146,7 @@
         }
         Ok(Answer {
             status: head.status,
+            headers,
             body,
         })
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -325,6 +325,15 @@
     pub started_at: Option<StartTime>,
 }
 
+/// The outcome of a call to an engine.
+#[derive(Debug)]
+pub struct EngineReply<T> {
+    /// The content of its answer.
+    pub result: Result<T, CallError>,
+    /// What its answer states about new work; nothing if there was no answer.
+    pub availability: AnswerAvailability,
+}
+
 /// Calls to model engines.
 pub trait Engines {
     /// Orders an engine to hold exactly these layers. If `orders` is set, the engine refuses unless it has started that
@@ -334,7 +343,7 @@
         addr: SocketAddr,
         layers: LayerRange,
         orders: Option<u64>,
-    ) -> LocalBoxFuture<'_, Result<OrderAnswer, CallError>>;
+    ) -> LocalBoxFuture<'_, EngineReply<OrderAnswer>>;
     /// Reads an engine's state.
-    fn report(&self, addr: SocketAddr) -> LocalBoxFuture<'_, Result<EngineReport, CallError>>;
+    fn report(&self, addr: SocketAddr) -> LocalBoxFuture<'_, EngineReply<EngineReport>>;
 }
