An endpoint that states in an answer that it is draining gets no more work

What callers and operators would have seen: an endpoint whose answers say that it leaves, and whose entry doesn't or not yet, went on getting calls, streams, resumes and stages of chains from the host that had passed such an answer on.

The class is that of the requested backoff: what an endpoint says of itself was left to weaker, later evidence.

Change: the first answer of any kind that states it, to a request, a poll or an order, makes the incarnation draining in this host's directory. The statement is kept over removals of the entry, and for ten minutes while there is none, as an entry may come back after a partition or an outage of the store. It is part of the list, so that hosts that poll this one stop as well. An answer of another incarnation (421) states nothing about the endpoint.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -189,7 +189,8 @@
 
     /// Applies a new or changed entry.
     ///
-    /// An incarnation that was draining stays draining. An endpoint that was removed must respond
+    /// An incarnation that was draining stays draining, and so does one that has stated it in an answer, even if it
+    /// was removed in between. An endpoint that was removed must respond
     /// before it gets any work: entries delayed by a network partition arrive long after the
     /// endpoint has ended, and would list it for seconds.
     pub fn put(&mut self, mut endpoint: Endpoint, now: Duration) -> PutOutcome {
@@ -204,6 +205,7 @@
         };
         let known = self.endpoints.get(&endpoint.id);
         endpoint.draining |= known.is_some_and(|old| old.draining);
+        endpoint.draining |= self.stated.is_draining(&endpoint.id);
         if known.is_some_and(|old| **old == endpoint) {
             return PutOutcome::Unchanged;
         }
@@ -389,9 +391,17 @@
         self.endpoints.get(id).is_some_and(|e| !e.draining)
     }
 
-    /// Records that an endpoint has stated that it is draining; returns whether that is new.
+    /// Records that an endpoint has stated that it is draining; returns whether that is new. From now on its entry
+    /// counts as draining too, so that hosts that receive this list do not use the endpoint either.
     pub fn record_stated_draining(&mut self, id: &str, now: Duration) -> bool {
-        self.stated.record_draining(id, now)
+        let new = self.stated.record_draining(id, now);
+        if let Some(listed) = self.endpoints.get_mut(id).filter(|e| !e.draining) {
+            Rc::make_mut(listed).draining = true;
+            self.generation += 1;
+            self.list_version += 1;
+            self.changed_at.insert(listed.id.clone(), self.list_version);
+        }
+        new
     }
 
     /// Records that an endpoint has stated that it accepts no new work for a while; returns whether it
--- a/crates/fleet/src/stated_availability.rs
+++ b/crates/fleet/src/stated_availability.rs
@@ -8,7 +8,8 @@
 
 use rustc_hash::FxHashMap;
 
-/// How long the statement of a draining endpoint is kept after it was last made, if the endpoint is not listed.
+/// How long the statement of a draining endpoint is kept while the endpoint is not listed. Its entry may come back,
+/// and it ends within seconds.
 const UNLISTED_DRAINING_TTL: Duration = Duration::from_secs(600);
 
 /// The time for which an endpoint accepts no new work. Invariant: representable as a [`Duration`].
@@ -40,7 +41,7 @@
 /// The statements of endpoints, by the id of the incarnation.
 #[derive(Debug, Default)]
 pub struct StatedAvailability {
-    /// When each draining endpoint last stated that it is draining.
+    /// When each draining endpoint last stated that it is draining, or was last listed.
     draining: FxHashMap<Rc<str>, Duration>,
     /// When the backoffs of endpoints end.
     backoffs: FxHashMap<Rc<str>, Duration>,
@@ -81,7 +82,11 @@
     /// Removes backoffs that have ended, and old statements of endpoints that are not listed.
     pub fn expire(&mut self, listed: impl Fn(&str) -> bool, now: Duration) {
         self.backoffs.retain(|_, until| *until > now);
-        self.draining
-            .retain(|id, stated_at| listed(id) || *stated_at + UNLISTED_DRAINING_TTL > now);
+        self.draining.retain(|id, seen_at| {
+            if listed(id) {
+                *seen_at = now;
+            }
+            *seen_at + UNLISTED_DRAINING_TTL > now
+        });
     }
 }
--- a/crates/fleet/tests/stated_availability.rs
+++ b/crates/fleet/tests/stated_availability.rs
@@ -1,4 +1,5 @@
-//! Tests that endpoints get no new work within the backoffs that they request.
+//! Tests that endpoints get no new work within the backoffs that they request, or once they have stated that they are
+//! draining.
 
 mod common;
 
@@ -6,7 +7,8 @@
 
 use common::{endpoint, ms};
 use dragonflyrill_fleet::{
-    endpoints::{AvoidedEndpoint, Directory, Endpoint},
+    endpoints::{AvoidedEndpoint, Directory, Endpoint, PutOutcome},
+    incarnations::{self, StartTime},
     stated_availability::{RequestedBackoff, StatedAvailability},
 };
 use proptest::prelude::*;
@@ -176,3 +178,49 @@
         }
     }
 }
+
+#[test]
+fn an_endpoint_that_states_that_it_is_draining_stays_so_whatever_its_entries_say() {
+    let mut directory = Directory::default();
+    directory.put(app("x"), ms(0));
+    let version = directory.changes_since(None).version;
+    assert!(directory.record_stated_draining("x", ms(10)));
+    assert!(!directory.record_stated_draining("x", ms(20)));
+    let changes = directory.changes_since(Some(version));
+    assert!(changes.changed[0].draining, "other hosts receive it");
+    assert_eq!(directory.put(app("x"), ms(30)), PutOutcome::Unchanged);
+    directory.remove("x");
+    directory.expire_statements(ms(40));
+    directory.put(app("x"), ms(50));
+    assert!(!directory.is_active("x"));
+    assert_eq!(directory.counts(ms(60)).draining, 1);
+}
+
+#[test]
+fn the_statement_of_a_draining_endpoint_is_kept_while_it_is_listed_and_for_a_while_after() {
+    let mut stated = StatedAvailability::default();
+    stated.record_draining("x", ms(0));
+    stated.expire(|_| true, ms(3_600_000));
+    assert!(stated.is_draining("x"));
+    stated.expire(|_| false, ms(3_600_000 + 599_000));
+    assert!(stated.is_draining("x"));
+    stated.expire(|_| false, ms(3_600_000 + 601_000));
+    assert!(!stated.is_draining("x"));
+}
+
+#[test]
+fn the_next_incarnation_of_an_endpoint_makes_its_own_statements() {
+    let started = |at: u64| Endpoint {
+        id: incarnations::id("x", Some(StartTime(at))),
+        name: "x".into(),
+        started_at: Some(StartTime(at)),
+        ..app("x")
+    };
+    let mut directory = Directory::default();
+    let (first, second) = (started(1), started(2));
+    directory.put(first.clone(), ms(0));
+    directory.record_stated_draining(&first.id, ms(10));
+    directory.record_backoff(&first.id, backoff(3000), ms(10));
+    directory.put(second.clone(), ms(20));
+    assert!(directory.accepts_work(&second.id, ms(20)));
+}
