The answer of another incarnation does not limit the expected endpoint

An answer with status 421 may be of another incarnation that listens at the address; a limit in it was recorded for the endpoint to which the request was addressed, and spread to all hosts, until that endpoint answered without one. Nothing is read from such answers now.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -176,20 +176,16 @@
     elapsed: Duration,
 ) -> Result<Answer, DispatchError> {
     let head = &answer.head;
-    // Another incarnation may listen at the address, and a later one refuses the requests of an earlier one.
-    if !facts.misdirected {
-        gateway.record_availability(target.id, facts.availability);
-        if let Some(id) = facts.failed_endpoint.and_then(|at| target.later_stage(at)) {
-            gateway.record_backoff(id, facts.availability.backoff);
-        }
-    }
+    record_availability(gateway, target, facts);
     // The answer to another request says nothing more about this one.
     if facts.attempt.is_some() && facts.attempt != admitted.incoming.attempt {
         return Err(DispatchError::MayHaveRun(
             "the answer belongs to another request".to_owned(),
         ));
     }
-    gateway.record_stated_limit(target.id, facts);
+    if !facts.misdirected {
+        gateway.record_stated_limit(target.id, facts);
+    }
     if facts.not_run || facts.misdirected {
         let at = facts.failed_endpoint.unwrap_or(target.addr);
         record_refusal_by(gateway, at, facts.misdirected, elapsed);
@@ -205,6 +201,18 @@
     Ok(answer)
 }
 
+/// Records what an answer states about new work, for the endpoint that gave it and the later stage that made it refuse.
+fn record_availability(gateway: &Gateway, target: &Target<'_>, facts: &AnswerMetadata) {
+    // Another incarnation that listens at the address refuses the requests of the expected one.
+    if facts.misdirected {
+        return;
+    }
+    gateway.record_availability(target.id, facts.availability);
+    if let Some(id) = facts.failed_endpoint.and_then(|at| target.later_stage(at)) {
+        gateway.record_backoff(id, facts.availability.backoff);
+    }
+}
+
 /// Records a refusal, so that the endpoint gets no requests for a while: for longer if it is not the expected
 /// incarnation or does not respond, and briefly if only its memory is full.
 fn record_refusal_by(gateway: &Gateway, at: SocketAddr, misdirected: bool, elapsed: Duration) {
