--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -412,11 +412,6 @@
         began
     }
 
-    /// Whether an endpoint has stated that it is draining.
-    pub fn has_stated_draining(&self, id: &str) -> bool {
-        self.stated.is_draining(id)
-    }
-
     /// The rest of an endpoint's backoff; zero if it has none.
     pub fn remaining_backoff(&self, id: &str, now: Duration) -> Duration {
         self.stated.remaining_backoff(id, now)
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -125,7 +125,6 @@
     if !gateway.try_acquire_permits(target.endpoint_ids) {
         return Err(DispatchError::NotSent(LIMIT_REACHED.to_owned()));
     }
-    gateway.count_unwanted_send(target.endpoint_ids);
     target.sending.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target);
--- a/crates/gateway/src/gateway/availability.rs
+++ b/crates/gateway/src/gateway/availability.rs
@@ -1,6 +1,6 @@
 //! What endpoints state in their answers about new work, as this host knows it.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use super::Gateway;
 use crate::ports::{AnswerAvailability, StatedBackoff};
@@ -48,24 +48,6 @@
         self.directory.borrow_mut().expire_statements(self.now());
     }
 
-    /// Counts a dispatch to endpoints of which one has stated that it accepts no new work.
-    pub(crate) fn count_unwanted_send(&self, ids: &[&Rc<str>]) {
-        let (directory, now) = (self.directory.borrow(), self.now());
-        let unwanted = |label: &str| {
-            self.metrics
-                .unwanted_sends
-                .with_label_values(&[label])
-                .inc()
-        };
-        if ids.iter().any(|id| directory.has_stated_draining(id)) {
-            unwanted("leaving");
-        }
-        let backs_off = |id: &&Rc<str>| !directory.remaining_backoff(id, now).is_zero();
-        if ids.iter().any(backs_off) {
-            unwanted("backoff");
-        }
-    }
-
     /// Records that an endpoint answered a request successfully.
     pub(crate) fn record_endpoint_success(&self, id: &str) {
         let mut directory = self.directory.borrow_mut();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,8 +99,6 @@
     pub backoffs: IntCounter,
     /// Answers that request a backoff that can't be parsed.
     pub unreadable_backoffs: IntCounter,
-    /// Dispatches to endpoints that have stated that they accept no new work, by what they stated.
-    pub unwanted_sends: IntCounterVec,
     /// Successes that ended the avoidance of an endpoint early.
     pub avoidances_ended: IntCounter,
     /// The age of the freshness proof of the catalogue.
@@ -223,11 +221,6 @@
                 "unreadable_backoffs_total",
                 "Answers that request a backoff that can't be read",
             ),
-            unwanted_sends: vector(
-                "unwanted_sends_total",
-                "Requests sent to endpoints that accept no new work by their answers",
-                &["stated"],
-            ),
             avoidances_ended: counter(
                 "avoidances_ended_total",
                 "Successes that ended the avoidance of an endpoint early",
