An engine that breaks a run off is asked when it started

Cause: where an engine restarts at once its port stays open, so that only its next entry, some 0.3 s later, showed that it had terminated. Until then the broken run was known to the memory of one process.

Change: the check of an engine that broke a run off polls its report, in which it says when it started; a later start is a termination, which is counted and reported at once. All runs that break off there share the poll. Plain services have no report and stay as they were.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -34,7 +34,7 @@
 
 /// Forwards a call and relays its answer.
 pub(super) async fn forward(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
     out: &mut Responder<'_>,
 ) -> Result<(), ForwardError> {
@@ -61,7 +61,7 @@
 ///
 /// An answer with a server error is returned if no later attempt yields a better one.
 async fn fetch_answer(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
 ) -> Result<CompleteAnswer, Refusal> {
     let mut tried: Vec<Rc<str>> = Vec::new();
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -3,12 +3,12 @@
 //! A connection that ends before the end of an answer may have been reset by the network, or the endpoint may
 //! have dropped this request only. If the process has terminated, its port is closed, and a new connection to it is
 //! refused at once. A missing response proves nothing, since a partition looks the same. Nor does an accepted
-//! connection prove that the same process is running: its next incarnation may already listen there, which becomes
-//! known when it is listed.
+//! connection prove that the same process is running: its next incarnation may already listen there. An engine reports
+//! when it started, so that it is polled; of a plain service this becomes known when the incarnation is listed.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::ServiceConfig;
+use dragonflyrill_fleet::endpoints::Endpoint;
 use futures_util::{
     FutureExt,
     future::{LocalBoxFuture, Shared},
@@ -16,13 +16,16 @@
 use rustc_hash::FxHashMap;
 
 use super::{AdmittedRequest, send::DispatchError};
-use crate::{gateway::Gateway, http::connection};
+use crate::{
+    gateway::{EnginePoll, Gateway},
+    http::connection,
+};
 
-/// How long to wait for a connection to be refused. The network takes 1 ms at most, and the request waits
-/// meanwhile.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long to wait for a connection to be refused, and for an engine's report. The network takes 1 ms at most, and the
+/// request waits meanwhile.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// A check of the address of an endpoint: true if connections to it are refused.
+/// A check of an endpoint: true if its incarnation has terminated.
 type TerminationCheck = Shared<LocalBoxFuture<'static, bool>>;
 
 /// Checks of endpoints that may have terminated. All requests that run at an endpoint fail together when it
@@ -31,13 +34,13 @@
 pub struct TerminationChecks(RefCell<FxHashMap<Rc<str>, TerminationCheck>>);
 
 impl TerminationChecks {
-    fn check(&self, gateway: &Gateway, id: &Rc<str>, addr: SocketAddr) -> TerminationCheck {
+    fn check(&self, gateway: &Rc<Gateway>, id: &Rc<str>, addr: SocketAddr) -> TerminationCheck {
         let mut checks = self.0.borrow_mut();
         // A negative result may change, so it is not kept. A termination is final.
         let directory = gateway.directory.borrow();
         checks.retain(|id, check| check.peek() != Some(&false) && directory.get(id).is_some());
         let new = || {
-            is_port_closed(addr, gateway.codec.clone())
+            has_terminated(gateway.clone(), id.clone(), addr)
                 .boxed_local()
                 .shared()
         };
@@ -45,11 +48,32 @@
     }
 }
 
-async fn is_port_closed(addr: SocketAddr, config: ServiceConfig) -> bool {
-    let opened = connection::open_within(addr, &config, REFUSAL_TIMEOUT).await;
+async fn has_terminated(gateway: Rc<Gateway>, id: Rc<str>, addr: SocketAddr) -> bool {
+    is_port_closed(&gateway, addr).await || is_replaced(&gateway, &id, addr).await
+}
+
+async fn is_port_closed(gateway: &Gateway, addr: SocketAddr) -> bool {
+    let opened = connection::open_within(addr, &gateway.codec, CHECK_TIMEOUT).await;
     opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// Whether a later incarnation of an engine reports at its address.
+async fn is_replaced(gateway: &Rc<Gateway>, id: &Rc<str>, addr: SocketAddr) -> bool {
+    let reports_start = |e: &Rc<Endpoint>| e.accelerator.is_some() && e.started_at.is_some();
+    if !gateway
+        .directory
+        .borrow()
+        .get(id)
+        .is_some_and(reports_start)
+    {
+        return false;
+    }
+    if let EnginePoll::Report(report) = gateway.poll_engine(id, addr, CHECK_TIMEOUT).await {
+        gateway.apply_engine_report(id, &report);
+    }
+    gateway.directory.borrow().has_ended(id)
+}
+
 /// An endpoint that ran a request, or a stage of it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RunEndpoint<'a> {
@@ -62,7 +86,7 @@
 /// Where an endpoint may have terminated, the broken run is recorded, so that it counts once the termination is
 /// known.
 pub(super) async fn record_terminations(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
     endpoints: &[RunEndpoint<'_>],
     error: &DispatchError,
