--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -128,6 +128,7 @@
     /// Ids among the removed ones whose incarnations are known to have ended.
     superseded: FxHashSet<Rc<str>>,
     incarnations: Incarnations,
+    /// What endpoints state of themselves. Nothing that this host observes changes it.
     stated: StatedAvailability,
     /// Changes up to this version can no longer be listed individually.
     forgotten_version: u64,
@@ -190,9 +191,8 @@
     /// Applies a new or changed entry.
     ///
     /// An incarnation that was draining stays draining, and so does one that has stated it in an answer, even if it
-    /// was removed in between. An endpoint that was removed must respond
-    /// before it gets any work: entries delayed by a network partition arrive long after the
-    /// endpoint has ended, and would list it for seconds.
+    /// was removed in between. An endpoint that was removed must respond before it gets any work: entries delayed by
+    /// a network partition arrive long after the endpoint has ended, and would list it for seconds.
     pub fn put(&mut self, mut endpoint: Endpoint, now: Duration) -> PutOutcome {
         let (replaced, relisted) = match self.incarnations.classify(&endpoint) {
             Verdict::Current { replaced, relisted } => (replaced, relisted),
