--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -322,6 +322,15 @@
         self.idle.put(addr, connection, max_idle as usize);
     }
 
+    /// Records that an endpoint answered a request successfully.
+    pub(crate) fn record_endpoint_success(&self, id: &str) {
+        let mut directory = self.directory.borrow_mut();
+        if directory.is_avoided(id, self.now()) {
+            self.metrics.avoidances_ended.inc();
+        }
+        directory.record_success(id);
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &Rc<str>) {
         self.bounds.count_request(service, self.now());
--- a/crates/gateway/src/gateway/availability.rs
+++ b/crates/gateway/src/gateway/availability.rs
@@ -47,13 +47,4 @@
     pub(crate) fn expire_availability(&self) {
         self.directory.borrow_mut().expire_statements(self.now());
     }
-
-    /// Records that an endpoint answered a request successfully.
-    pub(crate) fn record_endpoint_success(&self, id: &str) {
-        let mut directory = self.directory.borrow_mut();
-        if directory.is_avoided(id, self.now()) {
-            self.metrics.avoidances_ended.inc();
-        }
-        directory.record_success(id);
-    }
 }
