--- a/crates/fleet/src/stated_availability.rs
+++ b/crates/fleet/src/stated_availability.rs
@@ -8,8 +8,8 @@
 
 use rustc_hash::FxHashMap;
 
-/// How long the statement of a draining endpoint is kept while the endpoint is not listed. Its entry may come back,
-/// and it ends within seconds.
+/// How long the statement of a draining endpoint is kept while the endpoint is not listed. A delayed entry may list it
+/// again; a draining endpoint terminates within seconds.
 const UNLISTED_DRAINING_TTL: Duration = Duration::from_secs(600);
 
 /// The time for which an endpoint accepts no new work. Invariant: representable as a [`Duration`].
