--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -139,8 +139,10 @@
 pub struct EndpointCounts {
     /// Endpoints that may get new work.
     pub usable: i64,
-    /// Endpoints that failed and get no new work for a limited time.
+    /// Endpoints that get no new work for a limited time, because they failed this host or hosts nearby.
     pub avoided: i64,
+    /// Those of the avoided endpoints that this host itself has no reason to avoid.
+    pub peer_avoided: i64,
     /// Endpoints that have announced that they are draining.
     pub draining: i64,
     /// Endpoints that have stated that they accept no new work for a while.
@@ -325,7 +327,10 @@
             match (endpoint.draining, self.usable(&endpoint.id, now)) {
                 (true, _) => counts.draining += 1,
                 (false, true) => counts.usable += 1,
-                (false, false) if self.accepts_work(&endpoint.id, now) => counts.avoided += 1,
+                (false, false) if self.accepts_work(&endpoint.id, now) => {
+                    counts.avoided += 1;
+                    counts.peer_avoided += i64::from(!self.is_avoided(&endpoint.id, now));
+                }
                 (false, false) => counts.backing_off += 1,
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,7 +24,7 @@
     chains::{Chain, ChainFinder},
     choice::Loads,
     endpoint_limits::EndpointLimits,
-    endpoints::Directory,
+    endpoints::{Directory, EndpointCounts},
     freshness::Freshness,
     outage::StoreOutage,
     quarantine::Quarantine,
@@ -235,6 +235,7 @@
         for (state, n) in [
             ("usable", states.usable),
             ("avoided", states.avoided),
+            ("avoided_by_others", states.peer_avoided),
             ("leaving", states.draining),
             ("backoff", states.backing_off),
         ] {
@@ -400,9 +401,27 @@
             .iter()
             .filter(|e| e.service == *service && directory.usable(&e.id, now));
         let with_slowdown = usable.map(|e| (&**e, directory.slowdown_factor(&e.id, now)));
+        let had_chains = !cached.chains.is_empty();
         cached.chains = Rc::new(cached.finder.find(engine, with_slowdown));
+        if had_chains && cached.chains.is_empty() {
+            log_no_chain(service, directory.counts(now));
+        }
         cached.generation = Some(directory.generation());
         cached.expires_at = directory.next_expiry(now);
         cached.chains.clone()
     }
 }
+
+/// Logs that a service has lost its last chain, and why endpoints are not used.
+fn log_no_chain(service: &str, counts: EndpointCounts) {
+    log::info!(
+        target: "fleet",
+        service = service,
+        usable = counts.usable,
+        avoided = counts.avoided,
+        avoided_by_others = counts.peer_avoided,
+        leaving = counts.draining,
+        backoff = counts.backing_off;
+        "No chain covers all layers."
+    );
+}
