Failing tests: hosts without a path to endpoints refuse callers, and so do hosts beside them

A host's connections to endpoints are opened through a port, so that a test can cut the paths of one host: open connections hang, are reset or live on, new ones hang or are refused. Of 36 requests in a cut the host serves none, and the host beside it none of 12 streams.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -154,8 +154,9 @@
     target: &Target<'_>,
     limit: Duration,
 ) -> Result<Connection, DispatchError> {
-    let opened =
-        connection::open_within(target.addr, &gateway.codec, CONNECT_TIMEOUT.min(limit)).await;
+    let network = &*gateway.platform.network;
+    let limit = CONNECT_TIMEOUT.min(limit);
+    let opened = connection::open_within(network, target.addr, &gateway.codec, limit).await;
     opened.map_err(|e| {
         let now = gateway.now();
         gateway
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -53,7 +53,8 @@
 }
 
 async fn is_port_closed(gateway: &Gateway, addr: SocketAddr) -> bool {
-    let opened = connection::open_within(addr, &gateway.codec, CHECK_TIMEOUT).await;
+    let network = &*gateway.platform.network;
+    let opened = connection::open_within(network, addr, &gateway.codec, CHECK_TIMEOUT).await;
     opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
 use crate::{
     bounds::SharedBounds,
     forward::{Prober, RequestLogBudget, TerminationChecks},
-    http::{connection::Connection, pool::IdleConnections},
+    http::{connection::Connection, network::Network, pool::IdleConnections},
     metrics::Metrics,
     peers::Peers,
     ports::{Dialect, Engines, ReadCatalogue, Store, StoreRevision},
@@ -66,6 +66,8 @@
     pub store: Rc<dyn Store>,
     /// Sends orders to engines.
     pub engines: Rc<dyn Engines>,
+    /// Opens connections to endpoints.
+    pub network: Rc<dyn Network>,
 }
 
 /// What a read of the store returns. Each kind of read has its own age.
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -1,6 +1,6 @@
 //! A client for small calls to the store or to an endpoint's control interface, which reads each answer into memory.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ServiceConfig, header::HeaderMap};
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 
 use super::{
     connection::{AnswerError, Connection},
+    network::{Network, SystemNetwork},
     pool::IdleConnections,
     request_head,
 };
@@ -91,6 +92,7 @@
 
 /// A client for small calls, with a pool of idle connections.
 pub struct Client {
+    network: Rc<dyn Network>,
     config: ServiceConfig,
     idle: IdleConnections,
 }
@@ -98,7 +100,13 @@
 impl Client {
     /// Creates a client without connections.
     pub fn new(config: ServiceConfig) -> Self {
+        Self::with_network(Rc::new(SystemNetwork), config)
+    }
+
+    /// Creates a client that opens its connections through `network`.
+    pub fn with_network(network: Rc<dyn Network>, config: ServiceConfig) -> Self {
         Self {
+            network,
             config,
             idle: IdleConnections::default(),
         }
@@ -120,7 +128,7 @@
     async fn exchange(&self, addr: SocketAddr, call: Call) -> Result<Answer, CallError> {
         let mut connection = match self.idle.take(addr) {
             Some(connection) => connection,
-            None => Connection::open(addr, &self.config)
+            None => Connection::open_through(&*self.network, addr, &self.config)
                 .await
                 .map_err(|e| CallError::NotSent(e.to_string()))?,
         };
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -13,6 +13,8 @@
 use tokio::{io::Interest, net::TcpStream, time};
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::network::{Network, SystemNetwork};
+
 /// How long sent bytes may remain unacknowledged by the peer before the connection fails.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The header in which a server states how long it keeps an idle connection open.
@@ -73,9 +75,18 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection through the network of the operating system.
     pub async fn open(addr: SocketAddr, config: &ServiceConfig) -> io::Result<Self> {
-        let io = TcpStream::connect(addr).await?;
+        Self::open_through(&SystemNetwork, addr, config).await
+    }
+
+    /// Opens a connection through `network`.
+    pub async fn open_through(
+        network: &dyn Network,
+        addr: SocketAddr,
+        config: &ServiceConfig,
+    ) -> io::Result<Self> {
+        let io = network.connect(addr).await?;
         io.set_nodelay(true)?;
         socket2::SockRef::from(&io).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         Ok(Self {
@@ -317,11 +328,12 @@
 
 /// Opens a connection. Fails with [`io::ErrorKind::TimedOut`] after `limit`.
 pub async fn open_within(
+    network: &dyn Network,
     addr: SocketAddr,
     config: &ServiceConfig,
     limit: Duration,
 ) -> io::Result<Connection> {
-    match time::timeout(limit, Connection::open(addr, config)).await {
+    match time::timeout(limit, Connection::open_through(network, addr, config)).await {
         Ok(opened) => opened,
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod callers;
 pub mod connection;
+pub mod network;
 pub mod pool;
 
 use actix_http::{KeepAlive, RequestHead, ServiceConfig, ServiceConfigBuilder, header::HeaderMap};
