Hosts relay for hosts whose paths to endpoints are cut

Cause: a host took each endpoint that did not answer it for one that has failed, and told the hosts of its data centre, which avoided it too. Both lost their last chain within half a second.

Now an endpoint counts as failed only if neither the host nor the hosts that it asks reach it. If one does, the path counts as cut and that host relays: it passes each request on to the endpoint that the cut host has chosen, and the answer back as it arrives. All decisions stay with the host that has the caller, so that once, "not run", budgets, deadlines and streams hold as over its own connections. The same goes for probes, polls and orders of the host that places layers.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`endpoints`] holds the known endpoints and determines which of them may get new work;
 //!   [`incarnations`] distinguishes the incarnations of an endpoint, and [`stated_availability`] holds what
 //!   endpoints state in their answers about new work.
+//! - [`paths`] holds which endpoints this host can't reach itself, and which hosts relay to them.
 //! - [`placement`] decides which endpoint holds which layers; [`leader_lease`] decides which host may
 //!   order it.
 //! - [`layers`] has ranges of the layers of a model; [`chains`] finds chains of endpoints that cover all
@@ -44,6 +45,7 @@
 pub mod layers;
 pub mod leader_lease;
 pub mod outage;
+pub mod paths;
 pub mod placement;
 pub mod probing;
 pub mod quarantine;
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -190,11 +190,13 @@
         endpoints: &'a [Rc<Endpoint>],
     ) -> Vec<(&'a Rc<Endpoint>, Option<EngineReport>)> {
         let gateway = &self.gateway;
-        let report =
-            async |e: &Endpoint| match gateway.poll_engine(&e.id, e.addr, CALL_TIMEOUT).await {
-                EnginePoll::Report(report) => Some(report),
-                EnginePoll::Silent | EnginePoll::Withheld => None,
-            };
+        let report = async |e: &Endpoint| match gateway
+            .poll_engine_by_any_way(&e.id, e.addr, CALL_TIMEOUT)
+            .await
+        {
+            EnginePoll::Report(report) => Some(report),
+            EnginePoll::Silent | EnginePoll::Withheld => None,
+        };
         let report = &report;
         stream::iter(endpoints)
             .map(|e| async move { (e, report(e).await) })
@@ -233,7 +235,7 @@
     fn record_outcome(&mut self, order: &Order, outcome: &Result<OrderAnswer, CallError>) {
         let (order_outcome, label) = match outcome {
             Ok(OrderAnswer::Begun | OrderAnswer::Holds) => (OrderOutcome::Accepted, "begun"),
-            Ok(OrderAnswer::Refused(_)) | Err(CallError::NotSent(_)) => {
+            Ok(OrderAnswer::Refused(_)) | Err(CallError::NotSent(_) | CallError::NotRelayed(_)) => {
                 (OrderOutcome::Refused, "refused")
             }
             Err(CallError::Unknown(_)) => (OrderOutcome::Unknown, "unknown"),
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -26,6 +26,11 @@
 /// The fraction of the time left that a dispatch may take while another one may follow.
 const NON_FINAL_TIME_FRACTION: f64 = 0.5;
 
+/// The fraction of its latency target after which the path of a call without an answer is checked.
+const PATH_CHECK_TARGETS: f64 = 0.5;
+/// The interval between further checks.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// An answer with its complete body.
 struct CompleteAnswer {
     answer: Answer,
@@ -162,12 +167,13 @@
 }
 
 async fn attempt(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
     endpoint: &Endpoint,
     limit: Duration,
 ) -> Result<CompleteAnswer, DispatchError> {
     let _guard = EndpointRequestGuard::new(gateway, &endpoint.id);
+    let via = Cell::new(None);
     let target = Target {
         id: &endpoint.id,
         name: &endpoint.name,
@@ -176,6 +182,7 @@
         endpoint_ids: &[&endpoint.id],
         after_event: None,
         sending: Cell::new(false),
+        via: &via,
     };
     let until = time::Instant::now() + limit;
     let exchange = async {
@@ -189,10 +196,12 @@
             )),
         }
     };
+    let first_check = admitted.route.latency_target.mul_f64(PATH_CHECK_TARGETS);
     let result = tokio::select! {
         biased;
         result = exchange => result,
         () = until_terminated(gateway, &endpoint.id) => Err(target.abandoned("the endpoint has ended")),
+        () = until_path_lost(gateway, &target, first_check) => Err(target.abandoned("its connection carries nothing")),
     };
     if result.is_ok() {
         gateway.record_answer(admitted.fingerprint());
@@ -222,6 +231,23 @@
     }
 }
 
+/// Waits until the connection of a call is known to carry nothing. The path is checked first after `first_check`, if
+/// there is no answer by then.
+async fn until_path_lost(gateway: &Rc<Gateway>, target: &Target<'_>, first_check: Duration) {
+    let mut pause = first_check;
+    loop {
+        time::sleep(pause).await;
+        pause = PATH_CHECK_INTERVAL;
+        let Some(via) = target.via.get() else {
+            continue;
+        };
+        gateway.check_path(target.addr).await;
+        if gateway.paths.is_lost(target.addr, via) {
+            return;
+        }
+    }
+}
+
 /// Counts a request at an endpoint until it is dropped.
 struct EndpointRequestGuard<'a> {
     gateway: &'a Gateway,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -302,10 +302,10 @@
 }
 
 /// Counts a request as open until it is dropped.
-struct OpenRequestGuard<'a>(&'a Gateway);
+pub(crate) struct OpenRequestGuard<'a>(&'a Gateway);
 
 impl<'a> OpenRequestGuard<'a> {
-    fn new(gateway: &'a Gateway) -> Self {
+    pub(crate) fn new(gateway: &'a Gateway) -> Self {
         gateway.request_received.set(true);
         gateway.open_requests.set(gateway.open_requests.get() + 1);
         Self(gateway)
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -2,7 +2,7 @@
 //!
 //! The first stage learns only after seconds which later stage it waits for, and a stream doesn't show whether a
 //! stage has terminated or is busy or slow. Each stage itself answers a probe within a few ms. A stage that does
-//! not answer two calls is unresponsive: no requests are sent to it until it answers again or is delisted, and
+//! not answer two calls, and that no other host reaches either, is unresponsive: no requests are sent to it until it answers again or is delisted, and
 //! runs on chains with it continue on other chains. A stage that reports a slowdown counts as slow.
 //! [`dragonflyrill_fleet::probing`] decides when a chain is probed.
 
@@ -13,11 +13,14 @@
     endpoints::Endpoint,
     probing::{Decision, ProbeSchedule, Suspicion},
 };
-use futures_util::future;
+use futures_util::future::{self, Either};
 use rustc_hash::FxHashMap;
 use tokio::{sync::watch, time};
 
-use crate::gateway::{EnginePoll, Gateway};
+use crate::{
+    gateway::{EnginePoll, Gateway},
+    paths::PathState,
+};
 
 /// The timeout of a call. The answer needs no slot of the engine and the network takes 1 ms at most; the rest
 /// allows for busy hosts. With this timeout, all hosts know within 0.1 s that a stage is unresponsive.
@@ -25,11 +28,17 @@
 /// The delay of the second call to a stage, on another connection: a packet lost on a link, or a stale connection,
 /// must not make the stage count as unresponsive.
 const SECOND_CALL_DELAY: Duration = Duration::from_millis(20);
+/// The delay of the check whether the path to a stage is cut, which saves the check if the stage answers.
+const PATH_CHECK_DELAY: Duration = Duration::from_millis(30);
 /// The pause before an unresponsive or slow endpoint is polled for the first time. It doubles with each poll.
 const MIN_RECOVERY_PAUSE: Duration = Duration::from_millis(400);
 /// The maximum pause between these polls. Each host polls each such endpoint.
 const MAX_RECOVERY_PAUSE: Duration = Duration::from_millis(1600);
 
+/// The number of polls of an unresponsive endpoint of which one asks other hosts whether they reach it. While a data
+/// centre is cut off, its hosts poll all engines of the others.
+const POLLS_PER_PATH_CHECK: u32 = 4;
+
 /// The state of the probes of this host.
 pub struct Prober {
     schedule: RefCell<ProbeSchedule>,
@@ -110,7 +119,7 @@
     if gateway.directory.borrow().is_unresponsive(&stage.id) {
         return;
     }
-    let reply = call_twice(gateway, stage).await;
+    let reply = call_by_any_way(gateway, stage).await;
     if let EnginePoll::Withheld = reply {
         return;
     }
@@ -129,20 +138,26 @@
         }
         return;
     }
+    record_unresponsive(gateway, &stage.id, stage.addr);
+}
+
+/// Records that an engine does not answer, and polls it until it does.
+pub(super) fn record_unresponsive(gateway: &Rc<Gateway>, id: &Rc<str>, addr: SocketAddr) {
     let now = gateway.now();
-    if gateway
-        .directory
-        .borrow_mut()
-        .record_unresponsive(&stage.id, now)
-    {
-        log::info!(target: "fleet", endpoint = &*stage.id; "Endpoint does not answer and is avoided.");
-        gateway.prober.notify_failure();
-        actix_rt::spawn(poll_until_healthy(
-            gateway.clone(),
-            PolledEndpoint::of(stage),
-            MIN_RECOVERY_PAUSE,
-        ));
+    if !gateway.directory.borrow_mut().record_unresponsive(id, now) {
+        return;
     }
+    log::info!(target: "fleet", endpoint = &**id; "Endpoint does not answer and is avoided.");
+    gateway.prober.notify_failure();
+    let polled = PolledEndpoint {
+        id: id.clone(),
+        addr,
+    };
+    actix_rt::spawn(poll_until_healthy(
+        gateway.clone(),
+        polled,
+        MIN_RECOVERY_PAUSE,
+    ));
 }
 
 /// Polls an endpoint that was listed again and counts as unresponsive until it answers or is delisted.
@@ -174,6 +189,24 @@
     gateway.poll_engine(id, addr, CALL_TIMEOUT).await
 }
 
+/// Calls a stage twice, and twice again through another host if only the path to the stage is cut.
+async fn call_by_any_way(gateway: &Rc<Gateway>, stage: &Stage) -> EnginePoll {
+    let calls = std::pin::pin!(call_twice(gateway, stage));
+    let path = std::pin::pin!(async {
+        time::sleep(PATH_CHECK_DELAY).await;
+        gateway.check_path(stage.addr).await
+    });
+    let (reply, path) = match future::select(calls, path).await {
+        Either::Left((EnginePoll::Silent, path)) => (EnginePoll::Silent, path.await),
+        Either::Left((reply, _)) => return reply,
+        Either::Right((path, calls)) => (calls.await, path),
+    };
+    match (reply, path) {
+        (EnginePoll::Silent, PathState::Cut) => call_twice(gateway, stage).await,
+        (reply, _) => reply,
+    }
+}
+
 /// Calls a stage twice, the second time after a delay. The result is silent only if neither call is answered.
 async fn call_twice(gateway: &Gateway, stage: &Stage) -> EnginePoll {
     let first = std::pin::pin!(call(gateway, &stage.id, stage.addr));
@@ -196,12 +229,18 @@
 /// the pause `first`.
 async fn poll_until_healthy(gateway: Rc<Gateway>, endpoint: PolledEndpoint, first: Duration) {
     let mut pause = first;
-    loop {
+    for poll in 0u32.. {
         time::sleep(pause).await;
         if !gateway.directory.borrow().is_active(&endpoint.id) {
             return;
         }
-        let report = match call(&gateway, &endpoint.id, endpoint.addr).await {
+        let by_any_way = poll % POLLS_PER_PATH_CHECK == 0;
+        let (id, addr) = (&endpoint.id, endpoint.addr);
+        let reply = match by_any_way {
+            true => gateway.poll_engine_by_any_way(id, addr, CALL_TIMEOUT).await,
+            false => call(&gateway, id, addr).await,
+        };
+        let report = match reply {
             EnginePoll::Report(report) => Some(report),
             EnginePoll::Silent | EnginePoll::Withheld => None,
         };
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -1,6 +1,6 @@
 //! Monitors a run of a stream while no events are received from it.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use dragonflyrill_fleet::{
     adaptive_timeout::{RunTiming, Step},
@@ -10,13 +10,15 @@
 use tokio::time::{self, Instant};
 
 use super::probe;
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, paths::Via};
 
 /// A run that is monitored while it stalls.
 pub(super) struct RunMonitor<'a> {
     pub(super) gateway: &'a Rc<Gateway>,
     pub(super) chain: &'a Chain,
     pub(super) timing: RunTiming,
+    /// How the request reaches the first stage; `None` until a connection is open.
+    pub(super) via: &'a Cell<Option<Via>>,
 }
 
 /// The reason for abandoning a run.
@@ -26,6 +28,8 @@
     pub(super) why: &'static str,
     /// Whether an endpoint of its chain has terminated, so that the run can yield no more events.
     pub(super) terminated: bool,
+    /// Whether only the connection is lost: the chain may be used again.
+    pub(super) lost_path: bool,
 }
 
 impl AbandonReason {
@@ -33,6 +37,7 @@
         Self {
             why,
             terminated: false,
+            lost_path: false,
         }
     }
 }
@@ -48,6 +53,7 @@
                 return AbandonReason {
                     why: "a part of its chain has ended",
                     terminated: true,
+                    lost_path: false,
                 };
             }
             let silence = since.elapsed();
@@ -65,6 +71,7 @@
                         false => Suspicion::Late,
                     };
                     probe::probe_suspected(self.gateway, self.chain, suspicion);
+                    self.check_path_if_others_are_cut();
                     probed = Some(Instant::now());
                 }
                 Step::Wait(wait) => {
@@ -78,7 +85,31 @@
             if probed.is_some() && self.timing.may_abandon() && self.has_unresponsive_stage() {
                 return AbandonReason::not_terminated("a stage of its chain is unresponsive");
             }
+            if probed.is_some() && self.timing.may_abandon() && self.has_lost_path() {
+                return AbandonReason {
+                    why: "its connection carries nothing",
+                    terminated: false,
+                    lost_path: true,
+                };
+            }
+        }
+    }
+
+    /// Checks the path to the first stage once this host knows that paths are cut: then the chains over them stall at the
+    /// same time, and more of them than may be probed.
+    fn check_path_if_others_are_cut(&self) {
+        if self.gateway.paths.known().cut_count() == 0 {
+            return;
         }
+        let gateway = self.gateway.clone();
+        let addr = self.chain.first_stage().addr;
+        actix_rt::spawn(async move { gateway.check_path(addr).await });
+    }
+
+    fn has_lost_path(&self) -> bool {
+        let first = self.chain.first_stage().addr;
+        let via = self.via.get();
+        via.is_some_and(|via| self.gateway.paths.is_lost(first, via))
     }
 
     fn has_terminated_stage(&self) -> bool {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -1,24 +1,25 @@
 //! Dispatches a request to an endpoint and reads the head of the answer.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ResponseHead};
 use dragonflyrill_fleet::{endpoints::Directory, layers::LayerRange};
 use tokio::time;
 
-use super::AdmittedRequest;
+use super::{AdmittedRequest, probe};
 use crate::{
     gateway::Gateway,
     http::{
-        connection::{self, Connection},
+        connection::Connection,
+        relayed::{RelayKind, RelayOrder, RelayResult},
         request_head,
     },
+    paths::{OpenedPath, Via},
     ports::{AnswerMetadata, DispatchMetadata},
 };
 
-/// The timeout for opening a connection to an endpoint. Endpoints are a fraction of a ms away; one that takes
-/// longer does not respond.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum number of hosts that are asked in turn to relay one dispatch.
+const MAX_RELAYS: usize = 3;
 
 /// A refusal within this time was not caused by waiting for an unresponsive endpoint.
 const IMMEDIATE_REFUSAL_TIME: Duration = Duration::from_millis(500);
@@ -58,6 +59,8 @@
     pub(super) after_event: Option<u64>,
     /// Becomes true before the first byte of the request is sent.
     pub(super) sending: Cell<bool>,
+    /// How the request reaches the endpoint; `None` until a connection is open.
+    pub(super) via: &'a Cell<Option<Via>>,
 }
 
 impl Target<'_> {
@@ -96,38 +99,71 @@
 /// [`DispatchError::NotRun`] if the endpoint refuses the request and states that it was not run.
 /// [`DispatchError::NotSent`] if nothing was sent, and one of the others if the request may have run.
 pub(super) async fn send(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
     target: &Target<'_>,
     limit: Duration,
 ) -> Result<Answer, DispatchError> {
     gateway.metrics.sends.inc();
-    let mut connection = match gateway.idle.take(target.addr) {
-        Some(connection) => connection,
-        None => connect(gateway, target, limit).await?,
-    };
-    // The last check before bytes are sent: the key may have been revoked while the request waited.
+    let mut permitted = false;
+    for _ in 0..MAX_RELAYS {
+        let opened = open(gateway, target, limit).await?;
+        check_before_send(gateway, admitted, target)?;
+        permitted = permitted || gateway.try_acquire_permits(target.endpoint_ids);
+        if !permitted {
+            return Err(DispatchError::NotSent(LIMIT_REACHED.to_owned()));
+        }
+        if let Some(answer) = exchange(gateway, admitted, target, opened, limit).await? {
+            return Ok(answer);
+        }
+        target.sending.set(false);
+    }
+    Err(DispatchError::NotSent("no host relays".to_owned()))
+}
+
+/// The last checks before bytes are sent: what was true when the endpoint was chosen may have changed while a
+/// connection was opened.
+fn check_before_send(
+    gateway: &Gateway,
+    admitted: &AdmittedRequest,
+    target: &Target<'_>,
+) -> Result<(), DispatchError> {
+    // The key may have been revoked.
     if !gateway.is_catalogue_fresh() {
         return Err(DispatchError::NotSent(
             "the catalogue may be outdated".to_owned(),
         ));
     }
-    // Other hosts may have quarantined the request in the meantime.
+    // Other hosts may have quarantined the request.
     if admitted.quarantine_refusal(gateway).is_some() {
         return Err(DispatchError::NotSent(
             "the request is quarantined".to_owned(),
         ));
     }
     let unavailable = target.unavailable_endpoint(&gateway.directory.borrow(), gateway.now());
-    if let Some(id) = unavailable {
-        return Err(DispatchError::NotSent(format!("{id} accepts no work")));
-    }
-    if !gateway.try_acquire_permits(target.endpoint_ids) {
-        return Err(DispatchError::NotSent(LIMIT_REACHED.to_owned()));
+    match unavailable {
+        Some(id) => Err(DispatchError::NotSent(format!("{id} accepts no work"))),
+        None => Ok(()),
     }
+}
+
+/// Sends a request over an open connection and reads the head of the answer; `None` if the host that was to relay it
+/// states that it has sent nothing.
+async fn exchange(
+    gateway: &Gateway,
+    admitted: &AdmittedRequest,
+    target: &Target<'_>,
+    opened: OpenedPath,
+    limit: Duration,
+) -> Result<Option<Answer>, DispatchError> {
+    let OpenedPath {
+        mut connection,
+        via,
+    } = opened;
+    target.via.set(Some(via));
     target.sending.set(true);
     let sent_at = time::Instant::now();
-    let head = outgoing_head(gateway, admitted, target);
+    let head = outgoing_head(gateway, admitted, target, via);
     let sent = time::timeout(limit, connection.send(head, admitted.body.clone())).await;
     match sent {
         Ok(Ok(())) => {}
@@ -145,24 +181,44 @@
         Err(_) => return Err(DispatchError::MayHaveRun("no answer in time".to_owned())),
     };
     let facts = gateway.platform.dialect.read_answer(&head);
+    if let Via::Relay(relay) = via {
+        if let Some(result) = RelayResult::read(&head.headers) {
+            gateway.record_relay_failure(target.addr, relay, result);
+            return match result {
+                RelayResult::Unavailable => {
+                    record_availability(gateway, target, &facts);
+                    Err(DispatchError::NotSent(format!(
+                        "{} accepts no work",
+                        target.id
+                    )))
+                }
+                _ => Ok(None),
+            };
+        }
+        gateway.metrics.relayed_sends.inc();
+    }
     let answer = Answer { connection, head };
-    check_answer(gateway, admitted, target, answer, &facts, sent_at.elapsed())
+    check_answer(gateway, admitted, target, answer, &facts, sent_at.elapsed()).map(Some)
 }
 
-async fn connect(
-    gateway: &Gateway,
+/// Opens a connection over which the endpoint is reached.
+async fn open(
+    gateway: &Rc<Gateway>,
     target: &Target<'_>,
     limit: Duration,
-) -> Result<Connection, DispatchError> {
-    let network = &*gateway.platform.network;
-    let limit = CONNECT_TIMEOUT.min(limit);
-    let opened = connection::open_within(network, target.addr, &gateway.codec, limit).await;
+) -> Result<OpenedPath, DispatchError> {
+    let opened = time::timeout(limit, gateway.open_path(target.addr)).await;
+    let opened = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
     opened.map_err(|e| {
         let now = gateway.now();
         gateway
             .directory
             .borrow_mut()
             .record_failure(target.id, now);
+        // Several attempts and hosts are as good as a probe. Plain endpoints can't be polled.
+        if e.kind() == io::ErrorKind::TimedOut && !target.chain.is_empty() {
+            probe::record_unresponsive(gateway, target.id, target.addr);
+        }
         DispatchError::NotSent(format!("connecting failed: {e}"))
     })
 }
@@ -246,6 +302,7 @@
     gateway: &Gateway,
     admitted: &AdmittedRequest,
     target: &Target<'_>,
+    via: Via,
 ) -> RequestHead {
     let out = DispatchMetadata {
         deadline: admitted.time_left(),
@@ -257,6 +314,13 @@
     };
     let mut headers = admitted.head.headers.clone();
     gateway.platform.dialect.write_request(&mut headers, &out);
+    if let Via::Relay(_) = via {
+        let order = RelayOrder {
+            to: target.addr,
+            kind: RelayKind::Request,
+        };
+        order.write(&mut headers);
+    }
     let head = &admitted.head;
     request_head(head.method.clone(), head.uri.clone(), headers)
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -24,7 +24,7 @@
     events::{EventBatch, EventSplitter},
     is_success, probe,
     refusal::Refusal,
-    run_monitor::RunMonitor,
+    run_monitor::{AbandonReason, RunMonitor},
     send::{self, Answer, DispatchError, Target},
     termination,
 };
@@ -277,6 +277,7 @@
         let hops: Vec<(SocketAddr, LayerRange)> =
             chain.stages.iter().map(|p| (p.addr, p.layers)).collect();
         let endpoint_ids: Vec<&Rc<str>> = chain.stages.iter().map(|p| &p.id).collect();
+        let via = Cell::new(None);
         let target = Target {
             id: &chain.first_stage().id,
             name: &chain.first_stage().name,
@@ -285,17 +286,22 @@
             endpoint_ids: &endpoint_ids,
             after_event: self.events.last(),
             sending: Cell::new(false),
+            via: &via,
         };
         let mut monitor = RunMonitor {
             gateway,
             chain,
             timing: self.timing(planned),
+            via: &via,
         };
         let sent_at = Instant::now();
         let sent = tokio::select! {
             biased;
             sent = send::send(gateway, self.admitted, &target, monitor.timing.timeout()) => sent,
-            abandoned = monitor.until_abandoned(sent_at) => Err(target.abandoned(abandoned.why)),
+            abandoned = monitor.until_abandoned(sent_at) => {
+                self.allow_again(chain, &abandoned);
+                Err(target.abandoned(abandoned.why))
+            }
         };
         let answer = match sent {
             Ok(answer) => answer,
@@ -370,6 +376,7 @@
                 biased;
                 piece = answer.connection.read_chunk() => piece,
                 abandoned = monitor.until_abandoned(since) => {
+                    self.allow_again(monitor.chain, &abandoned);
                     // After a termination no more events follow: the answer is aborted rather than left waiting.
                     if out.started() && !abandoned.terminated && !self.may_continue_elsewhere() {
                         monitor.timing.may_retry = false;
@@ -403,13 +410,20 @@
         }
         out.finish().await?;
         if answer.connection.reusable() {
-            let addr = monitor.chain.first_stage().addr;
+            let addr = answer.connection.peer_addr();
             self.gateway
                 .pool_connection(addr, answer.connection, &self.admitted.service);
         }
         Ok(RunEnd::Complete(status))
     }
 
+    /// Lets a chain be chosen again if only the connection to it was lost.
+    fn allow_again(&mut self, chain: &Chain, abandoned: &AbandonReason) {
+        if abandoned.lost_path {
+            self.tried_chains.retain(|key| *key != chain.key);
+        }
+    }
+
     /// Whether another chain has free capacity for the rest of the stream now. A chain that is nearly full may
     /// refuse it, and an answer that is aborted then is worse than one that pauses.
     fn may_continue_elsewhere(&mut self) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,7 @@
     forward::{Prober, RequestLogBudget, TerminationChecks},
     http::{connection::Connection, network::Network, pool::IdleConnections},
     metrics::Metrics,
+    paths::EndpointPaths,
     peers::Peers,
     ports::{Dialect, Engines, ReadCatalogue, Store, StoreRevision},
     settings::Settings,
@@ -155,6 +156,8 @@
     pub termination_checks: TerminationChecks,
     /// The limits that endpoints state.
     pub limits: RefCell<EndpointLimits>,
+    /// The paths to endpoints.
+    pub paths: EndpointPaths,
 }
 
 impl Gateway {
@@ -168,7 +171,6 @@
         Rc::new(Self {
             settings,
             platform,
-            codec,
             store_answered_at: Cell::default(),
             list_as_of: Cell::default(),
             lapsed_endpoints: RefCell::default(),
@@ -199,6 +201,8 @@
             quarantine: RefCell::new(quarantine),
             termination_checks: TerminationChecks::default(),
             limits: RefCell::default(),
+            paths: EndpointPaths::new(codec.clone()),
+            codec,
         })
     }
 
@@ -249,6 +253,7 @@
         metrics.hosts.set(i64::from(self.hosts.get()));
         let divisor = self.bounds.divisor(now);
         metrics.share_hosts.set(i64::from(divisor.unwrap_or(0)));
+        metrics.cut_paths.set(self.paths.known().cut_count() as i64);
         metrics.open.set(i64::from(self.open_requests.get()));
         metrics
             .limited_endpoints
@@ -325,6 +330,18 @@
         self.idle.put(addr, connection, max_idle as usize);
     }
 
+    /// Keeps an idle connection to a listed endpoint for the next request; closes it if the endpoint or its service is
+    /// not known.
+    pub(crate) fn keep_connection(&self, addr: SocketAddr, connection: Connection) {
+        let directory = self.directory.borrow();
+        let listed = directory.iter().find(|e| e.addr == addr);
+        let catalogue = self.catalogue.borrow();
+        let service = listed.and_then(|e| catalogue.as_ref()?.service(&e.service));
+        if let Some(service) = service {
+            self.pool_connection(addr, connection, service);
+        }
+    }
+
     /// Records that an endpoint answered a request successfully.
     pub(crate) fn record_endpoint_success(&self, id: &str) {
         let mut directory = self.directory.borrow_mut();
--- a/crates/gateway/src/gateway/engine_calls.rs
+++ b/crates/gateway/src/gateway/engine_calls.rs
@@ -2,12 +2,16 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::layers::LayerRange;
+use dragonflyrill_fleet::{layers::LayerRange, paths::Way};
 use tokio::time;
 
 use super::Gateway;
 use crate::{
-    http::call::CallError,
+    http::{
+        call::{CallError, CallPath},
+        relayed::{RelayKind, RelayResult},
+    },
+    paths::PathState,
     ports::{EngineReport, OrderAnswer},
 };
 
@@ -32,8 +36,12 @@
         if self.is_backing_off(id) || !self.try_acquire_permits(&[id]) {
             return EnginePoll::Withheld;
         }
-        let poll = self.platform.engines.report(addr);
+        let way = self.paths.known().way(addr);
+        let poll = self.platform.engines.report(call_path(addr, way));
         let Ok(reply) = time::timeout(timeout, poll).await else {
+            if let Way::Relay(relay) = way {
+                self.record_relay_failure(addr, relay, RelayResult::Unreachable);
+            }
             return EnginePoll::Silent;
         };
         match reply.result {
@@ -42,6 +50,15 @@
                 self.record_availability(&id, reply.availability);
                 EnginePoll::Report(report)
             }
+            Err(CallError::NotRelayed(result)) => {
+                if let Way::Relay(relay) = way {
+                    self.record_relay_failure(addr, relay, result);
+                }
+                match result {
+                    RelayResult::Unavailable => EnginePoll::Withheld,
+                    _ => EnginePoll::Silent,
+                }
+            }
             Err(_) => {
                 self.record_availability(id, reply.availability);
                 match self.is_backing_off(id) {
@@ -52,6 +69,23 @@
         }
     }
 
+    /// Polls the report of an engine. If the engine does not answer and only the path to it is cut, polls it again
+    /// through another host.
+    pub(crate) async fn poll_engine_by_any_way(
+        self: &Rc<Self>,
+        id: &Rc<str>,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> EnginePoll {
+        let poll = self.poll_engine(id, addr, timeout).await;
+        match poll {
+            EnginePoll::Silent if self.check_path(addr).await == PathState::Cut => {
+                self.poll_engine(id, addr, timeout).await
+            }
+            poll => poll,
+        }
+    }
+
     /// Orders an engine to hold `layers`, unless the engine is in a backoff; `None` if no order was sent for this
     /// reason. The engine refuses the order if it has started another number of orders than `orders`.
     pub(crate) async fn order_engine(
@@ -65,7 +99,8 @@
         if self.is_backing_off(id) {
             return None;
         }
-        let order = self.platform.engines.place(addr, layers, Some(orders));
+        let path = call_path(addr, self.paths.known().way(addr));
+        let order = self.platform.engines.place(path, layers, Some(orders));
         Some(match time::timeout(timeout, order).await {
             Ok(reply) => {
                 self.record_availability(id, reply.availability);
@@ -80,3 +115,11 @@
         !directory.remaining_backoff(id, self.now()).is_zero()
     }
 }
+
+/// How a call to an engine is made.
+fn call_path(addr: SocketAddr, way: Way) -> CallPath {
+    match way {
+        Way::Direct | Way::Search => addr.into(),
+        Way::Relay(relay) => CallPath::relayed(relay, addr, RelayKind::Control),
+    }
+}
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -1,6 +1,6 @@
 //! A client for small calls to the store or to an endpoint's control interface, which reads each answer into memory.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ServiceConfig, header::HeaderMap};
 use bytes::Bytes;
@@ -11,6 +11,7 @@
     connection::{AnswerError, Connection},
     network::{Network, SystemNetwork},
     pool::IdleConnections,
+    relayed::{RelayKind, RelayOrder, RelayResult},
     request_head,
 };
 
@@ -23,6 +24,9 @@
     /// Nothing was sent: the call has no effect.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The host that was to pass the call on did not: the call has no effect.
+    #[error("not relayed: {}", .0.word())]
+    NotRelayed(RelayResult),
     /// The call may have taken effect, or may take effect later.
     #[error("no answer: {0}")]
     Unknown(String),
@@ -62,9 +66,14 @@
         }
     }
 
-    fn head(&self, addr: SocketAddr) -> RequestHead {
+    /// Asks a host whether it reaches an endpoint.
+    pub(crate) fn check() -> Self {
+        Self::get(Uri::from_static("/"))
+    }
+
+    fn head(&self, path: CallPath) -> RequestHead {
         let mut headers = HeaderMap::with_capacity(3);
-        if let Ok(host) = addr.to_string().parse() {
+        if let Ok(host) = path.server.to_string().parse() {
             headers.insert(header::HOST, host);
         }
         if !self.body.is_empty() {
@@ -75,10 +84,50 @@
             let any = header::HeaderValue::from_static("*");
             headers.insert(header::IF_NONE_MATCH, any);
         }
+        if let CallPath {
+            server,
+            relay: Some((_, kind)),
+        } = path
+        {
+            RelayOrder { to: server, kind }.write(&mut headers);
+        }
         request_head(self.method.clone(), self.uri.clone(), headers)
     }
 }
 
+/// How a call reaches a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallPath {
+    server: SocketAddr,
+    /// The host that passes the call on, and what it is asked for; `None` for a connection to the server.
+    relay: Option<(SocketAddr, RelayKind)>,
+}
+
+impl CallPath {
+    /// A call to `server` that another host passes on.
+    pub fn relayed(relay: SocketAddr, server: SocketAddr, kind: RelayKind) -> Self {
+        Self {
+            server,
+            relay: Some((relay, kind)),
+        }
+    }
+
+    /// The address that is connected to.
+    fn connect_to(self) -> SocketAddr {
+        self.relay.map_or(self.server, |(relay, _)| relay)
+    }
+}
+
+impl From<SocketAddr> for CallPath {
+    /// A call over a connection to the server.
+    fn from(server: SocketAddr) -> Self {
+        Self {
+            server,
+            relay: None,
+        }
+    }
+}
+
 /// The answer to a call.
 #[derive(Debug)]
 pub struct Answer {
@@ -115,25 +164,48 @@
     /// Makes a call and reads its answer. Fails with [`CallError::Unknown`] after `limit`.
     pub async fn call(
         &self,
-        addr: SocketAddr,
+        path: impl Into<CallPath>,
         call: Call,
         limit: Duration,
     ) -> Result<Answer, CallError> {
-        match time::timeout(limit, self.exchange(addr, call)).await {
+        match time::timeout(limit, self.exchange(path.into(), call)).await {
             Ok(result) => result,
             Err(_) => Err(CallError::Unknown(format!("none within {limit:?}"))),
         }
     }
 
-    async fn exchange(&self, addr: SocketAddr, call: Call) -> Result<Answer, CallError> {
+    /// Makes a call to another host and returns what that host itself states.
+    pub(crate) async fn ask_relay(
+        &self,
+        path: CallPath,
+        call: Call,
+        limit: Duration,
+    ) -> Result<RelayResult, CallError> {
+        match self.call(path, call, limit).await {
+            Err(CallError::NotRelayed(result)) => Ok(result),
+            Err(e) => Err(e),
+            Ok(answer) => Err(CallError::Unknown(answer.status.to_string())),
+        }
+    }
+
+    async fn open(&self, path: CallPath) -> io::Result<Connection> {
+        match path.relay {
+            Some((relay, _)) => Connection::open(relay, &self.config).await,
+            None => Connection::open_through(&*self.network, path.server, &self.config).await,
+        }
+    }
+
+    async fn exchange(&self, path: CallPath, call: Call) -> Result<Answer, CallError> {
+        let addr = path.connect_to();
         let mut connection = match self.idle.take(addr) {
             Some(connection) => connection,
-            None => Connection::open_through(&*self.network, addr, &self.config)
-                .await
-                .map_err(|e| CallError::NotSent(e.to_string()))?,
+            None => {
+                let opened = self.open(path).await;
+                opened.map_err(|e| CallError::NotSent(e.to_string()))?
+            }
         };
         connection
-            .send(call.head(addr), call.body)
+            .send(call.head(path), call.body)
             .await
             .map_err(|(sent, e)| {
                 let why = e.to_string();
@@ -152,6 +224,10 @@
         if connection.reusable() {
             self.idle.put(addr, connection, usize::MAX);
         }
+        let relayed = path.relay.and_then(|_| RelayResult::read(&headers));
+        if let Some(result) = relayed {
+            return Err(CallError::NotRelayed(result));
+        }
         Ok(Answer {
             status: head.status,
             headers,
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Whether the answer whose head was read has a body.
+    pub fn has_body(&self) -> bool {
+        self.body != Body::Done
+    }
+
     /// Sends a request. If the connection fails, the error contains the number of bytes that were sent.
     ///
     /// Returns early if the server answers before it has received the complete request.
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -7,8 +7,10 @@
 pub mod call;
 pub mod callers;
 pub mod connection;
+pub mod hop_by_hop;
 pub mod network;
 pub mod pool;
+pub mod relayed;
 
 use actix_http::{KeepAlive, RequestHead, ServiceConfig, ServiceConfigBuilder, header::HeaderMap};
 use http::{Method, Uri};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A request is read from a caller's connection ([`http::callers`]), its route and workspace are determined
 //! ([`forward`]), an endpoint or a chain is chosen by the rules of `dragonflyrill-fleet`, and the answer is relayed to
-//! the caller. In the background a host follows the catalogue and the list of endpoints ([`control`]), mostly by
+//! the caller. An endpoint that this host does not reach gets its requests through another host ([`paths`]). In the
+//! background a host follows the catalogue and the list of endpoints ([`control`]), mostly by
 //! polling another host ([`peers`]), so that few hosts read the store.
 //!
 //! This crate does not depend on the platform's message formats: they are hidden behind the traits in [`ports`], which
@@ -18,6 +19,7 @@
 pub mod http;
 pub mod logs;
 pub mod metrics;
+pub mod paths;
 pub mod peers;
 pub mod ports;
 pub mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -101,6 +101,14 @@
     pub unreadable_backoffs: IntCounter,
     /// Successes that ended the avoidance of an endpoint early.
     pub avoidances_ended: IntCounter,
+    /// Dispatches that another host relayed.
+    pub relayed_sends: IntCounter,
+    /// Requests and calls to engines that this host passed on for other hosts.
+    pub relayed_requests: IntCounter,
+    /// Questions to other hosts whether they reach an endpoint.
+    pub path_checks: IntCounter,
+    /// Endpoints to which the path of this host is cut.
+    pub cut_paths: IntGauge,
     /// The age of the freshness proof of the catalogue.
     pub proof_age_seconds: Gauge,
     /// The time since the store last answered this host or the host that it polls.
@@ -225,6 +233,22 @@
                 "avoidances_ended_total",
                 "Successes that ended the avoidance of an endpoint early",
             ),
+            relayed_sends: counter(
+                "relayed_sends_total",
+                "Requests sent to endpoints through another host",
+            ),
+            relayed_requests: counter(
+                "relayed_requests_total",
+                "Requests and calls to engines passed on for other hosts",
+            ),
+            path_checks: counter(
+                "path_checks_total",
+                "Questions to other hosts whether they reach an endpoint",
+            ),
+            cut_paths: gauge(
+                "cut_paths",
+                "Endpoints that this host does not reach itself",
+            ),
             proof_age_seconds: seconds(
                 "proof_age_seconds",
                 "Age of the proof that the catalogue is the newest",
--- /dev/null
+++ b/crates/gateway/src/paths/serve.rs
@@ -0,0 +1,260 @@
+//! Passes on to endpoints what other hosts send, and the answers back.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{ResponseHead, header};
+use bytes::Bytes;
+use dragonflyrill_fleet::{catalogue::CallerLimits, endpoints::Endpoint, paths::CutKind};
+use http::{HeaderValue, Method, StatusCode};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, task};
+
+use super::{
+    check::{self, DirectCheck},
+    open,
+};
+use crate::{
+    forward::OpenRequestGuard,
+    gateway::Gateway,
+    http::{
+        callers::{self, Handler, Received, Responder},
+        connection::Connection,
+        hop_by_hop,
+        relayed::{self, RelayKind, RelayOrder, RelayResult},
+        request_head,
+    },
+    ports::AnswerMetadata,
+};
+
+/// The maximum size of a request head. The sending host has checked it against the limits of the catalogue and added
+/// some headers.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+/// How long a silent host may go without acknowledging anything before its connection fails, which ends its runs.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// The silence after which such a connection is probed, and the interval of the probes.
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(2);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Serves a connection of another host that has requests passed on, until it ends.
+pub(crate) async fn serve(io: TcpStream, gateway: Rc<Gateway>) {
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_TIME)
+        .with_interval(KEEP_ALIVE_INTERVAL);
+    let socket = SockRef::from(&io);
+    let set_up = socket
+        .set_tcp_keepalive(&keep_alive)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)));
+    if let Err(e) = set_up {
+        log::warn!(target: "paths", why:% = e; "A connection of another host can't be set up.");
+        return;
+    }
+    let (codec, closing) = (gateway.codec.clone(), gateway.closing());
+    callers::serve(io, Rc::new(Relay { gateway }), codec, closing).await;
+}
+
+/// Passes requests on.
+struct Relay {
+    gateway: Rc<Gateway>,
+}
+
+/// Why a request was not passed on.
+struct NotRelayed {
+    result: RelayResult,
+    /// How long the endpoint accepts nothing from this host.
+    backoff: Option<Duration>,
+}
+
+impl From<RelayResult> for NotRelayed {
+    fn from(result: RelayResult) -> Self {
+        Self {
+            result,
+            backoff: None,
+        }
+    }
+}
+
+impl Handler for Relay {
+    fn limits(&self) -> CallerLimits {
+        CallerLimits {
+            max_head_bytes: MAX_HEAD_BYTES,
+            max_body_bytes: usize::MAX,
+            ..CallerLimits::default()
+        }
+    }
+
+    fn shutting_down(&self) -> bool {
+        self.gateway.is_shutting_down()
+    }
+
+    async fn handle(&self, mut req: Received, out: &mut Responder<'_>) -> io::Result<()> {
+        let _open = OpenRequestGuard::new(&self.gateway);
+        // The sending host may have closed its connection while this one was not running: what it has given up must not
+        // reach the endpoint.
+        task::yield_now().await;
+        let Some(order) = RelayOrder::take(&mut req.head.headers) else {
+            let status = StatusCode::BAD_REQUEST;
+            return out
+                .send_complete(status, Default::default(), Bytes::new())
+                .await;
+        };
+        let relayed = match order.kind {
+            RelayKind::Check => self.check(order.to).await,
+            RelayKind::Request | RelayKind::Control => self.relay(order, req, out).await?,
+        };
+        match relayed {
+            Ok(()) => Ok(()),
+            Err(refusal) => answer(refusal, out).await,
+        }
+    }
+
+    fn abandoned(&self) {}
+}
+
+impl Relay {
+    /// The endpoint that listens at an address. No other address is connected to.
+    fn endpoint(&self, addr: SocketAddr) -> Result<Rc<Endpoint>, NotRelayed> {
+        if !self.gateway.accepts_requests() {
+            return Err(RelayResult::Stopping.into());
+        }
+        let directory = self.gateway.directory.borrow();
+        let listed = directory.iter().find(|e| e.addr == addr).cloned();
+        listed.ok_or_else(|| RelayResult::Unlisted.into())
+    }
+
+    async fn check(&self, addr: SocketAddr) -> Result<(), NotRelayed> {
+        self.endpoint(addr)?;
+        Err(match self.gateway.check_direct(addr).await {
+            DirectCheck::Reached => RelayResult::Reached,
+            DirectCheck::Failed(kind) => not_reached(kind),
+        }
+        .into())
+    }
+
+    /// Passes a request on. The outer error is that of an exchange in which bytes may have been sent: the connection of
+    /// the other host ends, so that its answer is incomplete.
+    async fn relay(
+        &self,
+        order: RelayOrder,
+        req: Received,
+        out: &mut Responder<'_>,
+    ) -> io::Result<Result<(), NotRelayed>> {
+        let gateway = &self.gateway;
+        let endpoint = match self.endpoint(order.to) {
+            Ok(endpoint) => endpoint,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        let idle = gateway.idle.take(order.to);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => match open::open_direct(gateway, order.to).await {
+                Ok(connection) => connection,
+                Err(e) => return Ok(Err(not_reached(check::cut_kind(&e)).into())),
+            },
+        };
+        // The last check before bytes are sent.
+        if let Err(refusal) = self.check_accepts(&endpoint, order.kind) {
+            return Ok(Err(refusal));
+        }
+        gateway.metrics.relayed_requests.inc();
+        let Received { mut head, body, .. } = req;
+        let attempt = gateway.platform.dialect.attempt(&head.headers);
+        hop_by_hop::remove(&mut head.headers);
+        let method = head.method.clone();
+        let head = request_head(head.method, head.uri, head.headers);
+        match connection.send(head, body).await {
+            Ok(()) => {}
+            Err((0, _)) => return Ok(Err(RelayResult::Unreachable.into())),
+            Err((_, e)) => return Err(e),
+        }
+        let mut answer = connection.read_head().await.map_err(io::Error::other)?;
+        let facts = gateway.platform.dialect.read_answer(&answer);
+        let is_answer = facts.attempt.is_none() || facts.attempt == attempt;
+        if is_answer {
+            self.record_availability(&endpoint, &facts);
+        }
+        pass_answer(&mut connection, &mut answer, &method, out).await?;
+        if is_answer && connection.reusable() {
+            gateway.keep_connection(order.to, connection);
+        }
+        Ok(Ok(()))
+    }
+
+    /// Refuses what an endpoint has stated to this host that it does not accept. Polls reach draining engines.
+    fn check_accepts(&self, endpoint: &Endpoint, kind: RelayKind) -> Result<(), NotRelayed> {
+        let directory = self.gateway.directory.borrow();
+        let (id, now) = (&endpoint.id, self.gateway.now());
+        let backoff = directory.remaining_backoff(id, now);
+        let accepts = match kind {
+            RelayKind::Request => directory.accepts_work(id, now),
+            RelayKind::Control | RelayKind::Check => backoff.is_zero(),
+        };
+        match accepts {
+            true => Ok(()),
+            false => Err(NotRelayed {
+                result: RelayResult::Unavailable,
+                backoff: Some(backoff).filter(|b| !b.is_zero()),
+            }),
+        }
+    }
+
+    /// Records what an answer states about new work: the endpoint has stated it to this host.
+    fn record_availability(&self, endpoint: &Endpoint, facts: &AnswerMetadata) {
+        if facts.misdirected {
+            return;
+        }
+        let gateway = &self.gateway;
+        gateway.record_availability(&endpoint.id, facts.availability);
+        let Some(at) = facts.failed_endpoint else {
+            return;
+        };
+        let directory = gateway.directory.borrow();
+        let later = directory.iter().find(|e| e.addr == at);
+        let later = later.map(|e| e.id.clone());
+        drop(directory);
+        if let Some(id) = later {
+            gateway.record_backoff(&id, facts.availability.backoff);
+        }
+    }
+}
+
+fn not_reached(kind: CutKind) -> RelayResult {
+    match kind {
+        CutKind::Silent => RelayResult::Unreachable,
+        CutKind::Refusing => RelayResult::Refused,
+    }
+}
+
+/// Sends this host's own answer. Nothing was sent to the endpoint.
+async fn answer(refusal: NotRelayed, out: &mut Responder<'_>) -> io::Result<()> {
+    let mut headers = header::HeaderMap::with_capacity(2);
+    refusal.result.write(&mut headers);
+    // The other host reads it like that of the endpoint.
+    if let Some(backoff) = refusal.backoff {
+        let seconds = HeaderValue::from_str(&format!("{:.3}", backoff.as_secs_f64()));
+        headers.insert(header::RETRY_AFTER, seconds.expect("a number"));
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    out.send_complete(status, headers, Bytes::new()).await
+}
+
+/// Passes an answer back as it arrives.
+async fn pass_answer(
+    connection: &mut Connection,
+    answer: &mut ResponseHead,
+    method: &Method,
+    out: &mut Responder<'_>,
+) -> io::Result<()> {
+    let status = answer.status;
+    let mut headers = std::mem::take(&mut answer.headers);
+    hop_by_hop::remove(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    relayed::remove_result(&mut headers);
+    if *method == Method::HEAD || !connection.has_body() {
+        return out.send_complete(status, headers, Bytes::new()).await;
+    }
+    out.start_stream(status, headers)?;
+    while let Some(chunk) = connection.read_chunk().await.map_err(io::Error::other)? {
+        out.send_chunk(chunk).await?;
+    }
+    out.finish().await
+}
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -80,6 +80,7 @@
         let started_at = time::Instant::now();
         follower.gateway.expire_limits();
         follower.gateway.expire_availability();
+        follower.gateway.expire_paths();
         follower.poll().await;
         let interval = match follower.gateway.store_answer_age() {
             None => STARTUP_POLL_INTERVAL,
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,4 +1,4 @@
-//! Answers the polls of the other hosts.
+//! Answers the polls of the other hosts, and accepts the connections over which they have requests passed on.
 
 use std::{rc::Rc, time::Duration};
 
@@ -31,13 +31,18 @@
     PeerReport, avoided_from_wire, avoided_to_wire, from_wire, limits, row_writes, suspects,
     to_wire,
 };
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, paths};
 
 /// Maximum number of endpoints in a list that is sent in full. Such a list has 15 KB, and a link of
 /// 20 Mbit/s sends it to 60 hosts in 0.4 s. Hosts read longer lists from the store, each over its
 /// own link.
 const MAX_FULL_LIST_ENDPOINTS: usize = 100;
 
+/// The first byte of a polling host's connection: that of the length of a frame, which is at most [`MAX_FRAME`]. A
+/// connection over which requests are passed on starts with a letter.
+const FRAME_LENGTH_START: u8 = 0;
+const _: () = assert!(MAX_FRAME < 1 << 24);
+
 /// Serves the other hosts for as long as the process runs. Dropping the future closes the
 /// connections.
 pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>) {
@@ -63,6 +68,12 @@
     if let Err(e) = io.set_nodelay(true) {
         log::debug!(target: "peers", why:% = e; "A connection can't be set up.");
     }
+    let mut first = [0];
+    match io.peek(&mut first).await {
+        Ok(1) if first[0] == FRAME_LENGTH_START => {}
+        Ok(1) => return paths::serve::serve(io, gateway).await,
+        _ => return,
+    }
     let mut codec = LengthDelimitedCodec::builder();
     let framed = codec.max_frame_length(MAX_FRAME).new_framed(io);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -12,7 +12,7 @@
 use futures_util::future::LocalBoxFuture;
 use http::header::HeaderValue;
 
-use crate::http::call::CallError;
+use crate::http::call::{CallError, CallPath};
 
 /// What the headers of a caller's request state.
 #[derive(Debug, Clone, Default)]
@@ -116,6 +116,8 @@
 pub trait Dialect {
     /// Reads the metadata of a caller's request, and removes from the head what must not reach an endpoint.
     fn read_request(&self, head: &mut RequestHead) -> Result<RequestMetadata, HeaderError>;
+    /// The id of the attempt in a request that another host has written for an endpoint.
+    fn attempt(&self, headers: &HeaderMap) -> Option<HeaderValue>;
     /// Writes the metadata of a request for an endpoint into its headers.
     fn write_request(&self, headers: &mut HeaderMap, out: &DispatchMetadata<'_>);
     /// Reads the metadata of an endpoint's answer.
@@ -340,10 +342,10 @@
     /// many orders.
     fn place(
         &self,
-        addr: SocketAddr,
+        path: CallPath,
         layers: LayerRange,
         orders: Option<u64>,
     ) -> LocalBoxFuture<'_, EngineReply<OrderAnswer>>;
     /// Reads an engine's state.
-    fn report(&self, addr: SocketAddr) -> LocalBoxFuture<'_, EngineReply<EngineReport>>;
+    fn report(&self, path: CallPath) -> LocalBoxFuture<'_, EngineReply<EngineReport>>;
 }
