A connection that a cut path refuses does not prove a termination

What callers saw, in a test: after three streams broke off at three engines because their path refuses connections, their request was quarantined on all hosts for an hour and every caller of it refused.

Cause: the same as of hosts without a path, in another place: a refused connection was taken for the closed port of a process that has terminated. It counts now only if no other host reaches the address. The test failed before (503 in place of 200).

--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection that ends before the end of an answer may have been reset by the network, or the endpoint may
 //! have dropped this request only. If the process has terminated, its port is closed, and a new connection to it is
-//! refused at once. A missing response proves nothing, since a partition looks the same. Nor does an accepted
+//! refused at once, also to other hosts. A missing response proves nothing, since a partition looks the same. Nor does an accepted
 //! connection prove that the same process is running: its next incarnation may already listen there. An engine reports
 //! when it started, so that it is polled; of a plain service this becomes known when the incarnation is listed.
 
@@ -52,10 +52,12 @@
     is_port_closed(&gateway, addr).await || is_replaced(&gateway, &id, addr).await
 }
 
-async fn is_port_closed(gateway: &Gateway, addr: SocketAddr) -> bool {
+async fn is_port_closed(gateway: &Rc<Gateway>, addr: SocketAddr) -> bool {
     let network = &*gateway.platform.network;
     let opened = connection::open_within(network, addr, &gateway.codec, CHECK_TIMEOUT).await;
-    opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+    let refused = opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
+    // A cut path refuses connections too.
+    refused && !gateway.is_reached_by_others(addr).await
 }
 
 /// Whether a later incarnation of an engine reports at its address.
