Runs over a relay that has failed are woken; idle connections to a cut endpoint are closed

A run whose relay had died waited for the next check of its own, up to 0.25 s; and an endpoint that was silent for a second stayed avoided by a host with cut paths for up to 6 s, as only one of four polls went through another host. Where new connections are refused, idle ones that hang took one request each.

Endpoints are found by address without a search through the list, and hosts without a copy of the fleet: a relay does the one for each request it passes on.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -184,6 +184,11 @@
         self.endpoints.get(self.incarnations.current(name)?)
     }
 
+    /// Returns the incarnation that is listed at an address.
+    pub fn at(&self, addr: SocketAddr) -> Option<&Rc<Endpoint>> {
+        self.endpoints.get(self.incarnations.at(addr)?)
+    }
+
     /// Whether an incarnation is known to have ended because another one replaced it. The work that
     /// ran there is lost.
     pub fn has_ended(&self, id: &str) -> bool {
--- a/crates/fleet/src/incarnations.rs
+++ b/crates/fleet/src/incarnations.rs
@@ -110,6 +110,11 @@
         self.current.get(name)
     }
 
+    /// Returns the id of the incarnation that was last listed at an address.
+    pub(crate) fn at(&self, addr: SocketAddr) -> Option<&Rc<str>> {
+        self.by_address.get(&addr).map(|(id, _)| id)
+    }
+
     /// Records an entry that was accepted.
     pub(crate) fn record_listed(&mut self, endpoint: &Endpoint) {
         let Endpoint {
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -35,8 +35,8 @@
 /// The maximum pause between these polls. Each host polls each such endpoint.
 const MAX_RECOVERY_PAUSE: Duration = Duration::from_millis(1600);
 
-/// The number of polls of an unresponsive endpoint of which one asks other hosts whether they reach it. While a data
-/// centre is cut off, its hosts poll all engines of the others.
+/// The number of polls of an unresponsive endpoint of which one asks other hosts whether they reach it, on a host that
+/// knows of no cut path. While a data centre is cut off, its hosts poll all engines of the others.
 const POLLS_PER_PATH_CHECK: u32 = 4;
 
 /// The state of the probes of this host.
@@ -234,7 +234,8 @@
         if !gateway.directory.borrow().is_active(&endpoint.id) {
             return;
         }
-        let by_any_way = poll % POLLS_PER_PATH_CHECK == 0;
+        let has_cut_paths = gateway.paths.known().cut_count() > 0;
+        let by_any_way = has_cut_paths || poll % POLLS_PER_PATH_CHECK == 0;
         let (id, addr) = (&endpoint.id, endpoint.addr);
         let reply = match by_any_way {
             true => gateway.poll_engine_by_any_way(id, addr, CALL_TIMEOUT).await,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -334,7 +334,7 @@
     /// not known.
     pub(crate) fn keep_connection(&self, addr: SocketAddr, connection: Connection) {
         let directory = self.directory.borrow();
-        let listed = directory.iter().find(|e| e.addr == addr);
+        let listed = directory.at(addr);
         let catalogue = self.catalogue.borrow();
         let service = listed.and_then(|e| catalogue.as_ref()?.service(&e.service));
         if let Some(service) = service {
--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -142,8 +142,7 @@
                 false
             }
             None => {
-                let now = self.now();
-                self.paths.known.borrow_mut().record_unanswered(relay, now);
+                self.record_unanswered(relay);
                 false
             }
         }
@@ -178,6 +177,13 @@
         self.find_relay(endpoint, CutKind::Refusing).await.is_some()
     }
 
+    /// Records that a host did not answer: no path uses it any more.
+    pub(super) fn record_unanswered(&self, relay: SocketAddr) {
+        let now = self.now();
+        self.paths.known.borrow_mut().record_unanswered(relay, now);
+        self.prober.notify_failure();
+    }
+
     fn record_cut_path(&self, endpoint: SocketAddr, kind: CutKind, relay: SocketAddr) {
         let now = self.now();
         let mut known = self.paths.known.borrow_mut();
@@ -186,9 +192,8 @@
         }
         drop(known);
         log::info!(target: "paths", to:% = endpoint, relay:% = relay, kind:? = kind; "Path to an endpoint is cut: another host relays.");
-        if kind == CutKind::Silent {
-            self.idle.close_all(endpoint);
-        }
+        // Those that hang can't be told from those that live on.
+        self.idle.close_all(endpoint);
         // Runs that wait for an answer over this path are waiting in vain.
         self.prober.notify_failure();
     }
@@ -208,12 +213,16 @@
         result: RelayResult,
     ) {
         log::info!(target: "paths", to:% = endpoint, relay:% = relay, result = result.word(); "A host does not relay.");
-        let mut known = self.paths.known.borrow_mut();
         match result {
-            RelayResult::Stopping => known.record_unanswered(relay, self.now()),
+            RelayResult::Stopping => self.record_unanswered(relay),
             // The endpoint itself accepts nothing.
             RelayResult::Unavailable | RelayResult::Reached => {}
-            _ => known.record_relay_failure(endpoint, relay),
+            RelayResult::Refused | RelayResult::Unreachable | RelayResult::Unlisted => {
+                let mut known = self.paths.known.borrow_mut();
+                known.record_relay_failure(endpoint, relay);
+                drop(known);
+                self.prober.notify_failure();
+            }
         }
     }
 
@@ -224,8 +233,7 @@
             return;
         }
         let directory = self.directory.borrow();
-        let listed: rustc_hash::FxHashSet<SocketAddr> = directory.iter().map(|e| e.addr).collect();
-        known.retain(|addr| listed.contains(&addr));
+        known.retain(|addr| directory.at(addr).is_some());
     }
 }
 
@@ -246,14 +254,7 @@
         match result {
             Some(RelayResult::Reached) => return Some(relay),
             Some(_) => {}
-            None => {
-                let now = gateway.now();
-                gateway
-                    .paths
-                    .known
-                    .borrow_mut()
-                    .record_unanswered(relay, now);
-            }
+            None => gateway.record_unanswered(relay),
         }
     }
     None
@@ -262,14 +263,14 @@
 fn candidates(gateway: &Gateway, endpoint: SocketAddr) -> Vec<SocketAddr> {
     let settings = &gateway.settings;
     let directory = gateway.directory.borrow();
-    let listed = directory.iter().find(|e| e.addr == endpoint);
+    let listed = directory.at(endpoint);
     let search = Search {
         host: &settings.host,
         data_centre: &settings.data_centre,
         endpoint,
         endpoint_data_centre: listed.map(|e| &*e.data_centre),
     };
-    let fleet = gateway.peers.fleet();
+    let fleet = gateway.peers.known_fleet();
     let hosts = fleet.iter().map(|h| RelayHost {
         name: &h.host,
         addr: h.addr,
--- a/crates/gateway/src/paths/open.rs
+++ b/crates/gateway/src/paths/open.rs
@@ -55,8 +55,7 @@
                     }
                     Err(e) => failure = e,
                 }
-                let now = self.now();
-                self.paths.known.borrow_mut().record_unanswered(relay, now);
+                self.record_unanswered(relay);
                 continue;
             }
             match open_direct(self, endpoint).await {
--- a/crates/gateway/src/paths/serve.rs
+++ b/crates/gateway/src/paths/serve.rs
@@ -117,7 +117,7 @@
             return Err(RelayResult::Stopping.into());
         }
         let directory = self.gateway.directory.borrow();
-        let listed = directory.iter().find(|e| e.addr == addr).cloned();
+        let listed = directory.at(addr).cloned();
         listed.ok_or_else(|| RelayResult::Unlisted.into())
     }
 
@@ -207,10 +207,7 @@
         let Some(at) = facts.failed_endpoint else {
             return;
         };
-        let directory = gateway.directory.borrow();
-        let later = directory.iter().find(|e| e.addr == at);
-        let later = later.map(|e| e.id.clone());
-        drop(directory);
+        let later = gateway.directory.borrow().at(at).map(|e| e.id.clone());
         if let Some(id) = later {
             gateway.record_backoff(&id, facts.availability.backoff);
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,7 +19,7 @@
 mod suspects;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, Ref, RefCell},
     hash::{Hash, Hasher},
     rc::Rc,
     time::Duration,
@@ -138,6 +138,11 @@
         self.fleet.borrow().clone()
     }
 
+    /// The live hosts, including this one, sorted. The borrow must not be held across an await.
+    pub(crate) fn known_fleet(&self) -> Ref<'_, Vec<FleetHost>> {
+        self.fleet.borrow()
+    }
+
     /// Replaces the list of live hosts, which includes this one.
     pub fn set_fleet(&self, mut fleet: Vec<FleetHost>) {
         fleet.sort();
