A check of a path whose caller has left does not decide later ones

Checks ran only while a caller waited for them, and a result that nobody had read was kept: the next request used an answer of half a second ago, or went on with a check whose times had passed. In the test an endpoint that a relay reaches again was refused. Each check now runs to its end by itself, and its result expires. The test failed before (503 in place of 200).

--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -1,6 +1,13 @@
 //! Determines whether this host reaches an endpoint, and which host does if it does not.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use dragonflyrill_fleet::paths::{CutKind, RelayHost, Search, Way};
 use futures_util::{
@@ -52,9 +59,35 @@
 /// A check, and when it began.
 struct Check<T: Clone> {
     began_at: Duration,
+    ended: Rc<Cell<bool>>,
     result: SharedCheck<T>,
 }
 
+impl<T: Clone + 'static> Check<T> {
+    /// Runs a check as a task. If it ran only while callers wait for it, one whose callers have left would go on when
+    /// another caller comes, with times that have passed long before.
+    fn start(began_at: Duration, check: impl Future<Output = T> + 'static) -> Self {
+        let ended = Rc::new(Cell::new(false));
+        let end = ended.clone();
+        let task = actix_rt::spawn(async move {
+            let result = check.await;
+            end.set(true);
+            result
+        });
+        let result = async { task.await.expect("a check does not panic") };
+        Self {
+            began_at,
+            ended,
+            result: result.boxed_local().shared(),
+        }
+    }
+
+    /// Whether its result may be used by what begins now.
+    fn is_current(&self, now: Duration, ttl: Duration) -> bool {
+        !self.ended.get() || self.began_at + ttl > now
+    }
+}
+
 /// The checks in progress and those whose results are still used, by the address of the endpoint.
 struct Checks<T: Clone>(RefCell<FxHashMap<SocketAddr, Check<T>>>);
 
@@ -71,14 +104,12 @@
         endpoint: SocketAddr,
         now: Duration,
         ttl: Duration,
-        new: impl FnOnce() -> LocalBoxFuture<'static, T>,
+        new: impl Future<Output = T> + 'static,
     ) -> SharedCheck<T> {
         let mut checks = self.0.borrow_mut();
-        checks.retain(|_, c| c.result.peek().is_none() || c.began_at + ttl > now);
-        let check = checks.entry(endpoint).or_insert_with(|| Check {
-            began_at: now,
-            result: new().shared(),
-        });
+        checks.retain(|_, check| check.is_current(now, ttl));
+        let check = checks.entry(endpoint);
+        let check = check.or_insert_with(|| Check::start(now, new));
         check.result.clone()
     }
 }
@@ -105,9 +136,7 @@
         };
         let checks = &self.paths.checks.direct;
         checks
-            .get(endpoint, self.now(), DIRECT_RESULT_TTL, || {
-                check.boxed_local()
-            })
+            .get(endpoint, self.now(), DIRECT_RESULT_TTL, check)
             .await
     }
 
@@ -157,9 +186,7 @@
         let gateway = self.clone();
         let search = async move { search(&gateway, endpoint).await };
         let searches = &self.paths.checks.relays;
-        let search = searches.get(endpoint, self.now(), SEARCH_RESULT_TTL, || {
-            search.boxed_local()
-        });
+        let search = searches.get(endpoint, self.now(), SEARCH_RESULT_TTL, search);
         match search.await {
             Some(relay) => {
                 self.record_cut_path(endpoint, kind, relay);
