--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -4,10 +4,10 @@
 //! requests - endpoint or chain, retries, deadlines, what its callers are answered - and only sends them through another
 //! host, which passes each of them on to the endpoint that it names and the answer back as it arrives.
 //!
-//! - [`open`] opens the connection for a request: to the endpoint, or to a host that relays.
-//! - [`check`] determines whether an endpoint that does not answer has failed or only the path to it is cut, by asking
+//! - `open` opens the connection for a request: to the endpoint, or to a host that relays.
+//! - `check` determines whether an endpoint that does not answer has failed or only the path to it is cut, by asking
 //!   other hosts. The decisions are in [`dragonflyrill_fleet::paths`].
-//! - [`serve`] passes on what other hosts send. It listens at the address for calls of other hosts, see
+//! - `serve` passes on what other hosts send. It listens at the address for calls of other hosts, see
 //!   [`crate::peers::serve`].
 //!
 //! | what ends | what follows |
