--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -17,7 +17,11 @@
     send::{self, Answer, DispatchError, Target},
     termination,
 };
-use crate::{gateway::Gateway, http::callers::Responder};
+use crate::{
+    gateway::Gateway,
+    http::callers::Responder,
+    paths::{PathState, Via},
+};
 
 /// The maximum size of the body of an answer to a plain call.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -213,9 +217,11 @@
             directory.borrow_mut().record_error(&endpoint.id, now);
         }
         Ok(_) => gateway.record_endpoint_success(&endpoint.id),
-        Err(DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_)) => {
-            let now = gateway.now();
-            directory.borrow_mut().record_failure(&endpoint.id, now);
+        Err(error @ (DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_))) => {
+            if !has_lost_path(gateway, &target, error).await {
+                let now = gateway.now();
+                directory.borrow_mut().record_failure(&endpoint.id, now);
+            }
         }
         _ => {}
     }
@@ -248,6 +254,20 @@
     }
 }
 
+/// Whether a failed exchange says nothing about its endpoint, because the connection was lost with its path.
+async fn has_lost_path(gateway: &Rc<Gateway>, target: &Target<'_>, error: &DispatchError) -> bool {
+    let Some(via) = target.via.get() else {
+        return false;
+    };
+    match (via, error) {
+        // A cut may reset connections.
+        (Via::Direct, DispatchError::BrokeOff(_)) => {
+            gateway.check_path(target.addr).await == PathState::Cut
+        }
+        _ => gateway.paths.is_lost(target.addr, via),
+    }
+}
+
 /// Counts a request at an endpoint until it is dropped.
 struct EndpointRequestGuard<'a> {
     gateway: &'a Gateway,
