--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -217,11 +217,11 @@
             directory.borrow_mut().record_error(&endpoint.id, now);
         }
         Ok(_) => gateway.record_endpoint_success(&endpoint.id),
-        Err(error @ (DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_))) => {
-            if !has_lost_path(gateway, &target, error).await {
-                let now = gateway.now();
-                directory.borrow_mut().record_failure(&endpoint.id, now);
-            }
+        Err(error @ (DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_)))
+            if !has_lost_path(gateway, &target, error).await =>
+        {
+            let now = gateway.now();
+            directory.borrow_mut().record_failure(&endpoint.id, now);
         }
         _ => {}
     }
