--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -184,16 +184,12 @@
     if let Via::Relay(relay) = via {
         if let Some(result) = RelayResult::read(&head.headers) {
             gateway.record_relay_failure(target.addr, relay, result);
-            return match result {
-                RelayResult::Unavailable => {
-                    record_availability(gateway, target, &facts);
-                    Err(DispatchError::NotSent(format!(
-                        "{} accepts no work",
-                        target.id
-                    )))
-                }
-                _ => Ok(None),
-            };
+            if result == RelayResult::Unavailable {
+                record_availability(gateway, target, &facts);
+                let why = format!("{} accepts no work", target.id);
+                return Err(DispatchError::NotSent(why));
+            }
+            return Ok(None);
         }
         gateway.metrics.relayed_sends.inc();
     }
--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -204,7 +204,8 @@
         }
     }
 
-    /// Whether a host that this host asks reaches an endpoint.
+    /// Whether a host that this host asks reaches an endpoint that refuses connections of this one. If so, the path is
+    /// recorded as cut.
     pub(crate) async fn is_reached_by_others(self: &Rc<Self>, endpoint: SocketAddr) -> bool {
         self.find_relay(endpoint, CutKind::Refusing).await.is_some()
     }
--- a/crates/gateway/src/paths/serve.rs
+++ b/crates/gateway/src/paths/serve.rs
@@ -57,14 +57,14 @@
     gateway: Rc<Gateway>,
 }
 
-/// Why a request was not passed on.
-struct NotRelayed {
+/// What this host itself answers. Nothing was sent to the endpoint.
+struct OwnAnswer {
     result: RelayResult,
     /// How long the endpoint accepts nothing from this host.
     backoff: Option<Duration>,
 }
 
-impl From<RelayResult> for NotRelayed {
+impl From<RelayResult> for OwnAnswer {
     fn from(result: RelayResult) -> Self {
         Self {
             result,
@@ -73,6 +73,20 @@
     }
 }
 
+impl OwnAnswer {
+    async fn send(self, out: &mut Responder<'_>) -> io::Result<()> {
+        let mut headers = header::HeaderMap::with_capacity(2);
+        self.result.write(&mut headers);
+        // The other host reads it like that of the endpoint.
+        if let Some(backoff) = self.backoff {
+            let seconds = HeaderValue::from_str(&format!("{:.3}", backoff.as_secs_f64()));
+            headers.insert(header::RETRY_AFTER, seconds.expect("a number"));
+        }
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        out.send_complete(status, headers, Bytes::new()).await
+    }
+}
+
 impl Handler for Relay {
     fn limits(&self) -> CallerLimits {
         CallerLimits {
@@ -97,13 +111,13 @@
                 .send_complete(status, Default::default(), Bytes::new())
                 .await;
         };
-        let relayed = match order.kind {
-            RelayKind::Check => self.check(order.to).await,
+        let own = match order.kind {
+            RelayKind::Check => Some(self.check(order.to).await),
             RelayKind::Request | RelayKind::Control => self.relay(order, req, out).await?,
         };
-        match relayed {
-            Ok(()) => Ok(()),
-            Err(refusal) => answer(refusal, out).await,
+        match own {
+            Some(own) => own.send(out).await,
+            None => Ok(()),
         }
     }
 
@@ -112,7 +126,7 @@
 
 impl Relay {
     /// The endpoint that listens at an address. No other address is connected to.
-    fn endpoint(&self, addr: SocketAddr) -> Result<Rc<Endpoint>, NotRelayed> {
+    fn endpoint(&self, addr: SocketAddr) -> Result<Rc<Endpoint>, OwnAnswer> {
         if !self.gateway.accepts_requests() {
             return Err(RelayResult::Stopping.into());
         }
@@ -121,40 +135,30 @@
         listed.ok_or_else(|| RelayResult::Unlisted.into())
     }
 
-    async fn check(&self, addr: SocketAddr) -> Result<(), NotRelayed> {
-        self.endpoint(addr)?;
-        Err(match self.gateway.check_direct(addr).await {
-            DirectCheck::Reached => RelayResult::Reached,
-            DirectCheck::Failed(kind) => not_reached(kind),
+    /// Whether this host reaches an endpoint.
+    async fn check(&self, addr: SocketAddr) -> OwnAnswer {
+        if let Err(own) = self.endpoint(addr) {
+            return own;
+        }
+        match self.gateway.check_direct(addr).await {
+            DirectCheck::Reached => RelayResult::Reached.into(),
+            DirectCheck::Failed(kind) => not_reached(kind).into(),
         }
-        .into())
     }
 
-    /// Passes a request on. The outer error is that of an exchange in which bytes may have been sent: the connection of
-    /// the other host ends, so that its answer is incomplete.
+    /// Passes a request on; `None` if the endpoint's answer was passed back. The error is that of an exchange in which
+    /// bytes may have been sent: the connection of the other host ends, so that its answer is incomplete.
     async fn relay(
         &self,
         order: RelayOrder,
         req: Received,
         out: &mut Responder<'_>,
-    ) -> io::Result<Result<(), NotRelayed>> {
+    ) -> io::Result<Option<OwnAnswer>> {
         let gateway = &self.gateway;
-        let endpoint = match self.endpoint(order.to) {
-            Ok(endpoint) => endpoint,
-            Err(refusal) => return Ok(Err(refusal)),
+        let (endpoint, mut connection) = match self.open(order).await {
+            Ok(opened) => opened,
+            Err(own) => return Ok(Some(own)),
         };
-        let idle = gateway.idle.take(order.to);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => match open::open_direct(gateway, order.to).await {
-                Ok(connection) => connection,
-                Err(e) => return Ok(Err(not_reached(check::cut_kind(&e)).into())),
-            },
-        };
-        // The last check before bytes are sent.
-        if let Err(refusal) = self.check_accepts(&endpoint, order.kind) {
-            return Ok(Err(refusal));
-        }
         gateway.metrics.relayed_requests.inc();
         let Received { mut head, body, .. } = req;
         let attempt = gateway.platform.dialect.attempt(&head.headers);
@@ -163,7 +167,7 @@
         let head = request_head(head.method, head.uri, head.headers);
         match connection.send(head, body).await {
             Ok(()) => {}
-            Err((0, _)) => return Ok(Err(RelayResult::Unreachable.into())),
+            Err((0, _)) => return Ok(Some(RelayResult::Unreachable.into())),
             Err((_, e)) => return Err(e),
         }
         let mut answer = connection.read_head().await.map_err(io::Error::other)?;
@@ -176,11 +180,27 @@
         if is_answer && connection.reusable() {
             gateway.keep_connection(order.to, connection);
         }
-        Ok(Ok(()))
+        Ok(None)
+    }
+
+    /// Takes an idle connection to an endpoint that accepts what is passed on, or opens one.
+    async fn open(&self, order: RelayOrder) -> Result<(Rc<Endpoint>, Connection), OwnAnswer> {
+        let gateway = &self.gateway;
+        let endpoint = self.endpoint(order.to)?;
+        let connection = match gateway.idle.take(order.to) {
+            Some(connection) => connection,
+            None => {
+                let opened = open::open_direct(gateway, order.to).await;
+                opened.map_err(|e| not_reached(check::cut_kind(&e)))?
+            }
+        };
+        // The last check before bytes are sent.
+        self.check_accepts(&endpoint, order.kind)?;
+        Ok((endpoint, connection))
     }
 
     /// Refuses what an endpoint has stated to this host that it does not accept. Polls reach draining engines.
-    fn check_accepts(&self, endpoint: &Endpoint, kind: RelayKind) -> Result<(), NotRelayed> {
+    fn check_accepts(&self, endpoint: &Endpoint, kind: RelayKind) -> Result<(), OwnAnswer> {
         let directory = self.gateway.directory.borrow();
         let (id, now) = (&endpoint.id, self.gateway.now());
         let backoff = directory.remaining_backoff(id, now);
@@ -190,7 +210,7 @@
         };
         match accepts {
             true => Ok(()),
-            false => Err(NotRelayed {
+            false => Err(OwnAnswer {
                 result: RelayResult::Unavailable,
                 backoff: Some(backoff).filter(|b| !b.is_zero()),
             }),
@@ -221,19 +241,6 @@
     }
 }
 
-/// Sends this host's own answer. Nothing was sent to the endpoint.
-async fn answer(refusal: NotRelayed, out: &mut Responder<'_>) -> io::Result<()> {
-    let mut headers = header::HeaderMap::with_capacity(2);
-    refusal.result.write(&mut headers);
-    // The other host reads it like that of the endpoint.
-    if let Some(backoff) = refusal.backoff {
-        let seconds = HeaderValue::from_str(&format!("{:.3}", backoff.as_secs_f64()));
-        headers.insert(header::RETRY_AFTER, seconds.expect("a number"));
-    }
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    out.send_complete(status, headers, Bytes::new()).await
-}
-
 /// Passes an answer back as it arrives.
 async fn pass_answer(
     connection: &mut Connection,
