--- a/crates/fleet/src/paths.rs
+++ b/crates/fleet/src/paths.rs
@@ -16,7 +16,7 @@
 const MIN_RECHECK_PAUSE: Duration = Duration::from_millis(250);
 /// The maximum pause between two of these checks.
 const MAX_RECHECK_PAUSE: Duration = Duration::from_secs(2);
-/// How long a host that did not answer is asked only if all others did not answer either.
+/// How long a host that did not answer is asked last.
 const UNANSWERED_PENALTY: Duration = Duration::from_secs(1);
 /// The maximum number of hosts of one kind, near or far, that are asked whether they reach an endpoint. With two of
 /// each, a cut of all hosts of a data centre and the end of one host leave one that answers.
@@ -82,7 +82,7 @@
 pub struct Paths {
     /// The cut ones; a path that is missing here is intact as far as known.
     cut: FxHashMap<SocketAddr, CutPath>,
-    /// The hosts that did not answer, by address, with the time until which others are asked in their place.
+    /// The hosts that did not answer, by address, with the time until which they are asked last.
     unanswered: FxHashMap<SocketAddr, Duration>,
 }
 
@@ -149,7 +149,7 @@
         }
     }
 
-    /// Records that a host did not answer: no path uses it, and others are asked in its place for a while.
+    /// Records that a host did not answer: no path uses it, and it is asked last for a while.
     pub fn record_unanswered(&mut self, relay: SocketAddr, now: Duration) {
         self.unanswered.retain(|_, until| *until > now);
         self.unanswered.insert(relay, now + UNANSWERED_PENALTY);
@@ -183,18 +183,12 @@
         now: Duration,
     ) -> Vec<SocketAddr> {
         let others = hosts.filter(|h| h.name != search.host);
-        let answers = |h: &RelayHost<'_>| self.unanswered.get(&h.addr).is_none_or(|t| *t <= now);
-        let (answering, unanswered): (Vec<_>, Vec<_>) = others.partition(answers);
-        let asked = match answering.is_empty() {
-            true => unanswered,
-            false => answering,
-        };
-        let (mut near, mut far): (Vec<_>, Vec<_>) = asked
-            .into_iter()
-            .partition(|h| h.data_centre == search.data_centre);
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            others.partition(|h| h.data_centre == search.data_centre);
         let rank = |h: &RelayHost<'_>| {
+            let unanswered = self.unanswered.get(&h.addr).is_some_and(|t| *t > now);
             let beside_endpoint = search.endpoint_data_centre == Some(h.data_centre);
-            (!beside_endpoint, draw(search, h.name))
+            (unanswered, !beside_endpoint, draw(search, h.name))
         };
         near.sort_by_key(rank);
         far.sort_by_key(rank);
--- a/crates/fleet/tests/paths.rs
+++ b/crates/fleet/tests/paths.rs
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn no_path_uses_a_host_that_did_not_answer_and_others_are_asked_for_a_second() {
+fn no_path_uses_a_host_that_did_not_answer_and_it_is_asked_last_for_a_second() {
     let mut paths = Paths::default();
     let centres = ["z1", "z1", "z1"];
     let first = asked(&paths, &centres, "me", NOW)[0];
@@ -89,7 +89,6 @@
     assert_eq!(paths.way(addr(200)), Way::Search);
     assert_eq!(paths.way(addr(201)), Way::Search);
     assert!(!asked(&paths, &centres, "me", NOW).contains(&first));
-    assert_eq!(asked(&paths, &centres[..1], "me", NOW).len(), 1);
     let later = NOW + Duration::from_secs(1);
     assert_eq!(asked(&paths, &centres, "me", later)[0], first);
 }
@@ -132,13 +131,9 @@
         let distinct: HashSet<_> = asked.iter().collect();
         prop_assert_eq!(distinct.len(), asked.len());
         prop_assert!(!asked.contains(&addr(0)), "it asks itself");
-        let others: Vec<(usize, &str)> = centres.iter().copied().enumerate().skip(1).collect();
-        let answer = |(n, _): &&(usize, &str)| !silent.contains(&(*n as u8));
-        let answering: Vec<_> = others.iter().filter(answer).collect();
-        let all = others.iter().collect();
-        let expected = if answering.is_empty() { all } else { answering };
-        let near = expected.iter().filter(|(_, c)| *c == "z1").count();
-        let far = expected.len() - near;
+        let others = centres.iter().skip(1);
+        let near = others.clone().filter(|c| **c == "z1").count();
+        let far = others.filter(|c| **c != "z1").count();
         prop_assert_eq!(asked.len(), near.min(2) + far.min(4 - near.min(2)));
     }
 }
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -2,9 +2,8 @@
 //!
 //! The first stage learns only after seconds which later stage it waits for, and a stream doesn't show whether a
 //! stage has terminated or is busy or slow. Each stage itself answers a probe within a few ms. A stage that does
-//! not answer two calls, and that no other host reaches either, is unresponsive: no requests are sent to it until it
-//! answers again or is delisted, and runs on chains with it continue on other chains. A stage that reports a slowdown
-//! counts as slow.
+//! not answer two calls, and that no other host reaches either, is unresponsive: no requests are sent to it until it answers again or is delisted, and
+//! runs on chains with it continue on other chains. A stage that reports a slowdown counts as slow.
 //! [`dragonflyrill_fleet::probing`] decides when a chain is probed.
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -2,10 +2,9 @@
 //!
 //! A connection that ends before the end of an answer may have been reset by the network, or the endpoint may
 //! have dropped this request only. If the process has terminated, its port is closed, and a new connection to it is
-//! refused at once, also to other hosts. A missing response proves nothing, since a partition looks the same. Nor does
-//! an accepted connection prove that the same process is running: its next incarnation may already listen there. An
-//! engine reports when it started, so that it is polled; of a plain service this becomes known when the incarnation is
-//! listed.
+//! refused at once, also to other hosts. A missing response proves nothing, since a partition looks the same. Nor does an accepted
+//! connection prove that the same process is running: its next incarnation may already listen there. An engine reports
+//! when it started, so that it is polled; of a plain service this becomes known when the incarnation is listed.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -16,7 +16,6 @@
     stream::FuturesUnordered,
 };
 use rustc_hash::FxHashMap;
-use tokio::time;
 
 use super::open;
 use crate::{
@@ -35,10 +34,6 @@
 /// find that it does not, and a margin for busy hosts.
 const ASK_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// How long other hosts are waited for after one has answered that it does not reach the endpoint. A host that is gone is
-/// listed for a while and must not delay each retry.
-const LATER_ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
-
 /// Whether this host reaches an endpoint over a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum DirectCheck {
@@ -283,12 +278,10 @@
     let asked = candidates(gateway, endpoint);
     let ask = async |relay: SocketAddr| (relay, ask(gateway, relay, endpoint).await);
     let mut answers: FuturesUnordered<_> = asked.into_iter().map(ask).collect();
-    let mut until = time::Instant::now() + ASK_TIMEOUT;
-    while let Ok(Some((relay, result))) = time::timeout_at(until, answers.next()).await {
+    while let Some((relay, result)) = answers.next().await {
         match result {
             Some(RelayResult::Reached) => return Some(relay),
-            // A host that reaches the endpoint finds that no later than one that does not.
-            Some(_) => until = until.min(time::Instant::now() + LATER_ANSWER_TIMEOUT),
+            Some(_) => {}
             None => gateway.record_unanswered(relay),
         }
     }
