A slow poll through a relay does not count as the end of the relay

What callers saw, in a test: a stream that waited for its first event behind a relay got 502. The host polled its engine, which had reported that it is slow; one poll took longer than 60 ms, the relay of the path counted as failed, and the runs over it were given up. Over a path of its own a host gives up nothing for that.

Only the relay itself, or its silence when it is asked, says now that it does not relay; the probe and the polls ask it after an engine was silent. The test failed before (502 in place of 200).

--- a/crates/gateway/src/gateway/engine_calls.rs
+++ b/crates/gateway/src/gateway/engine_calls.rs
@@ -39,9 +39,6 @@
         let way = self.paths.known().way(addr);
         let poll = self.platform.engines.report(call_path(addr, way));
         let Ok(reply) = time::timeout(timeout, poll).await else {
-            if let Way::Relay(relay) = way {
-                self.record_relay_failure(addr, relay, RelayResult::Unreachable);
-            }
             return EnginePoll::Silent;
         };
         match reply.result {
