A dispatch has one end, and says nothing of an endpoint that it had no time to reach

A request with less time left than it takes to connect, or to find a relay, recorded its endpoint as failed: the hosts of the data centre avoided it for 0.4 s, an engine for 2 s, though another host reaches it. The path is checked on without the request now, and a failure recorded only if nobody reaches the endpoint.

Opening, sending and waiting had the whole limit each, and each again with another relay, so that a call could outlast its deadline. They share one end now.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -190,7 +190,7 @@
     };
     let until = time::Instant::now() + limit;
     let exchange = async {
-        let mut answer = send::send(gateway, admitted, &target, limit).await?;
+        let mut answer = send::send(gateway, admitted, &target, until).await?;
         let body = time::timeout_at(until, answer.connection.read_body(MAX_ANSWER_BYTES)).await;
         match body {
             Ok(Ok(body)) => Ok(CompleteAnswer { answer, body }),
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -14,7 +14,7 @@
         relayed::{RelayKind, RelayOrder, RelayResult},
         request_head,
     },
-    paths::{OpenedPath, Via},
+    paths::{OpenedPath, PathState, Via},
     ports::{AnswerMetadata, DispatchMetadata},
 };
 
@@ -92,7 +92,7 @@
     pub(super) head: ResponseHead,
 }
 
-/// Sends a request and reads the head of the answer.
+/// Sends a request and reads the head of the answer, which must arrive before `until`.
 ///
 /// # Errors
 ///
@@ -102,18 +102,18 @@
     gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
     target: &Target<'_>,
-    limit: Duration,
+    until: time::Instant,
 ) -> Result<Answer, DispatchError> {
     gateway.metrics.sends.inc();
     let mut permitted = false;
     for _ in 0..MAX_RELAYS {
-        let opened = open(gateway, target, limit).await?;
+        let opened = open(gateway, target, until).await?;
         check_before_send(gateway, admitted, target)?;
         permitted = permitted || gateway.try_acquire_permits(target.endpoint_ids);
         if !permitted {
             return Err(DispatchError::NotSent(LIMIT_REACHED.to_owned()));
         }
-        if let Some(answer) = exchange(gateway, admitted, target, opened, limit).await? {
+        if let Some(answer) = exchange(gateway, admitted, target, opened, until).await? {
             return Ok(answer);
         }
         target.sending.set(false);
@@ -154,7 +154,7 @@
     admitted: &AdmittedRequest,
     target: &Target<'_>,
     opened: OpenedPath,
-    limit: Duration,
+    until: time::Instant,
 ) -> Result<Option<Answer>, DispatchError> {
     let OpenedPath {
         mut connection,
@@ -164,7 +164,7 @@
     target.sending.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target, via);
-    let sent = time::timeout(limit, connection.send(head, admitted.body.clone())).await;
+    let sent = time::timeout_at(until, connection.send(head, admitted.body.clone())).await;
     match sent {
         Ok(Ok(())) => {}
         Ok(Err((0, e))) => return Err(DispatchError::NotSent(format!("nothing was sent: {e}"))),
@@ -175,7 +175,7 @@
             ));
         }
     }
-    let head = match time::timeout(limit, connection.read_head()).await {
+    let head = match time::timeout_at(until, connection.read_head()).await {
         Ok(Ok(head)) => head,
         Ok(Err(e)) => return Err(DispatchError::BrokeOff(e.to_string())),
         Err(_) => return Err(DispatchError::MayHaveRun("no answer in time".to_owned())),
@@ -201,22 +201,51 @@
 async fn open(
     gateway: &Rc<Gateway>,
     target: &Target<'_>,
-    limit: Duration,
+    until: time::Instant,
 ) -> Result<OpenedPath, DispatchError> {
-    let opened = time::timeout(limit, gateway.open_path(target.addr)).await;
-    let opened = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-    opened.map_err(|e| {
+    let failed = FailedConnect {
+        id: target.id.clone(),
+        addr: target.addr,
+        is_engine: !target.chain.is_empty(),
+    };
+    match time::timeout_at(until, gateway.open_path(target.addr)).await {
+        Ok(Ok(opened)) => Ok(opened),
+        Ok(Err(e)) => {
+            failed.record(gateway, &e);
+            Err(DispatchError::NotSent(format!("connecting failed: {e}")))
+        }
+        Err(_) => {
+            actix_rt::spawn(failed.check_later(gateway.clone()));
+            Err(DispatchError::NotSent("no connection in time".to_owned()))
+        }
+    }
+}
+
+/// An endpoint to which no connection was opened.
+struct FailedConnect {
+    id: Rc<str>,
+    addr: SocketAddr,
+    is_engine: bool,
+}
+
+impl FailedConnect {
+    /// Records that neither this host nor any that it asked reaches the endpoint.
+    fn record(&self, gateway: &Rc<Gateway>, error: &io::Error) {
         let now = gateway.now();
-        gateway
-            .directory
-            .borrow_mut()
-            .record_failure(target.id, now);
+        gateway.directory.borrow_mut().record_failure(&self.id, now);
         // Several attempts and hosts are as good as a probe. Plain endpoints can't be polled.
-        if e.kind() == io::ErrorKind::TimedOut && !target.chain.is_empty() {
-            probe::record_unresponsive(gateway, target.id, target.addr);
+        if error.kind() == io::ErrorKind::TimedOut && self.is_engine {
+            probe::record_unresponsive(gateway, &self.id, self.addr);
+        }
+    }
+
+    /// Records the failure if the path to the endpoint is not just cut. Its request had too little time left to find
+    /// out.
+    async fn check_later(self, gateway: Rc<Gateway>) {
+        if gateway.check_path(self.addr).await == PathState::Unreachable {
+            self.record(&gateway, &io::ErrorKind::TimedOut.into());
         }
-        DispatchError::NotSent(format!("connecting failed: {e}"))
-    })
+    }
 }
 
 fn check_answer(
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -295,9 +295,10 @@
             via: &via,
         };
         let sent_at = Instant::now();
+        let until = sent_at + monitor.timing.timeout();
         let sent = tokio::select! {
             biased;
-            sent = send::send(gateway, self.admitted, &target, monitor.timing.timeout()) => sent,
+            sent = send::send(gateway, self.admitted, &target, until) => sent,
             abandoned = monitor.until_abandoned(sent_at) => {
                 self.allow_again(chain, &abandoned);
                 Err(target.abandoned(abandoned.why))
