A search for a relay ranks each host once

The sort computed the key of a host, a hash, at each comparison: some 20,000 hashes a search on a fleet of 986 hosts, by arithmetic, and a host that has lost hundreds of endpoints makes tens of searches a second. Not measured.

--- a/crates/fleet/src/paths.rs
+++ b/crates/fleet/src/paths.rs
@@ -190,8 +190,8 @@
             let beside_endpoint = search.endpoint_data_centre == Some(h.data_centre);
             (unanswered, !beside_endpoint, draw(search, h.name))
         };
-        near.sort_by_key(rank);
-        far.sort_by_key(rank);
+        near.sort_by_cached_key(rank);
+        far.sort_by_cached_key(rank);
         near.truncate(MAX_CANDIDATES_PER_KIND);
         far.truncate(2 * MAX_CANDIDATES_PER_KIND - near.len());
         near.iter().chain(&far).map(|h| h.addr).collect()
