A host that listens outlives a hangup signal

What the soak saw: 'h10 terminated by itself: signal: 1 (SIGHUP)', with 12 hosts of the code before, and once more with four: hosts that are killed and started in a series get signals while they start.

Cause: the handlers of SIGHUP and SIGTERM were installed after the listeners and all tasks, so that a host that already accepted callers had the default action, which ends the process; SIGTERM would have ended it without its grace time. They are now the first that a host does. Between exec and that point, while settings are read, the default action still holds.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -31,6 +31,10 @@
 /// Runs a host until it receives SIGTERM and its requests have ended or the grace time is over.
 pub async fn run(gateway: Rc<Gateway>) -> anyhow::Result<()> {
     let settings = &gateway.settings;
+    // A signal ends a process that has no handler for it yet.
+    let mut reload = signal(SignalKind::hangup()).context("can't install a handler for SIGHUP")?;
+    let mut terminate =
+        signal(SignalKind::terminate()).context("can't install a handler for SIGTERM")?;
     log::info!(target: "host", host = &*settings.host, data_centre = &*settings.data_centre; "Host starts.");
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
@@ -48,9 +52,6 @@
     actix_rt::spawn(accept(readiness, status.clone(), gateway.clone()));
     actix_rt::spawn(accept(metrics, status, gateway.clone()));
     actix_rt::spawn(sweep(gateway.clone()));
-    let mut terminate =
-        signal(SignalKind::terminate()).context("can't install a handler for SIGTERM")?;
-    let mut reload = signal(SignalKind::hangup()).context("can't install a handler for SIGHUP")?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
