Each host stores the terminations that it has proved, at once

It came about when all hosts were killed soon after crashes.

A host told its proofs to the first host of its data centre with its next poll, up to 250 ms later, and only that host stored them, not more often than once a second. Until then one process knew them, and they died with it.

The first host of a data centre stores what was reported to it, as before. In fleets of more than 16 hosts the write is spread as other writes in a burst are, and is left out once the first host has received the report. In calm there is no call more.

What is left: hosts that are killed before the proof is made or written, some ms in a release build.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -28,7 +28,7 @@
 
 use self::{
     recent_answers::RecentAnswers,
-    record::{Moment, RequestPeriod, RequestRecord},
+    record::{CountedTermination, Moment, RequestPeriod, RequestRecord},
     unconfirmed_runs::UnconfirmedRuns,
 };
 use crate::fingerprint::Fingerprint;
@@ -110,6 +110,15 @@
     pub period: Option<QuarantinePeriod>,
 }
 
+/// The hosts whose proofs of terminations are to be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Provers {
+    /// All hosts, as far as their proofs were reported.
+    AllHosts,
+    /// This host and its earlier processes.
+    ThisHost,
+}
+
 /// A quarantine period, as stored for the next process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineRecord {
@@ -138,6 +147,8 @@
     persisted_revision: PersistRevision,
     /// Grows with each change of the terminations that count towards a quarantine.
     suspects_revision: PersistRevision,
+    /// The version with which this host last proved a termination.
+    own_termination_version: u64,
 }
 
 impl Quarantine {
@@ -152,6 +163,7 @@
             persist_revision: PersistRevision::default(),
             persisted_revision: PersistRevision::default(),
             suspects_revision: PersistRevision::default(),
+            own_termination_version: 0,
         }
     }
 
@@ -191,12 +203,18 @@
         }
         let first_duration = self.first_duration;
         let record = self.record_mut(request, now);
-        if !record.add_termination(endpoint, now) {
+        let proved = CountedTermination {
+            endpoint: endpoint.clone(),
+            at: now,
+            own: true,
+        };
+        if !record.add_termination(proved) {
             return None;
         }
         let begins = record.begin_period_if_due(first_duration, now);
         let period = record.period.filter(|_| begins);
         self.changed(&request);
+        self.own_termination_version = self.version;
         let period = period?;
         self.persist_revision.0 += 1;
         Some(period.to_report(now))
@@ -256,13 +274,16 @@
         reports: Vec<SuspectReport>,
         now: Duration,
     ) -> Vec<Fingerprint> {
-        let now = moment(now);
+        self.merge_all(&reports, false, moment(now))
+    }
+
+    fn merge_all(&mut self, reports: &[SuspectReport], own: bool, now: Moment) -> Vec<Fingerprint> {
         self.expire(now);
         let requests = reports.iter().map(|report| report.request);
         let free: Vec<Fingerprint> = requests.filter(|r| !self.is_quarantined(r, now)).collect();
         reports
             .iter()
-            .for_each(|report| self.merge_report(report, now));
+            .for_each(|report| self.merge_report(report, own, now));
         self.keep_quarantined(free, now)
     }
 
@@ -272,7 +293,8 @@
         requests
     }
 
-    fn merge_report(&mut self, report: &SuspectReport, now: Moment) {
+    /// Merges a report; `own` is whether an earlier process of this host has made it.
+    fn merge_report(&mut self, report: &SuspectReport, own: bool, now: Moment) {
         // An answer to a request that is not known here yet is kept too: another host may still report
         // the quarantine that it ended, and the answer is not reported a second time.
         let unknown = !self.records.contains_key(&report.request);
@@ -282,7 +304,7 @@
         }
         let first_duration = self.first_duration;
         let record = self.record_mut(report.request, now);
-        let own = record.period.is_some_and(|p| p.own);
+        let owned = record.period.is_some_and(|p| p.own);
         let answered_at = report.answer_age.map(|age| time_ago(now, age));
         let period = report
             .period
@@ -291,14 +313,14 @@
         changed |= period.is_some_and(|period| record.merge_period(period));
         for termination in &report.terminations {
             changed |=
-                record.add_termination(&termination.endpoint, time_ago(now, termination.age));
+                record.add_termination(CountedTermination::from_report(termination, now, own));
         }
         let begins = record.begin_period_if_due(first_duration, now);
-        let owned = record.period.filter(|p| p.own);
+        let owns = record.period.is_some_and(|p| p.own);
         if changed || begins {
             self.changed(&report.request);
         }
-        if begins || own != owned.is_some() {
+        if begins || owned != owns {
             self.persist_revision.0 += 1;
         }
     }
@@ -330,34 +352,45 @@
         self.suspects_revision
     }
 
+    /// The version with which this host last proved a termination; 0 if it has proved none.
+    pub fn own_termination_version(&self) -> u64 {
+        self.own_termination_version
+    }
+
     /// The requests with terminations that count towards a quarantine, those with the most and latest
     /// terminations first, as the next processes of all hosts need them if all hosts end at once.
-    pub fn suspects_to_persist(&self, now: Duration) -> Vec<SuspectReport> {
+    pub fn suspects_to_persist(&self, provers: Provers, now: Duration) -> Vec<SuspectReport> {
         let now = moment(now);
+        let counts = |t: &&CountedTermination| provers == Provers::AllHosts || t.own;
         let mut suspects: Vec<(&Fingerprint, &RequestRecord)> = self
             .records
             .iter()
-            .filter(|(_, r)| !r.terminations.is_empty())
+            .filter(|(_, r)| r.terminations.iter().any(|t| counts(&t)))
             .collect();
         suspects.sort_by_key(|(request, r)| {
             let order = (r.terminations.len(), r.updated_at, **request);
             std::cmp::Reverse(order)
         });
         suspects.truncate(MAX_PERSISTED_SUSPECTS);
-        let report = |(request, record): (&Fingerprint, &RequestRecord)| SuspectReport {
-            request: *request,
-            terminations: record.termination_reports(now),
-            answer_age: None,
-            period: None,
+        let report = |(request, record): (&Fingerprint, &RequestRecord)| {
+            let terminations = record.terminations.iter().filter(counts);
+            SuspectReport {
+                request: *request,
+                terminations: terminations.map(|t| t.to_report(now)).collect(),
+                answer_age: None,
+                period: None,
+            }
         };
         suspects.into_iter().map(report).collect()
     }
 
-    /// Restores the stored terminations of all hosts; returns the requests that are newly quarantined.
-    /// Terminations that are older than a first quarantine lasts no longer count.
+    /// Restores the terminations that hosts have stored; `own` is whether that was this host. Returns the
+    /// requests that are newly quarantined. Terminations that are older than a first quarantine lasts no longer
+    /// count.
     pub fn restore_suspects(
         &mut self,
         mut stored: Vec<SuspectReport>,
+        own: bool,
         now: Duration,
     ) -> Vec<Fingerprint> {
         let max_age = self.first_duration;
@@ -365,7 +398,7 @@
             suspect.terminations.retain(|t| t.age < max_age);
         }
         stored.retain(|suspect| !suspect.terminations.is_empty());
-        self.merge_reports(stored, now)
+        self.merge_all(&stored, own, moment(now))
     }
 
     /// Notes that what was to be stored at this revision has been.
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -22,11 +22,22 @@
 /// A termination that counts towards the next quarantine.
 #[derive(Debug, Clone)]
 pub(super) struct CountedTermination {
-    endpoint: Rc<str>,
-    at: Moment,
+    pub(super) endpoint: Rc<str>,
+    pub(super) at: Moment,
+    /// This host or an earlier process of it proved the termination, and stores it.
+    pub(super) own: bool,
 }
 
 impl CountedTermination {
+    /// Converts a termination that is reported or restored now.
+    pub(super) fn from_report(termination: &Termination, now: Moment, own: bool) -> Self {
+        Self {
+            endpoint: termination.endpoint.clone(),
+            at: now.saturating_sub(termination.age),
+            own,
+        }
+    }
+
     /// Converts the termination to a report for other hosts.
     pub(super) fn to_report(&self, now: Moment) -> Termination {
         Termination {
@@ -91,19 +102,20 @@
         self.answered_at.max(self.period.map(|p| p.span.until))
     }
 
-    /// Adds a termination if it is new and counts; returns whether it did.
-    pub(super) fn add_termination(&mut self, endpoint: &Rc<str>, at: Moment) -> bool {
-        let expired = self.period.is_none_or(|p| p.span.until < at);
-        let counts = expired && !self.is_before_answer(at);
-        let known = self.terminations.iter().any(|t| t.endpoint == *endpoint);
-        if !counts || known {
+    /// Adds a termination if it is new and counts; returns whether it did. A known termination becomes this host's
+    /// own if this host has proved it as well.
+    pub(super) fn add_termination(&mut self, added: CountedTermination) -> bool {
+        let expired = self.period.is_none_or(|p| p.span.until < added.at);
+        let counts = expired && !self.is_before_answer(added.at);
+        let mut counted = self.terminations.iter_mut();
+        if let Some(known) = counted.find(|t| t.endpoint == added.endpoint) {
+            known.own |= added.own;
             return false;
         }
-        self.terminations.push(CountedTermination {
-            endpoint: endpoint.clone(),
-            at,
-        });
-        true
+        if counts {
+            self.terminations.push(added);
+        }
+        counts
     }
 
     /// Begins a quarantine period if enough incarnations have terminated; returns whether it did.
--- a/crates/fleet/src/row_writes.rs
+++ b/crates/fleet/src/row_writes.rs
@@ -71,6 +71,52 @@
     }
 }
 
+/// A write that many hosts may owe at the same moment, so that each makes it at a time of its own.
+#[derive(Debug, Default)]
+pub struct SpreadWrite(Option<Duration>);
+
+impl SpreadWrite {
+    /// Whether the write is due. `owed` is whether this host owes it, and `draw` draws the delay from the moment at
+    /// which it first does.
+    pub fn is_due(&mut self, owed: bool, now: Duration, draw: impl FnOnce() -> Duration) -> bool {
+        if !owed {
+            self.0 = None;
+            return false;
+        }
+        *self.0.get_or_insert_with(|| now + draw()) <= now
+    }
+
+    /// Whether the write is due or its delay is not drawn yet, provided that this host owes it.
+    pub fn may_be_due(&self, now: Duration) -> bool {
+        self.0.is_none_or(|at| at <= now)
+    }
+
+    /// Records that the row was written.
+    pub fn record_write(&mut self) {
+        self.0 = None;
+    }
+}
+
+/// How far this host's proofs of terminations are known elsewhere, as versions of its quarantine.
+#[derive(Debug, Clone, Copy)]
+pub struct ProofVersions {
+    /// The version with the last proof.
+    pub proved: u64,
+    /// The version that this host's row contains.
+    pub stored: u64,
+    /// The version that was reported to the host that stores the proofs of all, if this host may leave its own to that
+    /// host.
+    pub reported: Option<u64>,
+}
+
+impl ProofVersions {
+    /// Whether this host owes a write of its row.
+    pub fn owed(&self) -> bool {
+        let left_to_other = self.reported.is_some_and(|version| version >= self.proved);
+        self.proved > self.stored && !left_to_other
+    }
+}
+
 /// Writes that the store refused for their rate.
 #[derive(Debug, Default)]
 pub struct RefusedWrites {
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use dragonflyrill_fleet::{
     fingerprint::Fingerprint,
-    quarantine::{Quarantine, QuarantinePeriod, QuarantineRecord, SuspectReport},
+    quarantine::{Provers, Quarantine, QuarantinePeriod, QuarantineRecord, SuspectReport},
 };
 use proptest::prelude::*;
 
@@ -335,18 +335,68 @@
     before.note_termination(request(1), &incarnation(1), s(1));
     before.note_termination(request(1), &incarnation(2), s(2));
     assert!(before.suspects_revision() > unchanged);
-    let stored = before.suspects_to_persist(s(10));
+    let stored = before.suspects_to_persist(Provers::AllHosts, s(10));
     let mut after = Quarantine::new(FIRST_DURATION);
-    assert_eq!(after.restore_suspects(stored.clone(), s(0)), []);
+    assert_eq!(after.restore_suspects(stored.clone(), false, s(0)), []);
     assert!(
         after
             .note_termination(request(1), &incarnation(3), s(1))
             .is_some()
     );
-    assert!(after.suspects_to_persist(s(1)).is_empty());
+    assert!(
+        after
+            .suspects_to_persist(Provers::AllHosts, s(1))
+            .is_empty()
+    );
     // What led to the quarantine does not count again when the row is read once more.
-    assert_eq!(after.restore_suspects(stored, s(2)), []);
-    assert!(after.suspects_to_persist(s(2)).is_empty());
+    assert_eq!(after.restore_suspects(stored, false, s(2)), []);
+    assert!(
+        after
+            .suspects_to_persist(Provers::AllHosts, s(2))
+            .is_empty()
+    );
+}
+
+/// Guards against a restart after which a host no longer stores what its earlier process proved.
+#[test]
+fn a_host_stores_the_terminations_that_it_or_an_earlier_process_of_it_has_proved() {
+    let (mut before, mut other) = (
+        Quarantine::new(FIRST_DURATION),
+        Quarantine::new(FIRST_DURATION),
+    );
+    assert_eq!(before.own_termination_version(), 0);
+    before.note_termination(request(1), &incarnation(1), s(1));
+    let proved = before.own_termination_version();
+    assert!(proved > 0);
+    other.note_termination(request(1), &incarnation(2), s(1));
+    other.note_termination(request(2), &incarnation(2), s(1));
+    report(&other, &mut before, s(1));
+    assert_eq!(before.own_termination_version(), proved);
+    let own = before.suspects_to_persist(Provers::ThisHost, s(1));
+    let endpoints = |stored: &[SuspectReport]| -> Vec<(Fingerprint, Rc<str>)> {
+        let of = |s: &SuspectReport| {
+            let request = s.request;
+            let terminations = s.terminations.clone().into_iter();
+            terminations
+                .map(move |t| (request, t.endpoint))
+                .collect::<Vec<_>>()
+        };
+        stored.iter().flat_map(of).collect()
+    };
+    assert_eq!(endpoints(&own), [(request(1), incarnation(1))]);
+    let mut after = Quarantine::new(FIRST_DURATION);
+    after.restore_suspects(
+        other.suspects_to_persist(Provers::ThisHost, s(1)),
+        false,
+        s(0),
+    );
+    after.restore_suspects(own.clone(), true, s(0));
+    assert_eq!(after.suspects_to_persist(Provers::ThisHost, s(0)), own);
+    assert!(
+        after
+            .note_termination(request(1), &incarnation(3), s(1))
+            .is_some()
+    );
 }
 
 #[test]
@@ -354,17 +404,17 @@
     let mut quarantine = Quarantine::new(FIRST_DURATION);
     quarantine.note_termination(request(1), &incarnation(1), s(1));
     quarantine.note_termination(request(2), &incarnation(1), s(1));
-    let stored = quarantine.suspects_to_persist(s(1));
+    let stored = quarantine.suspects_to_persist(Provers::AllHosts, s(1));
     quarantine.note_answer(&request(1), s(5));
-    quarantine.restore_suspects(stored.clone(), s(6));
-    let suspects = quarantine.suspects_to_persist(s(6));
+    quarantine.restore_suspects(stored.clone(), false, s(6));
+    let suspects = quarantine.suspects_to_persist(Provers::AllHosts, s(6));
     assert!(suspects.iter().all(|s| s.request != request(1)));
     let mut later = Quarantine::new(FIRST_DURATION);
     let mut aged = stored;
     aged.iter_mut()
         .flat_map(|suspect| &mut suspect.terminations)
         .for_each(|t| t.age = FIRST_DURATION);
-    later.restore_suspects(aged, s(0));
+    later.restore_suspects(aged, false, s(0));
     assert!(later.is_empty());
 }
 
@@ -378,7 +428,7 @@
         bytes[..4].copy_from_slice(&n.to_be_bytes());
         quarantine.note_termination(Fingerprint::from(bytes), &incarnation(1), s(3));
     }
-    let stored = quarantine.suspects_to_persist(s(4));
+    let stored = quarantine.suspects_to_persist(Provers::AllHosts, s(4));
     assert!(stored.len() <= 128, "{}", stored.len());
     assert_eq!(stored[0].request, request(1));
 }
--- a/crates/fleet/tests/row_writes.rs
+++ b/crates/fleet/tests/row_writes.rs
@@ -6,7 +6,7 @@
 
 use common::ms;
 use dragonflyrill_fleet::{
-    row_writes::{self, JoinWrite, RefusedWrites},
+    row_writes::{self, JoinWrite, ProofVersions, RefusedWrites, SpreadWrite},
     share::{Claim, ClaimRow, ClaimsSnapshot, Share},
 };
 use rand::{Rng, SeedableRng};
@@ -165,3 +165,37 @@
     refused.reset();
     assert_eq!(refused.record_refusal(1.0), first);
 }
+
+#[test]
+fn a_spread_write_keeps_the_time_that_was_drawn_when_it_was_first_owed() {
+    let mut write = SpreadWrite::default();
+    assert!(!write.is_due(false, ms(0), || unreachable!("nothing is owed")));
+    assert!(write.may_be_due(ms(0)));
+    assert!(!write.is_due(true, ms(100), || ms(50)));
+    assert!(!write.may_be_due(ms(149)));
+    assert!(!write.is_due(true, ms(149), || unreachable!("it was drawn")));
+    assert!(write.is_due(true, ms(150), || unreachable!("it was drawn")));
+    write.record_write();
+    assert!(!write.is_due(true, ms(160), || ms(50)));
+    // What was owed may be written by another host.
+    assert!(!write.is_due(false, ms(170), || ms(0)));
+    assert!(write.is_due(true, ms(180), || ms(0)));
+}
+
+#[test]
+fn a_proof_is_owed_until_it_is_stored_or_reported_to_the_host_that_stores_it() {
+    let owed = |proved, stored, reported| {
+        let versions = ProofVersions {
+            proved,
+            stored,
+            reported,
+        };
+        versions.owed()
+    };
+    assert!(!owed(0, 0, None));
+    assert!(owed(7, 0, None));
+    assert!(owed(7, 6, Some(6)));
+    assert!(!owed(7, 6, Some(7)));
+    assert!(!owed(7, 7, Some(0)));
+    assert!(!owed(7, 7, None));
+}
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -9,7 +9,9 @@
 
 use dragonflyrill_fleet::{
     quarantine::PersistRevision,
-    row_writes::{self, JoinWrite, RefusedWrites, WRITE_PAUSE_PER_HOST},
+    row_writes::{
+        self, JoinWrite, ProofVersions, RefusedWrites, SpreadWrite, WRITE_PAUSE_PER_HOST,
+    },
 };
 use dragonflyrill_protocol::exchange::{FleetHost, HostRow, RowWriteResponse};
 use dragonflyrill_store::PlatformError;
@@ -130,8 +132,8 @@
     writes_alone: bool,
     /// Nothing is written before this time, as the store has refused a write for its rate.
     refused_until: Duration,
-    /// The time of the next write that permits more retries.
-    record_at: Option<Duration>,
+    /// The next write that permits more retries.
+    record: SpreadWrite,
     /// The shutdown of this host has been noticed, and the write for it has been triggered.
     shutdown_recorded: bool,
     /// The last logged number of hosts by which the bounds are divided.
@@ -146,6 +148,10 @@
     suspects_revision: PersistRevision,
     /// The earliest time of the next write that is caused by terminations of endpoints.
     suspects_at: Duration,
+    /// The version of the quarantine up to which the row contains the terminations that this host has proved.
+    stored_own_version: u64,
+    /// The next write that is caused by such terminations.
+    own_terminations: SpreadWrite,
 }
 
 /// Writes the row whenever that is due, until the process exits.
@@ -157,7 +163,7 @@
         refused: RefusedWrites::default(),
         writes_alone: false,
         refused_until: Duration::ZERO,
-        record_at: None,
+        record: SpreadWrite::default(),
         shutdown_recorded: false,
         divisor: None,
         store_unavailable: false,
@@ -165,6 +171,8 @@
         limits_at: Duration::ZERO,
         suspects_revision: PersistRevision::default(),
         suspects_at: Duration::ZERO,
+        stored_own_version: 0,
+        own_terminations: SpreadWrite::default(),
     };
     let mut backoff = Backoff::default();
     loop {
@@ -197,13 +205,8 @@
 impl RowWriter {
     /// The pause after a write. Only writes that many hosts may make in a burst are paused for longer.
     fn write_pause(&self, urgency: Urgency) -> Duration {
-        let others = self
-            .gateway
-            .hosts
-            .get()
-            .saturating_sub(MAX_CONCURRENT_WRITERS);
         match urgency {
-            Urgency::AtOnce => MIN_WRITE_PAUSE.max(WRITE_PAUSE_PER_HOST * others),
+            Urgency::AtOnce => MIN_WRITE_PAUSE.max(self.burst_spread()),
             Urgency::Routine => MIN_WRITE_PAUSE,
         }
     }
@@ -226,17 +229,17 @@
         let join = self
             .join
             .is_due(bounds.awaited(), spread, now, || rand::rng().random());
-        self.record_at = match (bounds.record_due(now), self.record_at) {
-            (false, _) => None,
-            (true, Some(at)) => Some(at),
-            (true, None) => Some(now + self.record_spread()),
-        };
-        let record = self.record_at.is_some_and(|at| at <= now);
+        let burst_spread = self.burst_spread();
+        let delay = || burst_spread.mul_f64(rand::rng().random());
+        let record = self.record.is_due(bounds.record_due(now), now, delay);
+        let own_terminations =
+            self.own_terminations
+                .is_due(self.owes_own_terminations(), now, delay);
         let heartbeat_at = *self.heartbeat_at.get_or_insert(now + initial_delay);
         let routine = !self.shutdown_recorded && (heartbeat_at <= now || join);
         // Hosts that start find each other by their first rows.
         let first = routine && row_version == 0;
-        if record || self.persistence_due(now) || first {
+        if record || own_terminations || self.persistence_due(now) || first {
             return Some(Urgency::AtOnce);
         }
         routine.then_some(Urgency::Routine)
@@ -261,10 +264,11 @@
                 () = time::sleep(CHECK_INTERVAL) => {}
             }
             let now = gateway.now();
-            // The time of a record that has just become due is not set yet.
-            let record =
-                gateway.bounds.record_due(now) && self.record_at.is_none_or(|at| at <= now);
-            if gateway.is_shutting_down() || record || self.persistence_due(now) {
+            let record = gateway.bounds.record_due(now) && self.record.may_be_due(now);
+            let own_terminations =
+                self.owes_own_terminations() && self.own_terminations.may_be_due(now);
+            let urgent = record || own_terminations || self.persistence_due(now);
+            if gateway.is_shutting_down() || urgent {
                 return;
             }
         }
@@ -279,6 +283,20 @@
             && quarantine_rows::stores_suspects(&self.gateway)
     }
 
+    /// Whether this host's row lacks terminations that this host has proved. In a fleet that spreads its writes, the host
+    /// that stores the terminations of all also writes those that were reported to it.
+    fn owes_own_terminations(&self) -> bool {
+        let gateway = &self.gateway;
+        let stored_by_other =
+            !self.burst_spread().is_zero() && !quarantine_rows::stores_suspects(gateway);
+        let versions = ProofVersions {
+            proved: gateway.quarantine.borrow().own_termination_version(),
+            stored: self.stored_own_version,
+            reported: stored_by_other.then(|| gateway.peers.reported_suspects_version()),
+        };
+        versions.owed()
+    }
+
     /// The endpoints whose limits the row is to contain.
     fn current_limited_endpoints(&self) -> Vec<String> {
         let limits = limit_rows::to_rows(&self.gateway, Duration::ZERO);
@@ -302,13 +320,10 @@
         self.store_unavailable = store_unavailable;
     }
 
-    fn record_spread(&self) -> Duration {
-        let others = self
-            .gateway
-            .hosts
-            .get()
-            .saturating_sub(MAX_CONCURRENT_WRITERS);
-        (WRITE_PAUSE_PER_HOST * others).mul_f64(rand::rng().random())
+    /// The time over which all hosts spread writes that each of them may owe in a burst.
+    fn burst_spread(&self) -> Duration {
+        let hosts = self.gateway.hosts.get();
+        WRITE_PAUSE_PER_HOST * hosts.saturating_sub(MAX_CONCURRENT_WRITERS)
     }
 
     /// The time over which all hosts spread writes that they owe at the same moment.
@@ -371,6 +386,7 @@
             true => gateway.quarantine.borrow().suspects_revision(),
             false => self.suspects_revision,
         };
+        let own_version = gateway.quarantine.borrow().own_termination_version();
         self.suspects_at = now + MIN_SUSPECTS_WRITE_PAUSE;
         let limits = row.endpoint_limits.iter();
         let limited_endpoints: Vec<String> = limits.map(|l| l.endpoint.clone()).collect();
@@ -382,6 +398,7 @@
                 bounds.confirm_write(&draft, version, gateway.now());
                 gateway.quarantine.borrow_mut().mark_persisted(revision);
                 self.suspects_revision = suspects_revision;
+                self.stored_own_version = own_version;
                 self.limited_endpoints = limited_endpoints;
             }
             WrittenRow::Conflict(version) => {
@@ -402,7 +419,8 @@
         }
         self.writes_alone = false;
         self.join.record_write();
-        self.record_at = None;
+        self.record.record_write();
+        self.own_terminations.record_write();
         Ok(WriteResult::Answered)
     }
 
--- a/crates/gateway/src/control/quarantine_rows.rs
+++ b/crates/gateway/src/control/quarantine_rows.rs
@@ -5,15 +5,18 @@
 //! the clocks of the hosts.
 //!
 //! The terminations that do not suffice for a quarantine yet are stored as well, as each restart of all hosts would
-//! otherwise allow a request to end as many endpoints again. All streams of an engine break off with it, so that many
-//! hosts suspect many requests at the same moment; one host of a data centre, which receives what the others report,
-//! stores the terminations for all.
+//! otherwise allow a request to end as many endpoints again. Each host stores those that it has proved itself, as soon as
+//! it has proved them: until then a loss of all hosts would lose them. One host of a data centre, which receives what
+//! the others report, stores those of all. In a large fleet, where a loss of power of many engines would make all hosts
+//! write at the same moment, hosts spread their writes, and leave them to that host once it has received their reports.
 
 use std::time::Duration;
 
 use dragonflyrill_fleet::{
     fingerprint::Fingerprint,
-    quarantine::{ClockSpan, QuarantinePeriod, QuarantineRecord, SuspectReport, Termination},
+    quarantine::{
+        ClockSpan, Provers, QuarantinePeriod, QuarantineRecord, SuspectReport, Termination,
+    },
 };
 use dragonflyrill_protocol::exchange::{
     HostRow, QuarantineRow, SuspectRow, TerminationRow, millis,
@@ -36,12 +39,13 @@
 }
 
 /// The terminations that count towards a quarantine, in the form of a row that is written at the time `clock` of the
-/// store's clock. Empty on a host that does not store them for others.
+/// store's clock: those that this host has proved, and those of all hosts if it stores them for others.
 pub(super) fn suspects_to_rows(gateway: &Gateway, clock: Duration) -> Vec<SuspectRow> {
-    if !stores_suspects(gateway) {
-        return Vec::new();
-    }
-    let suspects = gateway.suspects_to_persist();
+    let provers = match stores_suspects(gateway) {
+        true => Provers::AllHosts,
+        false => Provers::ThisHost,
+    };
+    let suspects = gateway.suspects_to_persist(provers);
     suspects.iter().map(|s| suspect_to_row(s, clock)).collect()
 }
 
@@ -67,12 +71,17 @@
 /// Merges the quarantined and the suspected requests of all hosts' rows, which were read at the time `clock` of the
 /// store's clock.
 pub(super) fn merge(gateway: &Gateway, rows: &[(u64, HostRow)], clock: Duration) {
-    let suspects = rows.iter().flat_map(|(_, row)| {
+    for (_, row) in rows
+        .iter()
+        .filter(|(_, row)| !row.suspected_requests.is_empty())
+    {
         let host = &row.host.host;
-        let suspects = row.suspected_requests.iter();
-        suspects.filter_map(|suspect| parse_suspect(host, suspect, clock))
-    });
-    gateway.restore_suspects(suspects.collect());
+        let suspects = row
+            .suspected_requests
+            .iter()
+            .filter_map(|suspect| parse_suspect(host, suspect, clock));
+        gateway.restore_suspects(suspects.collect(), *host == gateway.settings.host);
+    }
     for (_, row) in rows
         .iter()
         .filter(|(_, row)| !row.quarantined_requests.is_empty())
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -4,7 +4,7 @@
 
 use dragonflyrill_fleet::{
     fingerprint::Fingerprint,
-    quarantine::{PersistRevision, QuarantineRecord, SuspectReport},
+    quarantine::{PersistRevision, Provers, QuarantineRecord, SuspectReport},
 };
 
 use super::Gateway;
@@ -29,6 +29,8 @@
             .quarantine
             .borrow_mut()
             .note_termination(request, endpoint, self.now());
+        // This host's row lacks the termination, and all hosts may end at any moment.
+        drop(self.bounds.request_write());
         if let Some(period) = period {
             let for_s = period.remaining().as_secs();
             log::warn!(target: "forward", request:% = request, for_s = for_s, times = period.count; "A request is quarantined: endpoints terminate while running it.");
@@ -78,17 +80,18 @@
         self.quarantine.borrow().to_persist(self.now())
     }
 
-    /// The suspected requests to store for the hosts of this data centre.
-    pub fn suspects_to_persist(&self) -> Vec<SuspectReport> {
-        self.quarantine.borrow().suspects_to_persist(self.now())
+    /// The suspected requests to store in this host's row.
+    pub fn suspects_to_persist(&self, provers: Provers) -> Vec<SuspectReport> {
+        let quarantine = self.quarantine.borrow();
+        quarantine.suspects_to_persist(provers, self.now())
     }
 
-    /// Restores the suspected requests of all hosts' rows.
-    pub fn restore_suspects(&self, suspects: Vec<SuspectReport>) {
+    /// Restores the suspected requests of a host's row; `own` is whether that is this host's row.
+    pub fn restore_suspects(&self, suspects: Vec<SuspectReport>, own: bool) {
         let quarantined = self
             .quarantine
             .borrow_mut()
-            .restore_suspects(suspects, self.now());
+            .restore_suspects(suspects, own, self.now());
         log_quarantined(&quarantined);
     }
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -401,6 +401,10 @@
             let mark = news.suspects.position;
             self.suspect_syncs
                 .record_response(host.addr, &suspect_offer, mark);
+            if host.data_centre == *self.gateway.settings.data_centre {
+                let reported = &self.gateway.peers.reported_suspects_version;
+                reported.set(suspect_offer.version);
+            }
             suspects::merge(&self.gateway, &suspects);
             return Some(news);
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -74,6 +74,8 @@
     loads: RefCell<ReportedLoads>,
     /// Position up to which the polled host's list of endpoints is known.
     list_position: Cell<ListPosition>,
+    /// The version of this host's suspects that was last reported to a polled host of this data centre.
+    reported_suspects_version: Cell<u64>,
     /// The row of the lease, as last read or received.
     lease: RefCell<Option<LeaseRow>>,
     /// The incarnation of this host.
@@ -102,6 +104,7 @@
             reports: RefCell::default(),
             loads: RefCell::new(ReportedLoads::new(PEER_REPORT_TTL)),
             list_position: Cell::default(),
+            reported_suspects_version: Cell::default(),
             lease: RefCell::default(),
             incarnation: Cell::default(),
             reader: RefCell::default(),
@@ -239,6 +242,12 @@
             .is_some()
     }
 
+    /// The version of this host's suspects that was last reported to a polled host of this data centre, which stores
+    /// them; 0 if none was.
+    pub fn reported_suspects_version(&self) -> u64 {
+        self.reported_suspects_version.get()
+    }
+
     /// Makes the next poll at once.
     pub fn poll_now(&self) {
         self.poll_requested.notify_one();
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -29,7 +29,7 @@
     pub(super) suspects: Vec<Suspect>,
     /// The version of this host's suspects that the other host knows once it has received the
     /// offer.
-    version: u64,
+    pub(super) version: u64,
 }
 
 impl PeerSyncs {
