A later stage that has terminated counts before its next entry

What callers see: a request under which engines crash as later stages of a chain counts as their cause only when another incarnation is listed in place of each, one to two seconds later, or never if none is. Until then it is dispatched again, and hosts that end forget it.

Cause: a run that is abandoned because a later stage does not answer must not wait for the check of the stage's address, and so the check was not made at all. Only runs that the first stage breaks off were checked.

The check is now made without the request waiting for it; it is shared by all runs at the stage, so that it costs a host one connection, and where an engine reports its start one poll, for each stage that is lost. If it shows that the stage has terminated, its broken runs count.

A run that can't continue elsewhere still waits for its caller's deadline and is not counted meanwhile.

--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -113,15 +113,28 @@
         if !suspected {
             continue;
         }
-        // A run that was abandoned must not wait for an address that may not respond either.
-        if broke_off
-            && gateway
-                .termination_checks
-                .check(gateway, endpoint.id, endpoint.addr)
-                .await
-        {
-            return gateway.record_termination(admitted.fingerprint(), endpoint.id);
+        let check = gateway
+            .termination_checks
+            .check(gateway, endpoint.id, endpoint.addr);
+        if broke_off {
+            if check.await {
+                return gateway.record_termination(admitted.fingerprint(), endpoint.id);
+            }
+            gateway.record_broken_run(admitted.fingerprint(), endpoint.id);
+        } else {
+            // A run that was abandoned must not wait for an address that may not respond either.
+            gateway.record_broken_run(admitted.fingerprint(), endpoint.id);
+            confirm_once_checked(gateway, endpoint.id, check);
         }
-        gateway.record_broken_run(admitted.fingerprint(), endpoint.id);
     }
 }
+
+/// Counts the broken runs at an endpoint once a check has shown that it has terminated.
+fn confirm_once_checked(gateway: &Rc<Gateway>, id: &Rc<str>, check: TerminationCheck) {
+    let (gateway, id) = (gateway.clone(), id.clone());
+    actix_rt::spawn(async move {
+        if check.await {
+            gateway.confirm_termination(&id);
+        }
+    });
+}
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -48,7 +48,7 @@
 
     /// Records that an incarnation of an endpoint has terminated: requests whose runs recently
     /// broke off there count as running at the time.
-    pub(super) fn confirm_termination(&self, endpoint: &Rc<str>) {
+    pub(crate) fn confirm_termination(&self, endpoint: &Rc<str>) {
         let requests = self
             .quarantine
             .borrow_mut()
