The entry program reports that nothing ran for a while

Nothing told whether it waited for an engine, for a right, or for processor time.

A host now logs that, and counts it (dragonflyrill_stalls_total): without progress for half a second or more. The clock counts the time for which a machine was suspended. Log and metric are new; a blocked arbiter was not reported before.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! [`caller`] parses and checks a request; [`admission`] admits it under its workspace's limit. The
 //! router in [`host`] chooses its chain of endpoints, and [`drive`] runs it over the connections of
-//! [`pool`]. [`requests`] keeps the answer, which any number of callers may read. [`node`]
-//! assembles these parts.
+//! [`pool`]. [`requests`] keeps the answer, which any number of callers may read. [`stalls`]
+//! reports that the request arbiter made no progress. [`node`] assembles these parts.
 
 pub mod admission;
 pub mod caller;
@@ -22,3 +22,4 @@
 pub mod retries;
 pub mod serve;
 pub mod settings;
+pub mod stalls;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -5,7 +5,7 @@
 use actix_rt::task::JoinHandle;
 use tokio::{net::TcpListener, sync::mpsc};
 
-use crate::{clock::Clock, control, host::Host, serve, settings::Settings};
+use crate::{clock::Clock, control, host::Host, serve, settings::Settings, stalls};
 
 /// A running entry host. Belongs to the thread of the request arbiter.
 pub struct Node {
@@ -51,6 +51,7 @@
         let tasks = vec![
             actix_rt::spawn(apply_updates(host.clone(), rx)),
             actix_rt::spawn(serve_callers(host.clone(), callers)),
+            actix_rt::spawn(stalls::watch(host.clone())),
         ];
         Ok(Self {
             host,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -20,6 +20,8 @@
     pub steps: IntCounter,
     /// Stages that were replaced while a request was running.
     pub stages_replaced: IntCounter,
+    /// Times for which the request arbiter made no progress.
+    pub stalls: IntCounter,
     /// Requests that are running now.
     pub requests_running: IntGauge,
     /// The revision of the catalogue in force.
@@ -47,6 +49,11 @@
                 "stages_replaced_total",
                 "Stages replaced in mid-request.",
             )?,
+            stalls: counter(
+                &registry,
+                "stalls_total",
+                "Times for which nothing ran on the request arbiter.",
+            )?,
             requests_running: gauge(&registry, "requests_running", "Requests running now.")?,
             catalogue_revision: gauge(
                 &registry,
