A termination that its request may have caused is stored at once in fleets of any size

Cause: a host of a fleet of more than 16 hosts drew the time at which it stores what it has proved from 10 ms for each host beyond 16, here 0.34 s, since all hosts may prove something at the same moment. But that moment is one at which engines end under many streams, and nearly all of these have had events; a request that crashes what runs it seldom has. Each write was spread for the sake of those.

A termination during a run that had no event yet is now stored without delay; the others are spread, and left to the first host of the data centre, as before. At a crash few hosts have a run without an event at that engine. Fleets of up to 16 hosts store all at once, as before.

The rule is ProofVersions, with a test.

--- a/crates/fleet/src/row_writes.rs
+++ b/crates/fleet/src/row_writes.rs
@@ -102,6 +102,8 @@
 pub struct ProofVersions {
     /// The version with the last proof.
     pub proved: u64,
+    /// The version with the last proof that is not left to another host, nor delayed.
+    pub urgent: u64,
     /// The version that this host's row contains.
     pub stored: u64,
     /// The version that was reported to the host that stores the proofs of all, if this host may leave its own to that
@@ -110,10 +112,15 @@
 }
 
 impl ProofVersions {
+    /// Whether this host is to write its row without delay.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent > self.stored
+    }
+
     /// Whether this host owes a write of its row.
     pub fn owed(&self) -> bool {
         let left_to_other = self.reported.is_some_and(|version| version >= self.proved);
-        self.proved > self.stored && !left_to_other
+        self.is_urgent() || (self.proved > self.stored && !left_to_other)
     }
 }
 
--- a/crates/fleet/tests/row_writes.rs
+++ b/crates/fleet/tests/row_writes.rs
@@ -184,18 +184,22 @@
 
 #[test]
 fn a_proof_is_owed_until_it_is_stored_or_reported_to_the_host_that_stores_it() {
-    let owed = |proved, stored, reported| {
-        let versions = ProofVersions {
-            proved,
-            stored,
-            reported,
-        };
-        versions.owed()
+    let of = |proved, urgent, stored, reported| ProofVersions {
+        proved,
+        urgent,
+        stored,
+        reported,
     };
+    let owed = |proved, stored, reported| of(proved, 0, stored, reported).owed();
     assert!(!owed(0, 0, None));
     assert!(owed(7, 0, None));
     assert!(owed(7, 6, Some(6)));
     assert!(!owed(7, 6, Some(7)));
     assert!(!owed(7, 7, Some(0)));
     assert!(!owed(7, 7, None));
+    // What may be caused by its request is not left to another host.
+    let urgent = of(7, 6, 5, Some(7));
+    assert!(urgent.is_urgent() && urgent.owed());
+    let stored = of(7, 6, 6, Some(7));
+    assert!(!stored.is_urgent() && !stored.owed());
 }
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -232,9 +232,9 @@
         let burst_spread = self.burst_spread();
         let delay = || burst_spread.mul_f64(rand::rng().random());
         let record = self.record.is_due(bounds.record_due(now), now, delay);
-        let own_terminations =
-            self.own_terminations
-                .is_due(self.owes_own_terminations(), now, delay);
+        let proofs = self.proof_versions();
+        let own_terminations = self.own_terminations.is_due(proofs.owed(), now, delay);
+        let own_terminations = own_terminations || proofs.is_urgent();
         let heartbeat_at = *self.heartbeat_at.get_or_insert(now + initial_delay);
         let routine = !self.shutdown_recorded && (heartbeat_at <= now || join);
         // Hosts that start find each other by their first rows.
@@ -265,8 +265,9 @@
             }
             let now = gateway.now();
             let record = gateway.bounds.record_due(now) && self.record.may_be_due(now);
+            let proofs = self.proof_versions();
             let own_terminations =
-                self.owes_own_terminations() && self.own_terminations.may_be_due(now);
+                proofs.is_urgent() || (proofs.owed() && self.own_terminations.may_be_due(now));
             let urgent = record || own_terminations || self.persistence_due(now);
             if gateway.is_shutting_down() || urgent {
                 return;
@@ -283,18 +284,18 @@
             && quarantine_rows::stores_suspects(&self.gateway)
     }
 
-    /// Whether this host's row lacks terminations that this host has proved. In a fleet that spreads its writes, the host
-    /// that stores the terminations of all also writes those that were reported to it.
-    fn owes_own_terminations(&self) -> bool {
+    /// How far the terminations that this host has proved are stored. In a fleet that spreads its writes, the host that
+    /// stores the terminations of all also writes those that were reported to it.
+    fn proof_versions(&self) -> ProofVersions {
         let gateway = &self.gateway;
         let stored_by_other =
             !self.burst_spread().is_zero() && !quarantine_rows::stores_suspects(gateway);
-        let versions = ProofVersions {
+        ProofVersions {
             proved: gateway.quarantine.borrow().own_termination_version(),
+            urgent: gateway.urgent_proof.get(),
             stored: self.stored_own_version,
             reported: stored_by_other.then(|| gateway.peers.reported_suspects_version()),
-        };
-        versions.owed()
+        }
     }
 
     /// The endpoints whose limits the row is to contain.
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -123,7 +123,12 @@
                     id: &endpoint.id,
                     addr: endpoint.addr,
                 };
-                termination::record_terminations(gateway, admitted, &[run_endpoint], &error).await;
+                let run = termination::FailedRun {
+                    endpoints: &[run_endpoint],
+                    error: &error,
+                    had_events: false,
+                };
+                termination::record_terminations(gateway, admitted, run).await;
                 attempts.record_failed_attempt(error);
             }
         }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -146,11 +146,14 @@
             self.admitted
                 .request_log
                 .record_dispatch(to, first, fill, after_event);
+            let last_event = self.events.last();
             match self.run_on_chain(&planned, out).await? {
                 RunEnd::Complete(status) => return Ok(status),
                 RunEnd::Failed(error) => {
                     self.log_failed_run(&planned.chain, &error, out.started());
-                    self.record_terminations(&planned.chain, &error).await;
+                    let had_events = self.events.last() != last_event;
+                    self.record_terminations(&planned.chain, &error, had_events)
+                        .await;
                     self.attempts.record_failed_attempt(error);
                 }
             }
@@ -173,7 +176,7 @@
     }
 
     /// Records whether an endpoint terminated during a failed run, before the request is dispatched again.
-    async fn record_terminations(&self, chain: &Chain, error: &DispatchError) {
+    async fn record_terminations(&self, chain: &Chain, error: &DispatchError, had_events: bool) {
         let stages = chain.stages.iter();
         let endpoints: Vec<termination::RunEndpoint<'_>> = stages
             .map(|stage| termination::RunEndpoint {
@@ -181,7 +184,12 @@
                 addr: stage.addr,
             })
             .collect();
-        termination::record_terminations(self.gateway, self.admitted, &endpoints, error).await;
+        let run = termination::FailedRun {
+            endpoints: &endpoints,
+            error,
+            had_events,
+        };
+        termination::record_terminations(self.gateway, self.admitted, run).await;
     }
 
     /// Plans the next run; `None` if no chain can accept it.
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -17,7 +17,7 @@
 
 use super::{AdmittedRequest, send::DispatchError};
 use crate::{
-    gateway::{EnginePoll, Gateway},
+    gateway::{EnginePoll, Gateway, Involvement},
     http::connection,
 };
 
@@ -84,17 +84,39 @@
     pub(super) addr: SocketAddr,
 }
 
-/// Records whether one of the endpoints of a failed run has terminated. The request was sent to the first of them.
+/// A run that failed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FailedRun<'a> {
+    /// The endpoints that ran the request, or a stage of it. It was sent to the first of them.
+    pub(super) endpoints: &'a [RunEndpoint<'a>],
+    /// Why it failed.
+    pub(super) error: &'a DispatchError,
+    /// Whether it had yielded events.
+    pub(super) had_events: bool,
+}
+
+impl FailedRun<'_> {
+    /// What a termination during the run implies for the request. Most runs that break off with an endpoint have
+    /// yielded events before; one that crashes whatever runs it seldom has.
+    fn involvement(&self) -> Involvement {
+        match self.had_events {
+            true => Involvement::Bystander,
+            false => Involvement::PossibleCause,
+        }
+    }
+}
+
+/// Records whether one of the endpoints of a failed run has terminated.
 ///
 /// Where an endpoint may have terminated, the broken run is recorded, so that it counts once the termination is
 /// known.
 pub(super) async fn record_terminations(
     gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
-    endpoints: &[RunEndpoint<'_>],
-    error: &DispatchError,
+    run: FailedRun<'_>,
 ) {
-    let broke_off = match error {
+    let endpoints = run.endpoints;
+    let broke_off = match run.error {
         DispatchError::NotSent(_) | DispatchError::NotRun(_) => return,
         DispatchError::MayHaveRun(_) => false,
         DispatchError::BrokeOff(_) => true,
@@ -103,7 +125,8 @@
         .iter()
         .find(|e| gateway.directory.borrow().has_ended(e.id))
     {
-        return gateway.record_termination(admitted.fingerprint(), terminated.id);
+        let request = admitted.fingerprint();
+        return gateway.record_termination(request, terminated.id, run.involvement());
     }
     for (index, endpoint) in endpoints.iter().enumerate() {
         // If a later stage has terminated, the first one breaks off after a while. By then the later one is
@@ -118,7 +141,8 @@
             .check(gateway, endpoint.id, endpoint.addr);
         if broke_off {
             if check.await {
-                return gateway.record_termination(admitted.fingerprint(), endpoint.id);
+                let request = admitted.fingerprint();
+                return gateway.record_termination(request, endpoint.id, run.involvement());
             }
             gateway.record_broken_run(admitted.fingerprint(), endpoint.id);
         } else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 
 pub(crate) use self::engine_calls::EnginePoll;
 use self::listing::IgnoredEntry;
+pub use self::suspects::Involvement;
 use crate::{
     bounds::SharedBounds,
     forward::{Prober, RequestLogBudget, TerminationChecks},
@@ -152,6 +153,8 @@
     pub prober: Prober,
     /// Requests that are suspected of terminating endpoints, and those quarantined for it.
     pub quarantine: RefCell<Quarantine>,
+    /// The version of the quarantine with the last proof of a termination that may be caused by its request.
+    pub urgent_proof: Cell<u64>,
     /// Checks whether an endpoint at which a run broke off has terminated.
     pub termination_checks: TerminationChecks,
     /// The limits that endpoints state.
@@ -199,6 +202,7 @@
             log_budget,
             prober: Prober::default(),
             quarantine: RefCell::new(quarantine),
+            urgent_proof: Cell::new(0),
             termination_checks: TerminationChecks::default(),
             limits: RefCell::default(),
             paths: EndpointPaths::new(codec.clone()),
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -9,6 +9,15 @@
 
 use super::Gateway;
 
+/// What the termination of an endpoint implies for a request that it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Involvement {
+    /// The request may be the cause: it had no events yet.
+    PossibleCause,
+    /// The request probably broke off with the endpoint that another one has ended.
+    Bystander,
+}
+
 impl Gateway {
     /// How much longer a request is quarantined, because endpoints have terminated while they ran
     /// it; `None` if it may be sent. The fingerprint is computed only if any request is suspected.
@@ -22,13 +31,20 @@
 
     /// Records that an incarnation of an endpoint has terminated while it ran a request of this
     /// host.
-    pub fn record_termination(&self, request: Fingerprint, endpoint: &Rc<str>) {
+    pub fn record_termination(
+        &self,
+        request: Fingerprint,
+        endpoint: &Rc<str>,
+        involvement: Involvement,
+    ) {
         self.metrics.ended_under.inc();
         log::info!(target: "forward", request:% = request, endpoint = &**endpoint; "An endpoint has terminated while it ran a request.");
-        let period = self
-            .quarantine
-            .borrow_mut()
-            .note_termination(request, endpoint, self.now());
+        let mut quarantine = self.quarantine.borrow_mut();
+        let period = quarantine.note_termination(request, endpoint, self.now());
+        if involvement == Involvement::PossibleCause {
+            self.urgent_proof.set(quarantine.own_termination_version());
+        }
+        drop(quarantine);
         // This host's row lacks the termination, and all hosts may end at any moment.
         drop(self.bounds.request_write());
         if let Some(period) = period {
@@ -54,7 +70,7 @@
             .borrow_mut()
             .confirm_termination(endpoint, self.now());
         for request in requests {
-            self.record_termination(request, endpoint);
+            self.record_termination(request, endpoint, Involvement::Bystander);
         }
     }
 
