Signals are handled before a host reads its settings

The handlers are now installed before all else. A SIGTERM that comes meanwhile is handled once the host runs.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{self, Instant},
 };
 
@@ -28,13 +28,31 @@
 /// How often a host that shuts down checks whether the last request has ended; also the pause after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The signals that a host handles. A signal ends a process that has no handler for it yet.
+pub struct Signals {
+    reload: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    /// A handler can't be installed, or no runtime is running.
+    pub fn install() -> anyhow::Result<Self> {
+        let reload = signal(SignalKind::hangup()).context("can't install a handler for SIGHUP")?;
+        let terminate =
+            signal(SignalKind::terminate()).context("can't install a handler for SIGTERM")?;
+        Ok(Self { reload, terminate })
+    }
+}
+
 /// Runs a host until it receives SIGTERM and its requests have ended or the grace time is over.
-pub async fn run(gateway: Rc<Gateway>) -> anyhow::Result<()> {
+///
+/// # Errors
+/// An address of the settings can't be listened on.
+pub async fn run(gateway: Rc<Gateway>, mut signals: Signals) -> anyhow::Result<()> {
     let settings = &gateway.settings;
-    // A signal ends a process that has no handler for it yet.
-    let mut reload = signal(SignalKind::hangup()).context("can't install a handler for SIGHUP")?;
-    let mut terminate =
-        signal(SignalKind::terminate()).context("can't install a handler for SIGTERM")?;
     log::info!(target: "host", host = &*settings.host, data_centre = &*settings.data_centre; "Host starts.");
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
@@ -54,8 +72,8 @@
     actix_rt::spawn(sweep(gateway.clone()));
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => log::info!(target: "host", "Settings are read only at startup."),
+            _ = signals.terminate.recv() => break,
+            _ = signals.reload.recv() => log::info!(target: "host", "Settings are read only at startup."),
         }
     }
     drain(&gateway).await;
