--- a/crates/gateway/src/control/quarantine_rows.rs
+++ b/crates/gateway/src/control/quarantine_rows.rs
@@ -7,8 +7,9 @@
 //! The terminations that do not suffice for a quarantine yet are stored as well, as each restart of all hosts would
 //! otherwise allow a request to end as many endpoints again. Each host stores those that it has proved itself, as soon as
 //! it has proved them: until then a loss of all hosts would lose them. One host of a data centre, which receives what
-//! the others report, stores those of all. In a large fleet, where a loss of power of many engines would make all hosts
-//! write at the same moment, hosts spread their writes, and leave them to that host once it has received their reports.
+//! the others report, stores those of all. In a large fleet a loss of power of many engines would make all hosts write at
+//! the same moment. There hosts write at once only what a request without any event may have caused; they spread the other
+//! writes, and leave them to that host once it has received their reports.
 
 use std::time::Duration;
 
