Runs that fail are logged with the parts of their prompts

Callers saw engines end one after the other under requests no two of which were alike. The log named a hash of each whole request, so that what they had in common could not be told. A part has a hash of its own now, the same in each request that contains it, and the lines of failed streams name it.

--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -2,6 +2,8 @@
 //!
 //! Callers give each attempt its own id and may retry at any host. What stays the same is what they ask for:
 //! the route's host, the method, the path with its query, the workspace and the body.
+//!
+//! Different requests may share parts of their prompts. A part has a fingerprint of its own, the same in every request.
 
 use std::{fmt, str::FromStr};
 
@@ -25,7 +27,10 @@
     pub body: &'a [u8],
 }
 
-/// Identifies a request on all hosts, without revealing its contents.
+/// The first byte that is hashed for a part of a prompt. For a request it is 0 or 1.
+const PROMPT_PART_TAG: u8 = 2;
+
+/// Identifies a request, or a part of prompts, on all hosts, without revealing its contents.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint([u8; HASH_BYTES]);
 
@@ -47,6 +52,18 @@
             hash.update((field.len() as u64).to_be_bytes());
             hash.update(field);
         }
+        Self::truncated(hash)
+    }
+
+    /// Computes the fingerprint of a part of prompts from the id that callers give it.
+    pub fn of_prompt_part(id: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update([PROMPT_PART_TAG]);
+        hash.update(id.as_bytes());
+        Self::truncated(hash)
+    }
+
+    fn truncated(hash: Sha256) -> Self {
         let mut bytes = [0; HASH_BYTES];
         bytes.copy_from_slice(&hash.finalize()[..HASH_BYTES]);
         Self(bytes)
--- a/crates/fleet/tests/fingerprint.rs
+++ b/crates/fleet/tests/fingerprint.rs
@@ -115,3 +115,11 @@
         assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
     }
 }
+
+#[test]
+fn parts_of_prompts_with_the_same_id_have_the_same_fingerprint() {
+    let part = Fingerprint::of_prompt_part("5c1e07a2");
+    assert_eq!(part, Fingerprint::of_prompt_part("5c1e07a2"));
+    assert_ne!(part, Fingerprint::of_prompt_part("5c1e07a"));
+    assert_ne!(part, Fingerprint::of_prompt_part(""));
+}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -105,6 +105,13 @@
         *self.fingerprint.get_or_init(made)
     }
 
+    /// The fingerprints of the prompt's shared parts, separated by commas, for the log.
+    fn prompt_parts_text(&self) -> String {
+        let parts = self.incoming.shared_prompt_parts.iter();
+        let texts: Vec<String> = parts.map(ToString::to_string).collect();
+        texts.join(",")
+    }
+
     /// The refusal of a request that is quarantined because endpoints terminated while they ran it, on any host.
     fn quarantine_refusal(&self, gateway: &Gateway) -> Option<Refusal> {
         let remaining = gateway.quarantined_for(|| self.fingerprint())?;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -167,6 +167,7 @@
             target: "forward",
             id = self.admitted.request_log.id(),
             request:% = self.admitted.fingerprint(),
+            parts = self.admitted.prompt_parts_text(),
             chain = chain.to_string(),
             started = started,
             after_event:? = self.events.last(),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     catalogue::Catalogue, endpoint_limits::RequestRate, endpoints::Endpoint,
-    incarnations::StartTime, layers::LayerRange, stated_availability::RequestedBackoff,
+    fingerprint::Fingerprint, incarnations::StartTime, layers::LayerRange,
+    stated_availability::RequestedBackoff,
 };
 use dragonflyrill_store::PlatformError;
 use futures_util::future::LocalBoxFuture;
@@ -29,6 +30,8 @@
     pub expected_answer_tokens: Option<u32>,
     /// The id of the last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_prompt_parts: Vec<Fingerprint>,
 }
 
 /// What the gateway writes into the headers of a request that it sends to an endpoint.
