Tests: answers that end with their connections

The link of the stand-ins passed a reset on as a regular close, which only such an answer shows: behind a relay a reset answer came out as complete. It resets the other side now.

--- a/crates/standins/src/relay/connection.rs
+++ b/crates/standins/src/relay/connection.rs
@@ -35,7 +35,7 @@
 
 /// Relays one connection until it ends, or until it has lost bytes and the link carries bytes again.
 ///
-/// The connection fault [`ConnectionFault::Reset`] resets it. After [`ConnectionFault::Silence`] the
+/// The connection fault [`ConnectionFault::Reset`] resets it, and so does a reset of one of its sides. After [`ConnectionFault::Silence`] the
 /// future keeps both sockets open and never completes.
 pub(super) async fn relay(
     link: Arc<Link>,
@@ -53,7 +53,9 @@
         let relaying = Box::pin(future::try_join(upstream, downstream));
         let fault_injected = Box::pin(connection_faults.changed());
         match future::select(relaying, fault_injected).await {
-            Either::Left((ended, _)) => return ended.map(drop),
+            Either::Left((Ok(_), _)) => return Ok(()),
+            // A reset of one side is passed on to the other, which must not take it for a regular end.
+            Either::Left((Err(_), _)) => Some(ConnectionFault::Reset),
             Either::Right(_) => *link.connection_faults.borrow(),
         }
     };
