--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -27,8 +27,9 @@
     pub body: &'a [u8],
 }
 
-/// The first byte that is hashed for a part of a prompt. For a request it is 0 or 1.
-const PROMPT_PART_TAG: u8 = 2;
+/// The first bytes of the fingerprint of a part of prompts, by which hosts tell what another one has reported. One request
+/// in four billion has them by chance.
+const PROMPT_PART_TAG: [u8; 4] = *b"part";
 
 /// Identifies a request, or a part of prompts, on all hosts, without revealing its contents.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -57,10 +58,14 @@
 
     /// Computes the fingerprint of a part of prompts from the id that callers give it.
     pub fn of_prompt_part(id: &str) -> Self {
-        let mut hash = Sha256::new();
-        hash.update([PROMPT_PART_TAG]);
-        hash.update(id.as_bytes());
-        Self::truncated(hash)
+        let mut fingerprint = Self::truncated(Sha256::new_with_prefix(id.as_bytes()));
+        fingerprint.0[..PROMPT_PART_TAG.len()].copy_from_slice(&PROMPT_PART_TAG);
+        fingerprint
+    }
+
+    /// Whether this is the fingerprint of a part of prompts.
+    pub fn is_prompt_part(&self) -> bool {
+        self.0.starts_with(&PROMPT_PART_TAG)
     }
 
     fn truncated(hash: Sha256) -> Self {
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that are quarantined because endpoints terminate while they run them.
+//! Requests, and parts of prompts, that are quarantined because endpoints terminate while they run them.
 //!
 //! A request that crashes whatever endpoint runs it must not go from endpoint to endpoint, because each crash
 //! also breaks off all other requests that run there. A single termination proves nothing, as all requests on
@@ -9,6 +9,14 @@
 //! service loses power. A request that was answered a moment ago is not the cause of terminations: no
 //! termination counts against it.
 //!
+//! Requests that have nothing else in common may share a part of their prompts that crashes each endpoint that begins
+//! to answer it. So the shared parts of a prompt are suspects like the request itself, with the same rules. What
+//! tells them apart from other parts is that many requests share those, and some are answered: an endpoint that has got
+//! beyond the beginning of an answer exonerates all parts of its prompt. A request counts against its parts for two
+//! terminations only, as it may be the cause itself. What a quarantined part explains counts less against others, and
+//! ends the quarantines of requests that would not have begun otherwise. A part that is quarantined by mistake is found by a probe
+//! ([`Quarantine::begin_probe`]).
+//!
 //! A request is retried as attempts with their own ids, at any host. So what one host has observed is
 //! reported to all hosts ([`Quarantine::changes_since`], [`Quarantine::merge_reports`]), and quarantine
 //! periods are stored where they outlive the process ([`Quarantine::to_persist`], [`Quarantine::restore`]).
@@ -18,17 +26,25 @@
 //! single termination is enough for the next period, which is twice as long: a request that keeps crashing
 //! endpoints must wait twice as long for each further crash.
 
+mod explanations;
+mod probes;
 mod recent_answers;
 mod record;
+mod reports;
 mod unconfirmed_runs;
 
 use std::{rc::Rc, time::Duration};
 
 use rustc_hash::FxHashMap;
 
+pub use self::reports::{
+    ClockSpan, Provers, QuarantinePeriod, QuarantineRecord, SuspectReport, Termination,
+};
 use self::{
+    explanations::{Explanation, SuspectKind},
+    probes::Probes,
     recent_answers::RecentAnswers,
-    record::{CountedTermination, Moment, RequestPeriod, RequestRecord},
+    record::{CountedTermination, MIN_TERMINATIONS, Moment, RequestPeriod, RequestRecord},
     unconfirmed_runs::UnconfirmedRuns,
 };
 use crate::fingerprint::Fingerprint;
@@ -40,90 +56,36 @@
 const MAX_PERSISTED: usize = 256;
 /// Maximum number of suspected requests whose terminations are stored in one place: some 20 KB.
 const MAX_PERSISTED_SUSPECTS: usize = 128;
+/// Maximum number of terminations under one request that count against the parts of its prompt.
+const MAX_TERMINATIONS_BY_REQUEST: usize = 2;
 /// How long before its own start this process can represent times that are reported to it.
 const TIME_BEFORE_START: Duration = Duration::from_secs(30 * 24 * 3600);
 
-/// The termination of an incarnation of an endpoint while it ran a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Termination {
-    /// The id of the incarnation.
-    pub endpoint: Rc<str>,
-    /// Time since the termination.
-    pub age: Duration,
-}
-
-/// A time for which a request is, or was, quarantined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuarantinePeriod {
-    /// How often the request has been quarantined, this time included; at least 1.
-    pub count: u32,
-    /// Time since the beginning of the period.
-    pub age: Duration,
-    /// Length of the period from its beginning.
-    pub duration: Duration,
-}
-
-/// The beginning and the end of a period by a clock that outlives processes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClockSpan {
-    /// When the period begins.
-    pub since: Duration,
-    /// When the period expires.
-    pub until: Duration,
+/// What may be the cause if an endpoint terminates during a run.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunSuspects {
+    /// The request.
+    pub request: Fingerprint,
+    /// The parts of its prompt that other requests may share. Empty if the run had got beyond the beginning of its
+    /// answer: then none of them is the cause.
+    pub prompt_parts: Vec<Fingerprint>,
 }
 
-impl QuarantinePeriod {
-    /// Converts the period to times of a clock that shows `clock` now.
-    pub fn span(&self, clock: Duration) -> ClockSpan {
-        let since = clock.saturating_sub(self.age);
-        ClockSpan {
-            since,
-            until: since + self.duration,
-        }
-    }
-
-    /// Creates the period from times of a clock that shows `clock` now.
-    pub fn from_span(count: u32, span: ClockSpan, clock: Duration) -> Self {
+impl RunSuspects {
+    /// The suspects of a run whose prompt is not known, or is beyond suspicion.
+    pub fn request_only(request: Fingerprint) -> Self {
         Self {
-            count,
-            age: clock.saturating_sub(span.since),
-            duration: span.until.saturating_sub(span.since),
+            request,
+            prompt_parts: Vec::new(),
         }
     }
-
-    /// Time until the period expires; zero once it has.
-    pub fn remaining(&self) -> Duration {
-        self.duration.saturating_sub(self.age)
-    }
-}
-
-/// What a host knows of a suspected request, as reported to other hosts.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SuspectReport {
-    /// The request.
-    pub request: Fingerprint,
-    /// Terminations that count towards its next quarantine.
-    pub terminations: Vec<Termination>,
-    /// Time since an endpoint last answered it; `None` if none has since it was first suspected.
-    pub answer_age: Option<Duration>,
-    /// Its last quarantine period, if it has one.
-    pub period: Option<QuarantinePeriod>,
-}
-
-/// The hosts whose proofs of terminations are to be stored.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Provers {
-    /// All hosts, as far as their proofs were reported.
-    AllHosts,
-    /// This host and its earlier processes.
-    ThisHost,
 }
 
-/// A quarantine period, as stored for the next process.
+/// A quarantine that begins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuarantineRecord {
-    /// The request.
-    pub request: Fingerprint,
+pub struct BegunQuarantine {
+    /// The request or the part of prompts.
+    pub suspect: Fingerprint,
     /// Its quarantine period.
     pub period: QuarantinePeriod,
 }
@@ -132,14 +94,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct PersistRevision(u64);
 
-/// The requests that a host knows of during which endpoints have terminated.
+/// The requests and parts of prompts that a host knows of during whose runs endpoints have terminated.
 #[derive(Debug)]
 pub struct Quarantine {
     /// Length of the first quarantine period of a request.
     first_duration: Duration,
     records: FxHashMap<Fingerprint, RequestRecord>,
     unconfirmed: UnconfirmedRuns,
-    answers: RecentAnswers,
+    answered_requests: RecentAnswers,
+    answered_parts: RecentAnswers,
+    /// The time of the first answer on any part.
+    part_answered_at: Option<Moment>,
+    probes: Probes,
+    /// Added to the times of this host's probes, so that hosts which quarantine the same part don't send theirs at the
+    /// same time.
+    probe_spread: Duration,
     /// Grows with each change.
     version: u64,
     /// Grows with each change of what is to be stored.
@@ -158,7 +127,11 @@
             first_duration,
             records: FxHashMap::default(),
             unconfirmed: UnconfirmedRuns::default(),
-            answers: RecentAnswers::default(),
+            answered_requests: RecentAnswers::default(),
+            answered_parts: RecentAnswers::default(),
+            part_answered_at: None,
+            probes: Probes::default(),
+            probe_spread: Duration::ZERO,
             version: 0,
             persist_revision: PersistRevision::default(),
             persisted_revision: PersistRevision::default(),
@@ -167,6 +140,12 @@
         }
     }
 
+    /// Delays the probes of this host by a time that differs from host to host.
+    pub fn with_probe_spread(mut self, spread: Duration) -> Self {
+        self.probe_spread = spread;
+        self
+    }
+
     /// Whether no request is suspected.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -188,54 +167,214 @@
             .count()
     }
 
-    /// Notes that an incarnation of an endpoint has terminated while it ran a request; returns the quarantine
+    /// Notes that an incarnation of an endpoint has terminated during a run; returns the quarantines that begin with it.
+    pub fn note_run_termination(
+        &mut self,
+        run: &RunSuspects,
+        endpoint: &Rc<str>,
+        now: Duration,
+    ) -> Vec<BegunQuarantine> {
+        let prompt_parts = match self.terminations_before(&run.request, endpoint, moment(now)) {
+            ..MAX_TERMINATIONS_BY_REQUEST => &run.prompt_parts[..],
+            _ => &[],
+        };
+        if !run.prompt_parts.is_empty() {
+            self.probes.record_termination(&run.request);
+        }
+        // The request comes last, as a part that is quarantined now explains the termination.
+        let suspects = prompt_parts.iter().chain([&run.request]);
+        let begun = suspects.filter_map(|suspect| {
+            let period = self.note_termination(*suspect, endpoint, now)?;
+            let suspect = *suspect;
+            Some(BegunQuarantine { suspect, period })
+        });
+        let mut begun: Vec<BegunQuarantine> = begun.collect();
+        begun.extend(self.confirm_causes(now));
+        begun
+    }
+
+    /// Begins a probe: returns whether a request may be sent though parts of its prompt are quarantined. Only the host that
+    /// has quarantined one of them sends probes, one at a time. [`Self::end_probe`] ends it.
+    pub fn begin_probe(&mut self, run: &RunSuspects, now: Duration) -> bool {
+        let now = moment(now);
+        let quarantined = run
+            .prompt_parts
+            .iter()
+            .filter(|part| self.is_quarantined(part, now));
+        let quarantined: Vec<Fingerprint> = quarantined.copied().collect();
+        let records = || quarantined.iter().filter_map(|part| self.records.get(part));
+        let is_due = records().any(|r| r.probe_at.is_some_and(|at| at <= now));
+        let may_be_probed = records().all(RequestRecord::may_be_probed);
+        is_due && may_be_probed && self.probes.begin(run.request, quarantined)
+    }
+
+    /// Notes that the probe under way is about to be sent to an endpoint.
+    pub fn note_probe_sent(&mut self) {
+        for part in self.probes.parts_under_way() {
+            if let Some(record) = self.records.get_mut(part) {
+                record.probes = record.probes.saturating_add(1);
+            }
+        }
+    }
+
+    /// Ends the probe under way, whatever its result; returns the quarantines that begin with it.
+    pub fn end_probe(&mut self, now: Duration) -> Vec<BegunQuarantine> {
+        self.probes.end();
+        self.confirm_causes(now)
+    }
+
+    /// Quarantines for longer the parts of which probes have shown that they are the cause.
+    fn confirm_causes(&mut self, now: Duration) -> Vec<BegunQuarantine> {
+        let at = moment(now);
+        let records = &self.records;
+        let is_suspected = |part: &Fingerprint| {
+            let record = records.get(part);
+            record.is_some_and(|r| r.is_quarantined(at) && r.may_be_probed())
+        };
+        let causes = self.probes.causes(is_suspected);
+        let confirmed = causes.into_iter().filter_map(|suspect| {
+            let record = self.records.get_mut(&suspect)?;
+            record.confirm(self.first_duration, at);
+            let period = record.period?.to_report(at);
+            self.changed(&suspect);
+            self.persist_revision.0 += 1;
+            Some(BegunQuarantine { suspect, period })
+        });
+        confirmed.collect()
+    }
+
+    /// Notes that an incarnation of an endpoint has terminated while it ran something with a suspect; returns the quarantine
     /// period that begins with it, if one does.
     pub fn note_termination(
         &mut self,
-        request: Fingerprint,
+        suspect: Fingerprint,
         endpoint: &Rc<str>,
         now: Duration,
     ) -> Option<QuarantinePeriod> {
         let now = moment(now);
         self.expire(now);
-        if self.answers.contains(&request, now) {
+        if self.excused_until(&suspect, now) >= Some(now) {
             return None;
         }
-        let first_duration = self.first_duration;
-        let record = self.record_mut(request, now);
         let proved = CountedTermination {
             endpoint: endpoint.clone(),
             at: now,
             own: true,
         };
-        if !record.add_termination(proved) {
+        let record = self.record_mut(suspect, now);
+        if !record.add_termination(proved.clone()) {
+            if record.add_period_termination(proved) {
+                self.changed(&suspect);
+                self.end_explained_periods(now);
+            }
             return None;
         }
-        let begins = record.begin_period_if_due(first_duration, now);
-        let period = record.period.filter(|_| begins);
-        self.changed(&request);
+        let begins = self.begin_period_if_due(&suspect, now);
+        self.changed(&suspect);
         self.own_termination_version = self.version;
-        let period = period?;
+        if !begins {
+            return None;
+        }
         self.persist_revision.0 += 1;
+        self.end_explained_periods(now);
+        let period = self.records.get(&suspect)?.period?;
         Some(period.to_report(now))
     }
 
-    /// Notes that a run of a request broke off at an incarnation of an endpoint of which it is not known yet
-    /// whether it has terminated.
-    pub fn note_broken_run(&mut self, request: Fingerprint, endpoint: &Rc<str>, now: Duration) {
-        self.unconfirmed.insert(request, endpoint, moment(now));
+    /// The number of known terminations under a request, beside that of an incarnation of an endpoint.
+    fn terminations_before(&self, request: &Fingerprint, endpoint: &str, now: Moment) -> usize {
+        let Some(record) = self.records.get(request) else {
+            return 0;
+        };
+        if record.is_quarantined(now) {
+            return MIN_TERMINATIONS;
+        }
+        let others = record.terminations.iter();
+        others.filter(|t| *t.endpoint != *endpoint).count()
+    }
+
+    /// The time up to which no termination counts against a suspect, as it was answered recently.
+    fn excused_until(&mut self, suspect: &Fingerprint, now: Moment) -> Option<Moment> {
+        self.recent_answers(suspect).excused_until(suspect, now)
+    }
+
+    fn recent_answers(&mut self, suspect: &Fingerprint) -> &mut RecentAnswers {
+        match kind(suspect) {
+            SuspectKind::Request => &mut self.answered_requests,
+            SuspectKind::PromptPart => &mut self.answered_parts,
+        }
+    }
+
+    /// The terminations under quarantined parts of prompts other than `suspect`.
+    fn explanations(&self, suspect: &Fingerprint, now: Moment) -> Vec<Explanation<'_>> {
+        let others = self.records.iter().filter(|(other, r)| {
+            other.is_prompt_part() && *other != suspect && r.is_quarantined(now)
+        });
+        others.map(|(_, r)| &r.period_terminations[..]).collect()
     }
 
-    /// Notes that an incarnation of an endpoint has terminated; returns the requests whose runs recently
-    /// broke off there, so that it terminated while it ran them.
-    pub fn confirm_termination(&mut self, endpoint: &str, now: Duration) -> Vec<Fingerprint> {
+    /// Begins a quarantine period if there is enough evidence; returns whether it did.
+    fn begin_period_if_due(&mut self, suspect: &Fingerprint, now: Moment) -> bool {
+        let may_begin = |r: &RequestRecord| r.may_begin_period();
+        if !self.records.get(suspect).is_some_and(may_begin) {
+            return false;
+        }
+        let Some(mut record) = self.records.remove(suspect) else {
+            return false;
+        };
+        let explanations = self.explanations(suspect, now);
+        let begins =
+            record.begin_period_if_due(kind(suspect), &explanations, self.first_duration, now);
+        if begins && suspect.is_prompt_part() {
+            let known_for = self.part_answered_at.map(|at| now.saturating_sub(at));
+            record.probe_at = Some(now + probes::delay(known_for) + self.probe_spread);
+        }
+        self.records.insert(*suspect, record);
+        begins
+    }
+
+    /// Ends the quarantines of requests that would not have begun, had it been known what quarantined parts of prompts
+    /// explain. Those of parts are left to probes: a sound part that is in most prompts has as many terminations as the
+    /// cause.
+    fn end_explained_periods(&mut self, now: Moment) {
+        let quarantined = self
+            .records
+            .iter()
+            .filter(|(s, r)| !s.is_prompt_part() && r.is_quarantined(now));
+        let explained =
+            quarantined.filter(|(suspect, r)| r.is_explained(&self.explanations(suspect, now)));
+        let explained: Vec<Fingerprint> = explained.map(|(suspect, _)| *suspect).collect();
+        for suspect in &explained {
+            let Some(record) = self.records.get_mut(suspect) else {
+                continue;
+            };
+            let own = record.period.is_some_and(|p| p.own);
+            record.end_period();
+            self.changed(suspect);
+            self.persist_revision.0 += u64::from(own);
+        }
+    }
+
+    /// Notes that a run broke off at an incarnation of an endpoint of which it is not known yet whether it has
+    /// terminated.
+    pub fn note_broken_run(&mut self, run: RunSuspects, endpoint: &Rc<str>, now: Duration) {
+        self.unconfirmed.insert(run, endpoint, moment(now));
+    }
+
+    /// Notes that an incarnation of an endpoint has terminated; returns the suspects of the runs that recently
+    /// broke off there, so that it terminated during them.
+    pub fn confirm_termination(&mut self, endpoint: &str, now: Duration) -> Vec<RunSuspects> {
         self.unconfirmed.confirm(endpoint, moment(now))
     }
 
-    /// Notes that an endpoint has answered a request; returns whether the request was quarantined.
+    /// Notes that an endpoint has answered a request, or has got beyond the beginning of an answer on a part of prompts;
+    /// returns whether the suspect was quarantined.
     pub fn note_answer(&mut self, request: &Fingerprint, now: Duration) -> bool {
         let now = moment(now);
-        self.answers.insert(*request, now);
+        if request.is_prompt_part() {
+            self.part_answered_at.get_or_insert(now);
+        }
+        self.recent_answers(request).insert(*request, now);
         self.unconfirmed.discard(request);
         let Some(record) = self.records.get_mut(request) else {
             return false;
@@ -284,6 +423,7 @@
         reports
             .iter()
             .for_each(|report| self.merge_report(report, own, now));
+        self.end_explained_periods(now);
         self.keep_quarantined(free, now)
     }
 
@@ -302,7 +442,7 @@
         if unknown && empty && report.answer_age.is_none() {
             return;
         }
-        let first_duration = self.first_duration;
+        let excused_until = self.excused_until(&report.request, now);
         let record = self.record_mut(report.request, now);
         let owned = record.period.is_some_and(|p| p.own);
         let answered_at = report.answer_age.map(|age| time_ago(now, age));
@@ -312,11 +452,15 @@
         let mut changed = answered_at.is_some_and(|at| record.merge_answer(at));
         changed |= period.is_some_and(|period| record.merge_period(period));
         for termination in &report.terminations {
-            changed |=
-                record.add_termination(CountedTermination::from_report(termination, now, own));
+            let reported = CountedTermination::from_report(termination, now, own);
+            changed |= record.add_termination(reported.clone());
+            changed |= record.add_period_termination(reported);
         }
-        let begins = record.begin_period_if_due(first_duration, now);
-        let owns = record.period.is_some_and(|p| p.own);
+        // Only this host may know that the suspect was answered shortly before.
+        changed |= excused_until.is_some_and(|until| record.excuse_until(until));
+        let begins = self.begin_period_if_due(&report.request, now);
+        let record = self.records.get(&report.request);
+        let owns = record.is_some_and(|r| r.period.is_some_and(|p| p.own));
         if changed || begins {
             self.changed(&report.request);
         }
@@ -427,9 +571,18 @@
         };
         let requests = unexpired().map(|record| record.request);
         let free: Vec<Fingerprint> = requests.filter(|r| !self.is_quarantined(r, now)).collect();
+        let probe_spread = self.probe_spread;
         for QuarantineRecord { request, period } in unexpired() {
+            let excused_until = self.excused_until(request, now);
             let record = self.record_mut(*request, now);
-            if record.merge_period(RequestPeriod::from_report(*period, now, own)) {
+            let period = RequestPeriod::from_report(*period, now, own);
+            let mut changed = record.merge_period(period);
+            if changed && own && request.is_prompt_part() {
+                // This process has just started.
+                record.probe_at = Some(now + probes::delay(None) + probe_spread);
+            }
+            changed |= excused_until.is_some_and(|until| record.excuse_until(until));
+            if changed {
                 self.changed(request);
             }
         }
@@ -489,6 +642,13 @@
     }
 }
 
+fn kind(suspect: &Fingerprint) -> SuspectKind {
+    match suspect.is_prompt_part() {
+        true => SuspectKind::PromptPart,
+        false => SuspectKind::Request,
+    }
+}
+
 fn moment(now: Duration) -> Moment {
     now + TIME_BEFORE_START
 }
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -1,13 +1,18 @@
-//! What a host knows of one request during which endpoints have terminated.
+//! What a host knows of one suspect during whose runs endpoints have terminated.
 
 use std::{rc::Rc, time::Duration};
 
-use super::{ClockSpan, QuarantinePeriod, Termination};
+use super::{
+    ClockSpan, QuarantinePeriod, Termination,
+    explanations::{Explanation, SuspectKind, Weight, weigh},
+};
 
 /// Number of incarnations that must terminate during a request before it is first quarantined. Of the streams
 /// that run beside such a request and break off with it, one in five breaks off twice in a row and none three
 /// times.
-const MIN_TERMINATIONS: usize = 3;
+pub(super) const MIN_TERMINATIONS: usize = 3;
+/// Maximum number of terminations that a record keeps of a period.
+const MAX_PERIOD_TERMINATIONS: usize = 16;
 /// Maximum number of times that the quarantine period doubles.
 const MAX_DOUBLINGS: u32 = 8;
 /// Times of one event that are reported over different paths differ by the time that the reports were in
@@ -83,6 +88,13 @@
     /// The last answer, or the last event that counts as before it.
     pub(super) answered_at: Option<Moment>,
     pub(super) period: Option<RequestPeriod>,
+    /// The terminations that led to the period or happened during it: at most [`MAX_PERIOD_TERMINATIONS`], empty without
+    /// a period.
+    pub(super) period_terminations: Vec<CountedTermination>,
+    /// The time from which this host may send a probe with this part of prompts; `None` if it may not.
+    pub(super) probe_at: Option<Moment>,
+    /// The number of probes that this host has sent in the period.
+    pub(super) probes: u8,
     /// Whether there were terminations when this record last changed, so that they may be stored.
     pub(super) has_stored_terminations: bool,
     /// The version of the quarantine with which this record last changed.
@@ -92,9 +104,11 @@
 }
 
 impl RequestRecord {
-    /// The terminations in the form in which they are reported.
+    /// The terminations in the form in which they are reported. Those of the period don't count at the host that receives
+    /// them, because they are no later than its end.
     pub(super) fn termination_reports(&self, now: Moment) -> Vec<Termination> {
-        self.terminations.iter().map(|t| t.to_report(now)).collect()
+        let all = self.terminations.iter().chain(&self.period_terminations);
+        all.map(|t| t.to_report(now)).collect()
     }
 
     /// The time up to which terminations no longer count.
@@ -118,23 +132,115 @@
         counts
     }
 
-    /// Begins a quarantine period if enough incarnations have terminated; returns whether it did.
-    pub(super) fn begin_period_if_due(&mut self, first_duration: Duration, now: Moment) -> bool {
+    /// Adds a termination that does not count because of the period; returns whether it is new and was added.
+    pub(super) fn add_period_termination(&mut self, added: CountedTermination) -> bool {
+        let in_period = self.period.is_some_and(|p| added.at <= p.span.until);
+        let full = self.period_terminations.len() >= MAX_PERIOD_TERMINATIONS;
+        if !in_period || full || self.is_before_answer(added.at) {
+            return false;
+        }
+        let mut known = self.period_terminations.iter();
+        if known.any(|t| t.endpoint == added.endpoint) {
+            return false;
+        }
+        self.period_terminations.push(added);
+        true
+    }
+
+    /// The evidence that is needed for the next period.
+    fn required_weight(&self) -> Weight {
+        match self.period {
+            None => Weight::of_unexplained(MIN_TERMINATIONS),
+            Some(_) => Weight::of_unexplained(1),
+        }
+    }
+
+    /// Whether there are enough terminations for a period, if none of them is explained.
+    pub(super) fn may_begin_period(&self) -> bool {
+        Weight::of_unexplained(self.terminations.len()) >= self.required_weight()
+    }
+
+    /// Begins a quarantine period if the evidence suffices beside the explanations of others; returns whether it did.
+    pub(super) fn begin_period_if_due(
+        &mut self,
+        kind: SuspectKind,
+        explanations: &[Explanation<'_>],
+        first_duration: Duration,
+        now: Moment,
+    ) -> bool {
         let count = self.period.map_or(0, |p| p.count);
-        let enough = if count == 0 { MIN_TERMINATIONS } else { 1 };
-        if self.terminations.len() < enough {
+        if weigh(kind, &self.terminations, explanations) < self.required_weight() {
             return false;
         }
+        self.begin_period(count + 1, first_duration, now);
+        self.period_terminations = std::mem::take(&mut self.terminations);
+        self.period_terminations.truncate(MAX_PERIOD_TERMINATIONS);
+        true
+    }
+
+    /// Begins the next period, as a probe has shown that the suspect is the cause.
+    pub(super) fn confirm(&mut self, first_duration: Duration, now: Moment) {
+        let count = self.period.map_or(0, |p| p.count);
+        self.begin_period(count + 1, first_duration, now);
+    }
+
+    fn begin_period(&mut self, count: u32, first_duration: Duration, now: Moment) {
+        let doublings = (count - 1).min(MAX_DOUBLINGS);
         self.period = Some(RequestPeriod {
-            count: count + 1,
+            count,
             span: ClockSpan {
                 since: now,
-                until: now + first_duration * 2u32.pow(count.min(MAX_DOUBLINGS)),
+                until: now + first_duration * 2u32.pow(doublings),
             },
             own: true,
         });
-        self.terminations.clear();
-        true
+        self.forbid_probes();
+    }
+
+    fn forbid_probes(&mut self) {
+        self.probe_at = None;
+        self.probes = 0;
+    }
+
+    /// Whether a probe may be sent with this part: its quarantine is the first one, and not too many were sent.
+    pub(super) fn may_be_probed(&self) -> bool {
+        let is_first = self.period.is_some_and(|p| p.count == 1);
+        is_first && self.probes < super::probes::MAX_PROBES
+    }
+
+    /// Whether the terminations that led to the period of a request are explained by parts of prompts, so that it would not
+    /// have begun.
+    pub(super) fn is_explained(&self, explanations: &[Explanation<'_>]) -> bool {
+        let Some(period) = self.period else {
+            return false;
+        };
+        let required = match period.count {
+            1 => Weight::of_unexplained(MIN_TERMINATIONS),
+            _ => Weight::of_unexplained(1),
+        };
+        // A stored period has no terminations.
+        let known = Weight::of_unexplained(self.period_terminations.len()) >= required;
+        let weight = weigh(
+            SuspectKind::Request,
+            &self.period_terminations,
+            explanations,
+        );
+        known && weight < required
+    }
+
+    /// Excuses the suspect from its period, as an answer at the beginning of the period would.
+    pub(super) fn end_period(&mut self) {
+        if let Some(period) = self.period {
+            self.apply_answer(period.span.since);
+        }
+    }
+
+    /// Excuses the suspect from what happened up to a time; returns whether that changes anything.
+    pub(super) fn excuse_until(&mut self, until: Moment) -> bool {
+        let terminations = self.terminations.iter().map(|t| t.at);
+        let period = self.period.iter().map(|p| p.span.since);
+        let latest = terminations.chain(period).filter(|at| *at <= until).max();
+        latest.map(|at| self.apply_answer(at)).is_some()
     }
 
     /// Whether an event counts as before the last answer.
@@ -155,6 +261,10 @@
             self.terminations.retain(|t| Some(t.at) > answered_at);
             self.period = self.period.filter(|p| Some(p.span.since) > answered_at);
         }
+        if self.period.is_none() {
+            self.period_terminations.clear();
+            self.forbid_probes();
+        }
     }
 
     /// The time of the latest termination or beginning of a period that counts as before the last answer.
@@ -201,8 +311,19 @@
             return false;
         }
         let own = self.period.is_some_and(|p| p.own) || reported.own;
+        let next = self.period.is_some_and(|p| p.count < reported.count);
         self.period = Some(RequestPeriod { own, ..reported });
-        self.terminations.retain(|t| t.at > reported.span.until);
+        if next {
+            self.period_terminations.clear();
+            self.forbid_probes();
+        }
+        let until = reported.span.until;
+        let counted = std::mem::take(&mut self.terminations);
+        let (later, earlier): (Vec<_>, Vec<_>) = counted.into_iter().partition(|t| t.at > until);
+        self.terminations = later;
+        for termination in earlier {
+            self.add_period_termination(termination);
+        }
         true
     }
 
--- a/crates/fleet/tests/fingerprint.rs
+++ b/crates/fleet/tests/fingerprint.rs
@@ -122,4 +122,6 @@
     assert_eq!(part, Fingerprint::of_prompt_part("5c1e07a2"));
     assert_ne!(part, Fingerprint::of_prompt_part("5c1e07a"));
     assert_ne!(part, Fingerprint::of_prompt_part(""));
+    assert!(part.is_prompt_part());
+    assert!(!Fingerprint::of(&IDENTITY).is_prompt_part());
 }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -4,7 +4,9 @@
 
 use dragonflyrill_fleet::{
     fingerprint::Fingerprint,
-    quarantine::{Provers, Quarantine, QuarantinePeriod, QuarantineRecord, SuspectReport},
+    quarantine::{
+        Provers, Quarantine, QuarantinePeriod, QuarantineRecord, RunSuspects, SuspectReport,
+    },
 };
 use proptest::prelude::*;
 
@@ -19,6 +21,22 @@
     Fingerprint::from([n; 16])
 }
 
+fn run(n: u8) -> RunSuspects {
+    RunSuspects::request_only(request(n))
+}
+
+fn part(id: &str) -> Fingerprint {
+    Fingerprint::of_prompt_part(id)
+}
+
+/// A run of a request whose prompt has these shared parts.
+fn run_with(request_number: u8, parts: &[&str]) -> RunSuspects {
+    RunSuspects {
+        request: request(request_number),
+        prompt_parts: parts.iter().map(|id| part(id)).collect(),
+    }
+}
+
 fn incarnation(n: u64) -> Rc<str> {
     format!("e{n}").into()
 }
@@ -115,10 +133,10 @@
 #[test]
 fn an_answer_discards_runs_that_broke_off_before_it() {
     let mut quarantine = Quarantine::new(FIRST_DURATION);
-    quarantine.note_broken_run(request(1), &incarnation(1), s(1));
-    quarantine.note_broken_run(request(2), &incarnation(1), s(1));
+    quarantine.note_broken_run(run(1), &incarnation(1), s(1));
+    quarantine.note_broken_run(run(2), &incarnation(1), s(1));
     quarantine.note_answer(&request(1), s(2));
-    assert_eq!(quarantine.confirm_termination("e1", s(3)), [request(2)]);
+    assert_eq!(quarantine.confirm_termination("e1", s(3)), [run(2)]);
 }
 
 #[test]
@@ -174,15 +192,12 @@
 #[test]
 fn a_broken_run_counts_once_its_endpoint_is_known_to_have_terminated() {
     let mut quarantine = Quarantine::new(FIRST_DURATION);
-    quarantine.note_broken_run(request(1), &incarnation(1), s(1));
-    quarantine.note_broken_run(request(1), &incarnation(1), s(2));
-    quarantine.note_broken_run(request(2), &incarnation(1), s(2));
-    quarantine.note_broken_run(request(1), &incarnation(2), s(3));
+    quarantine.note_broken_run(run(1), &incarnation(1), s(1));
+    quarantine.note_broken_run(run(1), &incarnation(1), s(2));
+    quarantine.note_broken_run(run(2), &incarnation(1), s(2));
+    quarantine.note_broken_run(run(1), &incarnation(2), s(3));
     assert!(quarantine.is_empty(), "no termination is confirmed yet");
-    assert_eq!(
-        quarantine.confirm_termination("e1", s(5)),
-        [request(1), request(2)]
-    );
+    assert_eq!(quarantine.confirm_termination("e1", s(5)), [run(1), run(2)]);
     assert_eq!(
         quarantine.confirm_termination("e1", s(5)),
         [],
@@ -505,18 +520,288 @@
         quarantine.note_termination(Fingerprint::from(bytes), &incarnation(1), s(10));
     }
     for n in 0..5000 {
-        quarantine.note_broken_run(request(2), &incarnation(n), s(11));
+        quarantine.note_broken_run(run(2), &incarnation(n), s(11));
     }
     assert_eq!(quarantine.confirm_termination("e0", s(11)), []);
-    assert_eq!(quarantine.confirm_termination("e4999", s(11)), [request(2)]);
+    assert_eq!(quarantine.confirm_termination("e4999", s(11)), [run(2)]);
     assert!(quarantine.quarantined_for(&request(1), s(10)).is_some());
     assert!(quarantine.changes_since(0, s(10)).len() <= 1024);
 }
 
+/// Requests with the part `fatal` end the endpoints `from` and the next ones, one each.
+fn terminations_under_part(quarantine: &mut Quarantine, from: u64, count: u64, at: Duration) {
+    for n in from..from + count {
+        let run = run_with(100 + n as u8, &["first", "fatal"]);
+        quarantine.note_run_termination(&run, &incarnation(n), at + s(n));
+    }
+}
+
+#[test]
+fn a_part_is_quarantined_after_three_terminations_under_different_requests() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    quarantine.note_answer(&part("first"), s(1));
+    terminations_under_part(&mut quarantine, 1, 2, s(1));
+    assert_eq!(quarantine.quarantined_for(&part("fatal"), s(4)), None);
+    let third = run_with(103, &["first", "fatal"]);
+    let begun = quarantine.note_run_termination(&third, &incarnation(3), s(4));
+    let begun: Vec<Fingerprint> = begun.iter().map(|b| b.suspect).collect();
+    assert_eq!(begun, [part("fatal")], "the first part was answered");
+    assert_eq!(quarantine.quarantined_count(s(4)), 1);
+}
+
+/// Guards against sound requests that are refused because one request ended endpoints that has a part in common with them.
+#[test]
+fn one_request_alone_does_not_quarantine_the_parts_of_its_prompt() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    for n in 1..=6 {
+        quarantine.note_run_termination(&run_with(1, &["a"]), &incarnation(n), s(n));
+    }
+    assert!(quarantine.quarantined_for(&request(1), s(7)).is_some());
+    assert_eq!(quarantine.quarantined_for(&part("a"), s(7)), None);
+    let other = run_with(2, &["a"]);
+    let begun = quarantine.note_run_termination(&other, &incarnation(7), s(8));
+    assert_eq!(begun.len(), 1);
+    assert!(quarantine.quarantined_for(&part("a"), s(8)).is_some());
+}
+
+#[test]
+fn a_run_beyond_the_beginning_of_its_answer_does_not_count_against_parts() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    quarantine.note_broken_run(run_with(1, &["a", "b"]), &incarnation(1), s(1));
+    quarantine.note_answer(&part("a"), s(1));
+    assert_eq!(
+        quarantine.confirm_termination("e1", s(2)),
+        [run_with(1, &["b"])]
+    );
+    let begun = quarantine.note_run_termination(&run(1), &incarnation(1), s(2));
+    assert_eq!(begun, []);
+    assert_eq!(quarantine.changes_since(0, s(2)).len(), 1);
+}
+
+/// Guards against a sound part that is quarantined on all hosts because the host whose streams broke off has not had an
+/// answer on it.
+#[test]
+fn a_host_that_knows_of_a_recent_answer_ends_the_quarantine_that_others_report() {
+    let new = || Quarantine::new(FIRST_DURATION);
+    let (mut a, mut b, mut c) = (new(), new(), new());
+    b.note_answer(&part("first"), s(10));
+    terminations_under_part(&mut a, 1, 3, s(40));
+    assert!(a.quarantined_for(&part("first"), s(44)).is_some());
+    report(&a, &mut c, s(44));
+    report(&a, &mut b, s(44));
+    assert_eq!(b.quarantined_for(&part("first"), s(44)), None);
+    report(&b, &mut a, s(45));
+    report(&b, &mut c, s(45));
+    for host in [&a, &b, &c] {
+        assert_eq!(host.quarantined_for(&part("first"), s(45)), None);
+        assert!(host.quarantined_for(&part("fatal"), s(45)).is_some());
+    }
+    let (version_a, version_b) = (a.version(), b.version());
+    report(&a, &mut b, s(46));
+    report(&b, &mut a, s(46));
+    assert_eq!((a.version(), b.version()), (version_a, version_b));
+}
+
+/// Guards against sound requests that are refused for an hour because they ran three times beside those with the part.
+#[test]
+fn requests_that_broke_off_beside_a_quarantined_part_are_no_longer_quarantined() {
+    let new = || Quarantine::new(FIRST_DURATION);
+    let (mut a, mut b) = (new(), new());
+    for n in 1..=3 {
+        a.note_run_termination(&run(1), &incarnation(n), s(n));
+    }
+    a.mark_persisted(a.to_persist(s(4)).0);
+    report(&a, &mut b, s(4));
+    assert!(b.quarantined_for(&request(1), s(4)).is_some());
+    // Requests with the part ran at these endpoints, and at another one, on another host.
+    terminations_under_part(&mut b, 1, 3, s(1));
+    assert!(b.quarantined_for(&part("fatal"), s(5)).is_some());
+    assert_eq!(b.quarantined_for(&request(1), s(5)), None);
+    report(&b, &mut a, s(5));
+    assert_eq!(a.quarantined_for(&request(1), s(5)), None);
+    assert!(a.persist_due(), "the stored period must be removed");
+    assert_eq!(a.to_persist(s(5)).1, []);
+}
+
+#[test]
+fn terminations_that_a_quarantined_part_explains_count_half_against_others() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    terminations_under_part(&mut quarantine, 1, 4, s(1));
+    for n in 1..=3 {
+        quarantine.note_run_termination(&run_with(1, &["b"]), &incarnation(n), s(6));
+    }
+    for n in 2..=4 {
+        quarantine.note_run_termination(&run_with(2, &["b"]), &incarnation(n), s(6));
+    }
+    assert_eq!(quarantine.quarantined_for(&request(1), s(6)), None);
+    assert_eq!(quarantine.quarantined_for(&part("b"), s(6)), None);
+    // Two more that it does not explain.
+    quarantine.note_run_termination(&run_with(3, &["b"]), &incarnation(20), s(7));
+    quarantine.note_run_termination(&run_with(4, &["b"]), &incarnation(21), s(8));
+    assert!(quarantine.quarantined_for(&part("b"), s(8)).is_some());
+}
+
+/// Guards against a companion of the actual cause that, once quarantined by coincidence, explains all that the cause does.
+#[test]
+fn the_cause_is_quarantined_though_a_companion_was_before() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    for n in 1..=3 {
+        let companion = run_with(n as u8, &["companion"]);
+        quarantine.note_run_termination(&companion, &incarnation(n), s(n));
+        if n < 3 {
+            let cause = run_with(100 + n as u8, &["fatal"]);
+            quarantine.note_run_termination(&cause, &incarnation(n), s(n));
+        }
+    }
+    assert!(
+        quarantine
+            .quarantined_for(&part("companion"), s(4))
+            .is_some()
+    );
+    for n in 3..=5 {
+        let cause = run_with(100 + n as u8, &["fatal"]);
+        quarantine.note_run_termination(&cause, &incarnation(n), s(n));
+    }
+    assert!(quarantine.quarantined_for(&part("fatal"), s(6)).is_some());
+}
+
+/// A host that has just started quarantines the parts of all prompts, as three endpoints terminate at once.
+fn quarantine_of_a_new_host(parts: &[&str]) -> Quarantine {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    for n in 1..=MIN_TERMINATIONS {
+        let run = run_with(100 + n as u8, parts);
+        quarantine.note_run_termination(&run, &incarnation(n), s(2));
+    }
+    for id in parts {
+        assert!(quarantine.quarantined_for(&part(id), s(2)).is_some());
+    }
+    quarantine
+}
+
+/// Guards against an outage of an hour: all hosts restart, lose several endpoints before any answer, and refuse all requests
+/// for the parts that these share.
+#[test]
+fn an_answer_to_a_probe_ends_the_quarantine_of_sound_parts() {
+    let mut quarantine = quarantine_of_a_new_host(&["a", "b"]);
+    let sound = run_with(1, &["a", "b"]);
+    assert!(!quarantine.begin_probe(&sound, s(2)), "too early");
+    assert!(quarantine.begin_probe(&sound, s(4)));
+    assert!(
+        !quarantine.begin_probe(&run_with(2, &["a"]), s(4)),
+        "one at a time"
+    );
+    for id in ["a", "b"] {
+        assert!(quarantine.note_answer(&part(id), s(5)));
+    }
+    assert_eq!(quarantine.end_probe(s(5)), []);
+    assert_eq!(quarantine.quarantined_count(s(5)), 0);
+}
+
+#[test]
+fn a_failed_probe_confirms_the_only_quarantined_part() {
+    let mut quarantine = quarantine_of_a_new_host(&["fatal"]);
+    let probe = run_with(1, &["fatal"]);
+    assert!(quarantine.begin_probe(&probe, s(4)));
+    let begun = quarantine.note_run_termination(&probe, &incarnation(9), s(4));
+    let begun: Vec<_> = begun.iter().map(|b| (b.suspect, b.period.count)).collect();
+    assert_eq!(begun, [(part("fatal"), 2)]);
+    assert_eq!(quarantine.end_probe(s(5)), []);
+    let again = run_with(2, &["fatal"]);
+    assert!(!quarantine.begin_probe(&again, s(7100)));
+    // So it is after a restart.
+    let (_, stored) = quarantine.to_persist(s(5));
+    let mut next = Quarantine::new(FIRST_DURATION);
+    next.restore(stored, true, s(0));
+    assert!(!next.begin_probe(&again, s(3000)));
+}
+
+#[test]
+fn probes_tell_the_cause_from_the_parts_that_accompany_it() {
+    let mut quarantine = quarantine_of_a_new_host(&["first", "fatal"]);
+    let fatal = run_with(1, &["first", "fatal"]);
+    assert!(quarantine.begin_probe(&fatal, s(4)));
+    assert_eq!(
+        quarantine.note_run_termination(&fatal, &incarnation(9), s(4)),
+        [],
+        "one of two is the cause"
+    );
+    quarantine.end_probe(s(4));
+    assert!(
+        !quarantine.begin_probe(&run_with(2, &["first", "fatal"]), s(5)),
+        "it would fail as well"
+    );
+    assert!(quarantine.begin_probe(&run_with(3, &["first"]), s(5)));
+    assert!(quarantine.note_answer(&part("first"), s(6)));
+    let begun = quarantine.end_probe(s(6));
+    let begun: Vec<_> = begun.iter().map(|b| (b.suspect, b.period.count)).collect();
+    assert_eq!(begun, [(part("fatal"), 2)], "only this one is left");
+}
+
+/// Guards against a part that is taken for the cause because a request with it, sent before, terminates another endpoint
+/// while the probe is under way.
+#[test]
+fn only_a_termination_under_the_probe_itself_fails_it() {
+    let mut quarantine = quarantine_of_a_new_host(&["first"]);
+    assert!(quarantine.begin_probe(&run_with(1, &["first"]), s(4)));
+    let earlier = run_with(2, &["first", "fatal"]);
+    assert_eq!(
+        quarantine.note_run_termination(&earlier, &incarnation(9), s(4)),
+        []
+    );
+    assert!(quarantine.note_answer(&part("first"), s(5)));
+    assert_eq!(quarantine.end_probe(s(5)), []);
+    assert_eq!(quarantine.quarantined_count(s(5)), 0);
+}
+
+#[test]
+fn only_the_host_that_determined_a_quarantine_sends_probes_and_few_of_them() {
+    let mut quarantine = quarantine_of_a_new_host(&["a"]);
+    let mut other = Quarantine::new(FIRST_DURATION);
+    report(&quarantine, &mut other, s(3));
+    assert!(!other.begin_probe(&run_with(1, &["a"]), s(3000)));
+    let mut sent = 0;
+    for n in 0..50 {
+        if quarantine.begin_probe(&run_with(n, &["a"]), s(4)) {
+            quarantine.note_probe_sent();
+            sent += 1;
+        }
+        // Its caller has left.
+        quarantine.end_probe(s(4));
+    }
+    assert_eq!(sent, 3);
+}
+
+#[test]
+fn a_host_that_knows_what_is_answered_probes_after_a_minute_and_its_next_process_sooner() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    quarantine.note_answer(&part("b"), s(80));
+    for n in 1..=MIN_TERMINATIONS {
+        let run = run_with(100 + n as u8, &["a"]);
+        quarantine.note_run_termination(&run, &incarnation(n), s(100));
+    }
+    let (_, stored) = quarantine.to_persist(s(110));
+    let mut next = Quarantine::new(FIRST_DURATION);
+    next.restore(stored, true, s(0));
+    let run = run_with(1, &["a"]);
+    assert!(!quarantine.begin_probe(&run, s(159)));
+    assert!(quarantine.begin_probe(&run, s(161)));
+    assert!(!next.begin_probe(&run, s(0)));
+    assert!(next.begin_probe(&run, s(2)));
+}
+
+/// Two requests and two parts of prompts.
+fn suspect(n: u8) -> Fingerprint {
+    match n {
+        0 | 1 => request(n),
+        2 => part("a"),
+        _ => part("b"),
+    }
+}
+
 /// An event on one of three hosts.
 #[derive(Debug, Clone)]
 enum Event {
-    /// A host observes that an incarnation of an endpoint terminates while it runs a request.
+    /// A host observes that an incarnation of an endpoint terminates while it runs something with a suspect.
     Terminates(usize, u8, u64),
     /// A host relays an answer.
     Answers(usize, u8),
@@ -528,8 +813,8 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        4 => (0..3usize, 0..2u8, 0..6u64).prop_map(|(h, r, e)| Event::Terminates(h, r, e)),
-        1 => (0..3usize, 0..2u8).prop_map(|(h, r)| Event::Answers(h, r)),
+        4 => (0..3usize, 0..4u8, 0..6u64).prop_map(|(h, r, e)| Event::Terminates(h, r, e)),
+        1 => (0..3usize, 0..4u8).prop_map(|(h, r)| Event::Answers(h, r)),
         5 => (0..3usize, 0..3usize).prop_map(|(a, b)| Event::Reports(a, b)),
         1 => (0..3usize).prop_map(Event::Restarts),
     ]
@@ -568,14 +853,14 @@
             now += Duration::from_millis(after);
             match event {
                 Event::Terminates(h, r, e) => {
-                    let may_send = hosts.hosts[h].quarantined_for(&request(r), now).is_none();
+                    let may_send = hosts.hosts[h].quarantined_for(&suspect(r), now).is_none();
                     // A quarantined request isn't sent.
                     if may_send {
-                        hosts.hosts[h].note_termination(request(r), &incarnation(e), now);
+                        hosts.hosts[h].note_termination(suspect(r), &incarnation(e), now);
                     }
                 }
                 Event::Answers(h, r) => {
-                    hosts.hosts[h].note_answer(&request(r), now);
+                    hosts.hosts[h].note_answer(&suspect(r), now);
                 }
                 Event::Reports(a, b) if a != b => {
                     hosts.report(a, b, now, now + delay);
@@ -599,8 +884,8 @@
             }
         }
         prop_assert_eq!(reported, 0, "the hosts keep reporting");
-        for r in 0..2 {
-            let quarantined = |h: &Quarantine| h.quarantined_for(&request(r), now).is_some();
+        for r in 0..4 {
+            let quarantined = |h: &Quarantine| h.quarantined_for(&suspect(r), now).is_some();
             let quarantined: Vec<bool> = hosts.hosts.iter().map(quarantined).collect();
             prop_assert!(quarantined.iter().all(|h| *h == quarantined[0]), "{:?}", quarantined);
         }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use super::{
-    AdmittedRequest, ForwardError,
+    AdmittedRequest, ForwardError, RunProgress,
     attempts::Attempts,
     is_success,
     refusal::Refusal,
@@ -126,7 +126,7 @@
                 let run = termination::FailedRun {
                     endpoints: &[run_endpoint],
                     error: &error,
-                    had_events: false,
+                    progress: RunProgress::Beginning,
                 };
                 termination::record_terminations(gateway, admitted, run).await;
                 attempts.record_failed_attempt(error);
@@ -214,6 +214,7 @@
     };
     if result.is_ok() {
         gateway.record_answer(admitted.fingerprint());
+        gateway.record_begun_answer(&admitted.incoming.shared_prompt_parts);
     }
     let directory = &gateway.directory;
     match &result {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -15,13 +15,19 @@
 mod stream;
 mod termination;
 
-use std::{cell::OnceCell, io, rc::Rc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    io,
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_http::{RequestHead, header};
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     catalogue::{CallerLimits, Route, RouteKind, Service, Workspace},
     fingerprint::{Fingerprint, RequestIdentity},
+    quarantine::RunSuspects,
 };
 use http::StatusCode;
 use rand::Rng;
@@ -46,6 +52,16 @@
 /// The deadline of a request whose caller states none. The timeout of its route applies as well.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
+/// How far the answer of a run has got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunProgress {
+    /// Nothing was received of it, or one batch of events: an endpoint that crashes as it begins to answer may have sent its
+    /// first events.
+    Beginning,
+    /// More was received.
+    BeyondBeginning,
+}
+
 /// A request whose route and workspace are known.
 struct AdmittedRequest {
     head: RequestHead,
@@ -60,6 +76,8 @@
     due: Instant,
     /// The decisions on the request.
     request_log: RequestLog,
+    /// The request is sent although parts of its prompt are quarantined.
+    probe: RefCell<Option<ProbeGuard>>,
     /// Computed on first use: when an endpoint answered, a dispatch failed, or any request is quarantined.
     fingerprint: OnceCell<Fingerprint>,
 }
@@ -76,8 +94,14 @@
     }
 
     /// Whether the request may be dispatched after these attempts. A quarantine is recorded in them as refusal.
-    fn may_dispatch(&self, gateway: &Gateway, attempts: &mut Attempts) -> bool {
-        if let Some(refusal) = self.quarantine_refusal(gateway) {
+    fn may_dispatch(&self, gateway: &Rc<Gateway>, attempts: &mut Attempts) -> bool {
+        let sent = attempts.dispatches() > 0;
+        if sent {
+            self.end_probe();
+        }
+        if let Some(refusal) = self.quarantine_refusal(gateway)
+            && (sent || !self.begin_probe(gateway))
+        {
             attempts.record_not_sent(refusal);
             return false;
         }
@@ -112,12 +136,49 @@
         texts.join(",")
     }
 
-    /// The refusal of a request that is quarantined because endpoints terminated while they ran it, on any host.
+    /// What may be the cause if an endpoint terminates during a run of the request.
+    fn suspects(&self, progress: RunProgress) -> RunSuspects {
+        let request = self.fingerprint();
+        match progress {
+            RunProgress::Beginning => RunSuspects {
+                request,
+                prompt_parts: self.incoming.shared_prompt_parts.clone(),
+            },
+            RunProgress::BeyondBeginning => RunSuspects::request_only(request),
+        }
+    }
+
+    /// The refusal of a request that is quarantined, or a part of its prompt, because endpoints terminated while they ran
+    /// it, on any host.
     fn quarantine_refusal(&self, gateway: &Gateway) -> Option<Refusal> {
-        let remaining = gateway.quarantined_for(|| self.fingerprint())?;
+        let parts = match self.is_probe() {
+            true => &[],
+            false => &self.incoming.shared_prompt_parts[..],
+        };
+        let remaining = gateway.quarantined_for(parts, || self.fingerprint())?;
         Some(Refusal::EndsEndpoints(remaining))
     }
 
+    /// Makes the request a probe if one is due; returns whether it may be sent now.
+    fn begin_probe(&self, gateway: &Rc<Gateway>) -> bool {
+        let begins = gateway.begin_probe(&self.suspects(RunProgress::Beginning));
+        if begins {
+            *self.probe.borrow_mut() = Some(ProbeGuard(gateway.clone()));
+        }
+        // The request itself may be quarantined as well.
+        begins && self.quarantine_refusal(gateway).is_none()
+    }
+
+    /// Whether the request is sent although parts of its prompt are quarantined.
+    fn is_probe(&self) -> bool {
+        self.probe.borrow().is_some()
+    }
+
+    /// Ends the probe, if the request is one: its result is known.
+    fn end_probe(&self) {
+        self.probe.take();
+    }
+
     /// Acquires a retry from the budget of the service; false if none is left.
     async fn acquire_retry(&self, gateway: &Gateway) -> bool {
         let service = &self.service.name;
@@ -219,6 +280,7 @@
                 Ok(AdmittedRequest {
                     due,
                     request_log,
+                    probe: RefCell::default(),
                     fingerprint: OnceCell::new(),
                     priority: priority.unwrap_or(route.priority).min(9),
                     workspace: workspace.map(|w| w.name),
@@ -325,6 +387,15 @@
     }
 }
 
+/// Ends the probe under way when it is dropped.
+struct ProbeGuard(Rc<Gateway>);
+
+impl Drop for ProbeGuard {
+    fn drop(&mut self) {
+        self.0.end_probe();
+    }
+}
+
 /// The reason why the answer of an endpoint was not relayed completely.
 enum ForwardError {
     /// The caller's connection failed, or an answer that had started was aborted.
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -141,10 +141,13 @@
         ));
     }
     let unavailable = target.unavailable_endpoint(&gateway.directory.borrow(), gateway.now());
-    match unavailable {
-        Some(id) => Err(DispatchError::NotSent(format!("{id} accepts no work"))),
-        None => Ok(()),
+    if let Some(id) = unavailable {
+        return Err(DispatchError::NotSent(format!("{id} accepts no work")));
     }
+    if admitted.is_probe() {
+        gateway.quarantine.borrow_mut().note_probe_sent();
+    }
+    Ok(())
 }
 
 /// Sends a request over an open connection and reads the head of the answer; `None` if the host that was to relay it
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -17,7 +17,7 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    AdmittedRequest, ForwardError,
+    AdmittedRequest, ForwardError, RunProgress,
     attempts::Attempts,
     call,
     chain_load::ChainLoadGuard,
@@ -51,6 +51,7 @@
         tried_chains: Vec::new(),
         attempts: Attempts::new(Refusal::NoEndpoint("no chain covers all layers")),
         last_event_at: None,
+        progress: RunProgress::Beginning,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     match run {
@@ -96,6 +97,8 @@
     attempts: Attempts,
     /// When the last events were relayed.
     last_event_at: Option<Instant>,
+    /// How far the answer of the current run has got.
+    progress: RunProgress,
 }
 
 /// The next run of a stream.
@@ -146,14 +149,12 @@
             self.admitted
                 .request_log
                 .record_dispatch(to, first, fill, after_event);
-            let last_event = self.events.last();
+            self.progress = RunProgress::Beginning;
             match self.run_on_chain(&planned, out).await? {
                 RunEnd::Complete(status) => return Ok(status),
                 RunEnd::Failed(error) => {
                     self.log_failed_run(&planned.chain, &error, out.started());
-                    let had_events = self.events.last() != last_event;
-                    self.record_terminations(&planned.chain, &error, had_events)
-                        .await;
+                    self.record_terminations(&planned.chain, &error).await;
                     self.attempts.record_failed_attempt(error);
                 }
             }
@@ -177,7 +178,7 @@
     }
 
     /// Records whether an endpoint terminated during a failed run, before the request is dispatched again.
-    async fn record_terminations(&self, chain: &Chain, error: &DispatchError, had_events: bool) {
+    async fn record_terminations(&self, chain: &Chain, error: &DispatchError) {
         let stages = chain.stages.iter();
         let endpoints: Vec<termination::RunEndpoint<'_>> = stages
             .map(|stage| termination::RunEndpoint {
@@ -188,7 +189,7 @@
         let run = termination::FailedRun {
             endpoints: &endpoints,
             error,
-            had_events,
+            progress: self.progress,
         };
         termination::record_terminations(self.gateway, self.admitted, run).await;
     }
@@ -341,6 +342,7 @@
             .await?;
         if let RunEnd::Complete(_) = end {
             gateway.record_answer(self.admitted.fingerprint());
+            self.record_begun_answer();
             let stages = chain.stages.iter();
             stages.for_each(|p| gateway.record_endpoint_success(&p.id));
         }
@@ -412,6 +414,9 @@
                 EventBatch::Events(events) => self.relay_events(&mut answer, events, out).await?,
             }
             chain_load.end_prefill();
+            if monitor.timing.started {
+                self.record_begun_answer();
+            }
             monitor.timing.started = true;
             since = Instant::now();
             self.last_event_at = Some(since);
@@ -427,6 +432,16 @@
         Ok(RunEnd::Complete(status))
     }
 
+    /// Records once that the answer of the current run has got beyond its beginning.
+    fn record_begun_answer(&mut self) {
+        if self.progress == RunProgress::Beginning {
+            self.progress = RunProgress::BeyondBeginning;
+            let parts = &self.admitted.incoming.shared_prompt_parts;
+            self.gateway.record_begun_answer(parts);
+            self.admitted.end_probe();
+        }
+    }
+
     /// Lets a chain be chosen again if only the connection to it was lost.
     fn allow_again(&mut self, chain: &Chain, abandoned: &AbandonReason) {
         if abandoned.lost_path {
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -15,7 +15,7 @@
 };
 use rustc_hash::FxHashMap;
 
-use super::{AdmittedRequest, send::DispatchError};
+use super::{AdmittedRequest, RunProgress, send::DispatchError};
 use crate::{
     gateway::{EnginePoll, Gateway, Involvement},
     http::connection,
@@ -91,17 +91,17 @@
     pub(super) endpoints: &'a [RunEndpoint<'a>],
     /// Why it failed.
     pub(super) error: &'a DispatchError,
-    /// Whether it had yielded events.
-    pub(super) had_events: bool,
+    /// How far its answer had got.
+    pub(super) progress: RunProgress,
 }
 
 impl FailedRun<'_> {
     /// What a termination during the run implies for the request. Most runs that break off with an endpoint have
-    /// yielded events before; one that crashes whatever runs it seldom has.
+    /// got beyond the beginning of their answer; one that crashes whatever runs it seldom has.
     fn involvement(&self) -> Involvement {
-        match self.had_events {
-            true => Involvement::Bystander,
-            false => Involvement::PossibleCause,
+        match self.progress {
+            RunProgress::Beginning => Involvement::PossibleCause,
+            RunProgress::BeyondBeginning => Involvement::Bystander,
         }
     }
 }
@@ -116,6 +116,7 @@
     run: FailedRun<'_>,
 ) {
     let endpoints = run.endpoints;
+    let suspects = || admitted.suspects(run.progress);
     let broke_off = match run.error {
         DispatchError::NotSent(_) | DispatchError::NotRun(_) => return,
         DispatchError::MayHaveRun(_) => false,
@@ -125,8 +126,7 @@
         .iter()
         .find(|e| gateway.directory.borrow().has_ended(e.id))
     {
-        let request = admitted.fingerprint();
-        return gateway.record_termination(request, terminated.id, run.involvement());
+        return gateway.record_termination(&suspects(), terminated.id, run.involvement());
     }
     for (index, endpoint) in endpoints.iter().enumerate() {
         // If a later stage has terminated, the first one breaks off after a while. By then the later one is
@@ -141,13 +141,12 @@
             .check(gateway, endpoint.id, endpoint.addr);
         if broke_off {
             if check.await {
-                let request = admitted.fingerprint();
-                return gateway.record_termination(request, endpoint.id, run.involvement());
+                return gateway.record_termination(&suspects(), endpoint.id, run.involvement());
             }
-            gateway.record_broken_run(admitted.fingerprint(), endpoint.id);
+            gateway.record_broken_run(suspects(), endpoint.id);
         } else {
             // A run that was abandoned must not wait for an address that may not respond either.
-            gateway.record_broken_run(admitted.fingerprint(), endpoint.id);
+            gateway.record_broken_run(suspects(), endpoint.id);
             confirm_once_checked(gateway, endpoint.id, check);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     store_access::StoreAccess,
 };
 use dragonflyrill_protocol::exchange::FleetHost;
+use rand::Rng;
 use rustc_hash::FxHashMap;
 use tokio::{
     sync::watch,
@@ -55,6 +56,8 @@
 /// How long requests are still accepted after the signal to stop: the load balancer polls readiness
 /// once a second and acts on the second answer.
 pub const SHUTDOWN_ACCEPT_PERIOD: Duration = Duration::from_millis(2900);
+/// The maximum addition to the times of a host's probes of quarantined parts of prompts: a report reaches all hosts within it.
+const MAX_PROBE_SPREAD: Duration = Duration::from_secs(1);
 
 /// Maximum time for which a retry waits until the permission for it is recorded in the store: a
 /// write takes about 10 ms, and a stream may pause for 200 ms.
@@ -169,7 +172,9 @@
         let freshness = Freshness::new(settings.key_revocation);
         let log_budget = RequestLogBudget::new(settings.logged_per_s);
         let bounds = SharedBounds::new(settings.retries);
-        let quarantine = Quarantine::new(settings.request_quarantine);
+        let probe_spread = MAX_PROBE_SPREAD.mul_f64(rand::rng().random());
+        let quarantine =
+            Quarantine::new(settings.request_quarantine).with_probe_spread(probe_spread);
         let outage = StoreOutage::new(settings.endpoint_heartbeat);
         Rc::new(Self {
             settings,
