--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -337,12 +337,15 @@
     /// explain. Those of parts are left to probes: a sound part that is in most prompts has as many terminations as the
     /// cause.
     fn end_explained_periods(&mut self, now: Moment) {
-        let quarantined = self
-            .records
-            .iter()
-            .filter(|(s, r)| !s.is_prompt_part() && r.is_quarantined(now));
-        let explained =
-            quarantined.filter(|(suspect, r)| r.is_explained(&self.explanations(suspect, now)));
+        let quarantined = || self.records.iter().filter(|(_, r)| r.is_quarantined(now));
+        let parts = quarantined().filter(|(suspect, _)| suspect.is_prompt_part());
+        let explanations: Vec<Explanation<'_>> =
+            parts.map(|(_, r)| &r.period_terminations[..]).collect();
+        if explanations.is_empty() {
+            return;
+        }
+        let requests = quarantined().filter(|(suspect, _)| !suspect.is_prompt_part());
+        let explained = requests.filter(|(_, r)| r.is_explained(&explanations));
         let explained: Vec<Fingerprint> = explained.map(|(suspect, _)| *suspect).collect();
         for suspect in &explained {
             let Some(record) = self.records.get_mut(suspect) else {
