What distinguishes parts of prompts is a module of its own; the last probe confirms too

The decisions on parts and probes move out of the quarantine's main file, as they are. One case changes: a part whose third probe failed was not confirmed, as no further probe may be sent with it; the quarantine then stayed the first one, and a process that restarts would have probed it again. Its test failed before.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -14,8 +14,8 @@
 //! tells them apart from other parts is that many requests share those, and some are answered: an endpoint that has got
 //! beyond the beginning of an answer exonerates all parts of its prompt. A request counts against its parts for two
 //! terminations only, as it may be the cause itself. What a quarantined part explains counts less against others, and
-//! ends the quarantines of requests that would not have begun otherwise. A part that is quarantined by mistake is found by a probe
-//! ([`Quarantine::begin_probe`]).
+//! ends the quarantines of requests that would not have begun otherwise. A part that is quarantined by mistake is found
+//! by a probe ([`Quarantine::begin_probe`]).
 //!
 //! A request is retried as attempts with their own ids, at any host. So what one host has observed is
 //! reported to all hosts ([`Quarantine::changes_since`], [`Quarantine::merge_reports`]), and quarantine
@@ -28,6 +28,7 @@
 
 mod explanations;
 mod probes;
+mod prompt_parts;
 mod recent_answers;
 mod record;
 mod reports;
@@ -41,10 +42,10 @@
     ClockSpan, Provers, QuarantinePeriod, QuarantineRecord, SuspectReport, Termination,
 };
 use self::{
-    explanations::{Explanation, SuspectKind},
+    explanations::SuspectKind,
     probes::Probes,
     recent_answers::RecentAnswers,
-    record::{CountedTermination, MIN_TERMINATIONS, Moment, RequestPeriod, RequestRecord},
+    record::{CountedTermination, Moment, RequestPeriod, RequestRecord},
     unconfirmed_runs::UnconfirmedRuns,
 };
 use crate::fingerprint::Fingerprint;
@@ -56,8 +57,6 @@
 const MAX_PERSISTED: usize = 256;
 /// Maximum number of suspected requests whose terminations are stored in one place: some 20 KB.
 const MAX_PERSISTED_SUSPECTS: usize = 128;
-/// Maximum number of terminations under one request that count against the parts of its prompt.
-const MAX_TERMINATIONS_BY_REQUEST: usize = 2;
 /// How long before its own start this process can represent times that are reported to it.
 const TIME_BEFORE_START: Duration = Duration::from_secs(30 * 24 * 3600);
 
@@ -146,19 +145,19 @@
         self
     }
 
-    /// Whether no request is suspected.
+    /// Whether nothing is suspected.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// How much longer a request is quarantined; `None` if it may be sent.
-    pub fn quarantined_for(&self, request: &Fingerprint, now: Duration) -> Option<Duration> {
+    /// How much longer a suspect is quarantined; `None` if requests with it may be sent.
+    pub fn quarantined_for(&self, suspect: &Fingerprint, now: Duration) -> Option<Duration> {
         let now = moment(now);
-        let period = self.records.get(request)?.period?;
+        let period = self.records.get(suspect)?.period?;
         Some(period.span.until.saturating_sub(now)).filter(|remaining| !remaining.is_zero())
     }
 
-    /// Number of requests that are quarantined.
+    /// Number of requests and parts of prompts that are quarantined.
     pub fn quarantined_count(&self, now: Duration) -> usize {
         let now = moment(now);
         self.records
@@ -167,82 +166,6 @@
             .count()
     }
 
-    /// Notes that an incarnation of an endpoint has terminated during a run; returns the quarantines that begin with it.
-    pub fn note_run_termination(
-        &mut self,
-        run: &RunSuspects,
-        endpoint: &Rc<str>,
-        now: Duration,
-    ) -> Vec<BegunQuarantine> {
-        let prompt_parts = match self.terminations_before(&run.request, endpoint, moment(now)) {
-            ..MAX_TERMINATIONS_BY_REQUEST => &run.prompt_parts[..],
-            _ => &[],
-        };
-        if !run.prompt_parts.is_empty() {
-            self.probes.record_termination(&run.request);
-        }
-        // The request comes last, as a part that is quarantined now explains the termination.
-        let suspects = prompt_parts.iter().chain([&run.request]);
-        let begun = suspects.filter_map(|suspect| {
-            let period = self.note_termination(*suspect, endpoint, now)?;
-            let suspect = *suspect;
-            Some(BegunQuarantine { suspect, period })
-        });
-        let mut begun: Vec<BegunQuarantine> = begun.collect();
-        begun.extend(self.confirm_causes(now));
-        begun
-    }
-
-    /// Begins a probe: returns whether a request may be sent though parts of its prompt are quarantined. Only the host that
-    /// has quarantined one of them sends probes, one at a time. [`Self::end_probe`] ends it.
-    pub fn begin_probe(&mut self, run: &RunSuspects, now: Duration) -> bool {
-        let now = moment(now);
-        let quarantined = run
-            .prompt_parts
-            .iter()
-            .filter(|part| self.is_quarantined(part, now));
-        let quarantined: Vec<Fingerprint> = quarantined.copied().collect();
-        let records = || quarantined.iter().filter_map(|part| self.records.get(part));
-        let is_due = records().any(|r| r.probe_at.is_some_and(|at| at <= now));
-        let may_be_probed = records().all(RequestRecord::may_be_probed);
-        is_due && may_be_probed && self.probes.begin(run.request, quarantined)
-    }
-
-    /// Notes that the probe under way is about to be sent to an endpoint.
-    pub fn note_probe_sent(&mut self) {
-        for part in self.probes.parts_under_way() {
-            if let Some(record) = self.records.get_mut(part) {
-                record.probes = record.probes.saturating_add(1);
-            }
-        }
-    }
-
-    /// Ends the probe under way, whatever its result; returns the quarantines that begin with it.
-    pub fn end_probe(&mut self, now: Duration) -> Vec<BegunQuarantine> {
-        self.probes.end();
-        self.confirm_causes(now)
-    }
-
-    /// Quarantines for longer the parts of which probes have shown that they are the cause.
-    fn confirm_causes(&mut self, now: Duration) -> Vec<BegunQuarantine> {
-        let at = moment(now);
-        let records = &self.records;
-        let is_suspected = |part: &Fingerprint| {
-            let record = records.get(part);
-            record.is_some_and(|r| r.is_quarantined(at) && r.may_be_probed())
-        };
-        let causes = self.probes.causes(is_suspected);
-        let confirmed = causes.into_iter().filter_map(|suspect| {
-            let record = self.records.get_mut(&suspect)?;
-            record.confirm(self.first_duration, at);
-            let period = record.period?.to_report(at);
-            self.changed(&suspect);
-            self.persist_revision.0 += 1;
-            Some(BegunQuarantine { suspect, period })
-        });
-        confirmed.collect()
-    }
-
     /// Notes that an incarnation of an endpoint has terminated while it ran something with a suspect; returns the quarantine
     /// period that begins with it, if one does.
     pub fn note_termination(
@@ -281,18 +204,6 @@
         Some(period.to_report(now))
     }
 
-    /// The number of known terminations under a request, beside that of an incarnation of an endpoint.
-    fn terminations_before(&self, request: &Fingerprint, endpoint: &str, now: Moment) -> usize {
-        let Some(record) = self.records.get(request) else {
-            return 0;
-        };
-        if record.is_quarantined(now) {
-            return MIN_TERMINATIONS;
-        }
-        let others = record.terminations.iter();
-        others.filter(|t| *t.endpoint != *endpoint).count()
-    }
-
     /// The time up to which no termination counts against a suspect, as it was answered recently.
     fn excused_until(&mut self, suspect: &Fingerprint, now: Moment) -> Option<Moment> {
         self.recent_answers(suspect).excused_until(suspect, now)
@@ -305,14 +216,6 @@
         }
     }
 
-    /// The terminations under quarantined parts of prompts other than `suspect`.
-    fn explanations(&self, suspect: &Fingerprint, now: Moment) -> Vec<Explanation<'_>> {
-        let others = self.records.iter().filter(|(other, r)| {
-            other.is_prompt_part() && *other != suspect && r.is_quarantined(now)
-        });
-        others.map(|(_, r)| &r.period_terminations[..]).collect()
-    }
-
     /// Begins a quarantine period if there is enough evidence; returns whether it did.
     fn begin_period_if_due(&mut self, suspect: &Fingerprint, now: Moment) -> bool {
         let may_begin = |r: &RequestRecord| r.may_begin_period();
@@ -333,31 +236,6 @@
         begins
     }
 
-    /// Ends the quarantines of requests that would not have begun, had it been known what quarantined parts of prompts
-    /// explain. Those of parts are left to probes: a sound part that is in most prompts has as many terminations as the
-    /// cause.
-    fn end_explained_periods(&mut self, now: Moment) {
-        let quarantined = || self.records.iter().filter(|(_, r)| r.is_quarantined(now));
-        let parts = quarantined().filter(|(suspect, _)| suspect.is_prompt_part());
-        let explanations: Vec<Explanation<'_>> =
-            parts.map(|(_, r)| &r.period_terminations[..]).collect();
-        if explanations.is_empty() {
-            return;
-        }
-        let requests = quarantined().filter(|(suspect, _)| !suspect.is_prompt_part());
-        let explained = requests.filter(|(_, r)| r.is_explained(&explanations));
-        let explained: Vec<Fingerprint> = explained.map(|(suspect, _)| *suspect).collect();
-        for suspect in &explained {
-            let Some(record) = self.records.get_mut(suspect) else {
-                continue;
-            };
-            let own = record.period.is_some_and(|p| p.own);
-            record.end_period();
-            self.changed(suspect);
-            self.persist_revision.0 += u64::from(own);
-        }
-    }
-
     /// Notes that a run broke off at an incarnation of an endpoint of which it is not known yet whether it has
     /// terminated.
     pub fn note_broken_run(&mut self, run: RunSuspects, endpoint: &Rc<str>, now: Duration) {
@@ -372,14 +250,14 @@
 
     /// Notes that an endpoint has answered a request, or has got beyond the beginning of an answer on a part of prompts;
     /// returns whether the suspect was quarantined.
-    pub fn note_answer(&mut self, request: &Fingerprint, now: Duration) -> bool {
+    pub fn note_answer(&mut self, suspect: &Fingerprint, now: Duration) -> bool {
         let now = moment(now);
-        if request.is_prompt_part() {
+        if suspect.is_prompt_part() {
             self.part_answered_at.get_or_insert(now);
         }
-        self.recent_answers(request).insert(*request, now);
-        self.unconfirmed.discard(request);
-        let Some(record) = self.records.get_mut(request) else {
+        self.recent_answers(suspect).insert(*suspect, now);
+        self.unconfirmed.discard(suspect);
+        let Some(record) = self.records.get_mut(suspect) else {
             return false;
         };
         if record.terminations.is_empty() && record.period.is_none() {
@@ -387,7 +265,7 @@
         }
         let period = record.period;
         record.apply_answer(now);
-        self.changed(request);
+        self.changed(suspect);
         self.persist_revision.0 += u64::from(period.is_some_and(|p| p.own));
         period.is_some_and(|p| p.span.until > now)
     }
--- a/crates/fleet/src/quarantine/record.rs
+++ b/crates/fleet/src/quarantine/record.rs
@@ -202,10 +202,14 @@
         self.probes = 0;
     }
 
-    /// Whether a probe may be sent with this part: its quarantine is the first one, and not too many were sent.
+    /// Whether no probe and no later termination has shown yet that the suspect is the cause.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        self.period.is_some_and(|p| p.count == 1)
+    }
+
+    /// Whether a probe may be sent with this part.
     pub(super) fn may_be_probed(&self) -> bool {
-        let is_first = self.period.is_some_and(|p| p.count == 1);
-        is_first && self.probes < super::probes::MAX_PROBES
+        self.is_unconfirmed() && self.probes < super::probes::MAX_PROBES
     }
 
     /// Whether the terminations that led to the period of a request are explained by parts of prompts, so that it would not
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -771,6 +771,24 @@
     assert_eq!(sent, 3);
 }
 
+/// Guards against a cause that stays unconfirmed because the callers of earlier probes have left.
+#[test]
+fn the_last_probe_that_may_be_sent_confirms_the_cause_as_well() {
+    let mut quarantine = quarantine_of_a_new_host(&["fatal"]);
+    let mut begun = Vec::new();
+    for n in 1..=3 {
+        let probe = run_with(n, &["fatal"]);
+        assert!(quarantine.begin_probe(&probe, s(4)));
+        quarantine.note_probe_sent();
+        if n == 3 {
+            begun = quarantine.note_run_termination(&probe, &incarnation(9), s(4));
+        }
+        quarantine.end_probe(s(4));
+    }
+    let begun: Vec<_> = begun.iter().map(|b| (b.suspect, b.period.count)).collect();
+    assert_eq!(begun, [(part("fatal"), 2)]);
+}
+
 #[test]
 fn a_host_that_knows_what_is_answered_probes_after_a_minute_and_its_next_process_sooner() {
     let mut quarantine = Quarantine::new(FIRST_DURATION);
