--- a/crates/fleet/src/quarantine/explanations.rs
+++ b/crates/fleet/src/quarantine/explanations.rs
@@ -6,7 +6,7 @@
 
 use super::record::CountedTermination;
 
-/// What a termination counts for in units of [`Weight`].
+/// What a termination counts for.
 const UNEXPLAINED_WEIGHT: Weight = Weight(2);
 const EXPLAINED_WEIGHT: Weight = Weight(1);
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,7 +56,8 @@
 /// How long requests are still accepted after the signal to stop: the load balancer polls readiness
 /// once a second and acts on the second answer.
 pub const SHUTDOWN_ACCEPT_PERIOD: Duration = Duration::from_millis(2900);
-/// The maximum addition to the times of a host's probes of quarantined parts of prompts: a report reaches all hosts within it.
+/// The maximum addition to the times of a host's probes of quarantined parts of prompts: a report reaches all hosts
+/// within it.
 const MAX_PROBE_SPREAD: Duration = Duration::from_secs(1);
 
 /// Maximum time for which a retry waits until the permission for it is recorded in the store: a
