--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -626,7 +626,7 @@
 #[test]
 fn terminations_that_a_quarantined_part_explains_count_half_against_others() {
     let mut quarantine = Quarantine::new(FIRST_DURATION);
-    terminations_under_part(&mut quarantine, 1, 4, s(1));
+    terminations_under_part(&mut quarantine, 1, 6, s(1));
     for n in 1..=3 {
         quarantine.note_run_termination(&run_with(1, &["b"]), &incarnation(n), s(6));
     }
@@ -637,6 +637,7 @@
     assert_eq!(quarantine.quarantined_for(&part("b"), s(6)), None);
     // Two more that it does not explain.
     quarantine.note_run_termination(&run_with(3, &["b"]), &incarnation(20), s(7));
+    assert_eq!(quarantine.quarantined_for(&part("b"), s(7)), None);
     quarantine.note_run_termination(&run_with(4, &["b"]), &incarnation(21), s(8));
     assert!(quarantine.quarantined_for(&part("b"), s(8)).is_some());
 }
@@ -799,8 +800,11 @@
     }
     let (_, stored) = quarantine.to_persist(s(110));
     let mut next = Quarantine::new(FIRST_DURATION);
-    next.restore(stored, true, s(0));
+    next.restore(stored.clone(), true, s(0));
+    let mut other = Quarantine::new(FIRST_DURATION);
+    other.restore(stored, false, s(0));
     let run = run_with(1, &["a"]);
+    assert!(!other.begin_probe(&run, s(3000)), "another host has it");
     assert!(!quarantine.begin_probe(&run, s(159)));
     assert!(quarantine.begin_probe(&run, s(161)));
     assert!(!next.begin_probe(&run, s(0)));
