--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -623,6 +623,41 @@
     assert_eq!(a.to_persist(s(5)).1, []);
 }
 
+/// Guards against a stored quarantine that a part ends for want of known terminations, and against one that stays stored
+/// once a part explains it.
+#[test]
+fn only_a_quarantine_whose_terminations_are_known_is_explained_and_then_it_is_no_longer_stored() {
+    let new = || Quarantine::new(FIRST_DURATION);
+    let (mut before, mut other) = (new(), new());
+    quarantine_by_three_terminations(&mut before, s(0));
+    let (revision, stored) = before.to_persist(s(4));
+    before.mark_persisted(revision);
+    terminations_under_part(&mut other, 1, 3, s(0));
+    let mut after = new();
+    after.restore(stored, true, s(4));
+    report(&other, &mut after, s(5));
+    assert!(after.quarantined_for(&request(1), s(5)).is_some());
+    report(&other, &mut before, s(5));
+    assert_eq!(before.quarantined_for(&request(1), s(5)), None);
+    assert!(before.persist_due());
+}
+
+#[test]
+fn a_host_that_knows_of_a_recent_answer_does_not_take_the_quarantine_over_from_a_row() {
+    let mut quarantine = Quarantine::new(FIRST_DURATION);
+    for n in 1..=MIN_TERMINATIONS {
+        let run = run_with(100 + n as u8, &["a"]);
+        quarantine.note_run_termination(&run, &incarnation(n), s(40));
+    }
+    let (_, stored) = quarantine.to_persist(s(41));
+    let mut other = Quarantine::new(FIRST_DURATION);
+    other.note_answer(&part("a"), s(10));
+    assert_eq!(other.restore(stored, false, s(41)), []);
+    assert_eq!(other.quarantined_for(&part("a"), s(41)), None);
+    report(&other, &mut quarantine, s(42));
+    assert_eq!(quarantine.quarantined_for(&part("a"), s(42)), None);
+}
+
 #[test]
 fn terminations_that_a_quarantined_part_explains_count_half_against_others() {
     let mut quarantine = Quarantine::new(FIRST_DURATION);
