Test: hosts that agree are played with as many events for each suspect as before

With two parts beside the two requests each of them had half as many events, so that fewer schedules reached three terminations. 120 events in place of 60; 10,000 schedules hold.

--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -899,7 +899,7 @@
     /// although each of them places a reported event somewhat later than the host that reported it.
     #[test]
     fn hosts_that_exchange_reports_agree_and_stop_reporting(
-        events in prop::collection::vec((event(), 0..1500u64), 0..60),
+        events in prop::collection::vec((event(), 0..1500u64), 0..120),
         delay_ms in 0..200u64,
     ) {
         let new = || (0..3).map(|_| Quarantine::new(FIRST_DURATION)).collect();
