fleet: admission control by planned memory and level

Past saturation engines that get more requests than fit in their memory preempt running ones, so that all end late. New streams are admitted up to a ceiling on the planned memory of their chain; below it the last levels are shed first, each down to a floor. Read from the settings section [admission], off without it; not called yet.

--- /dev/null
+++ b/crates/fleet/src/admission.rs
@@ -0,0 +1,159 @@
+//! Decides which new streams are admitted while engines are short of memory.
+//!
+//! Past saturation an engine that gets more requests than fit in its memory preempts running ones
+//! and reads their prompts again, so that all of them end late. A host therefore admits a new
+//! stream only up to a ceiling on the planned memory of its chain, and refuses the rest at once,
+//! before any engine is asked.
+//!
+//! Below the ceiling, requests are shed by [`Level`]: the last level first, each down to a floor.
+//! The decision depends on the loads that all hosts exchange anyway, so that all hosts shed the same
+//! levels at about the same time without a message of their own.
+
+use thiserror::Error;
+
+/// Fraction of a rank's range of levels that a first attempt is behind one that returns when told.
+const FIRST_ATTEMPT_OFFSET: f64 = 0.25;
+
+/// Unchecked values of an [`AdmissionConfig`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RawAdmissionConfig {
+    /// See [`AdmissionConfig::ceiling`].
+    pub ceiling: f64,
+    /// See [`AdmissionConfig::last_level_ceiling`].
+    pub last_level_ceiling: f64,
+    /// See [`AdmissionConfig::floor`].
+    pub floor: f64,
+}
+
+/// Thresholds of admission, as fractions of the memory that is planned with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionConfig {
+    /// Fill above which no new stream is admitted. Invariant: at least `last_level_ceiling`.
+    ceiling: f64,
+    /// Fill above which the last level is shed. Invariant: at least 1, because a chain that is not
+    /// full serves every level on time.
+    last_level_ceiling: f64,
+    /// Fraction of the requests of a shed level that is still admitted below the ceiling.
+    /// Invariant: in 0..=1.
+    floor: f64,
+}
+
+/// A value of [`RawAdmissionConfig`] that can't be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum AdmissionConfigError {
+    /// The last level would be shed while chains have room.
+    #[error("the last level's ceiling must be at least 1")]
+    ShedsWithRoom,
+    /// The last level would go before the first.
+    #[error("the ceiling must not be below that of the last level")]
+    CeilingBelowLastLevel,
+    /// The floor is not a fraction.
+    #[error("the floor must be from 0 to 1")]
+    FloorOutOfRange,
+}
+
+impl TryFrom<RawAdmissionConfig> for AdmissionConfig {
+    type Error = AdmissionConfigError;
+
+    fn try_from(raw: RawAdmissionConfig) -> Result<Self, Self::Error> {
+        let RawAdmissionConfig {
+            ceiling,
+            last_level_ceiling,
+            floor,
+        } = raw;
+        if !(1.0..).contains(&last_level_ceiling) {
+            return Err(AdmissionConfigError::ShedsWithRoom);
+        }
+        if !(last_level_ceiling..).contains(&ceiling) {
+            return Err(AdmissionConfigError::CeilingBelowLastLevel);
+        }
+        if !(0.0..=1.0).contains(&floor) {
+            return Err(AdmissionConfigError::FloorOutOfRange);
+        }
+        Ok(Self {
+            ceiling,
+            last_level_ceiling,
+            floor,
+        })
+    }
+}
+
+/// Position of a rank among the ranks that requests for a service may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RankPosition {
+    /// Number of ranks that are more urgent. Invariant: less than `count`.
+    index: u32,
+    /// Number of ranks. Invariant: at least 1.
+    count: u32,
+}
+
+impl RankPosition {
+    /// The only rank.
+    pub const ONLY: Self = Self { index: 0, count: 1 };
+
+    /// The position of a priority among the priorities of a service, in ascending order. A priority
+    /// that is not among them takes the position of the next less urgent one, or the last.
+    pub fn of(priority: u8, priorities: &[u8]) -> Self {
+        let count = priorities.len().max(1);
+        let more_urgent = priorities.partition_point(|p| *p < priority);
+        Self {
+            index: more_urgent.min(count - 1) as u32,
+            count: count as u32,
+        }
+    }
+}
+
+/// How early a request is shed when memory is short: 0 last, 1 first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct Level(f64);
+
+impl Level {
+    /// The level of a request.
+    ///
+    /// The rank decides first. Within a rank follow the `excess` of the request's workspace over
+    /// its fair share, from 0 to 1, and whether the request is `returning` at the time that it was
+    /// told when it was refused. So no workspace, however large, puts its requests behind those of a
+    /// less urgent rank.
+    pub fn of(rank: RankPosition, excess: f64, returning: bool) -> Self {
+        let offset = if returning { 0.0 } else { FIRST_ATTEMPT_OFFSET };
+        let within_rank = offset + (1.0 - offset) * excess.clamp(0.0, 1.0);
+        let count = f64::from(rank.count);
+        Self((f64::from(rank.index) + within_rank) / count)
+    }
+
+    /// The level as a number from 0 to 1.
+    pub fn value(self) -> f64 {
+        self.0
+    }
+}
+
+/// The decision on a new stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be dispatched.
+    Admit,
+    /// It is refused before any engine is asked.
+    Reject,
+}
+
+impl AdmissionConfig {
+    /// Fill above which no new stream is admitted.
+    pub fn ceiling(&self) -> f64 {
+        self.ceiling
+    }
+
+    /// Decides on a new stream whose chain would be filled to `memory_fill`, the request included;
+    /// `draw` is uniform in 0..1.
+    pub fn decide(&self, level: Level, memory_fill: f64, draw: f64) -> Verdict {
+        let shed_above = self.ceiling - level.0 * (self.ceiling - self.last_level_ceiling);
+        let admitted = match memory_fill {
+            fill if fill <= shed_above => true,
+            fill if fill <= self.ceiling => draw < self.floor,
+            _ => false,
+        };
+        match admitted {
+            true => Verdict::Admit,
+            false => Verdict::Reject,
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`layers`] has ranges of the layers of a model; [`chains`] finds chains of endpoints that cover all
 //!   layers; [`choice`] selects one of them for a request; [`dispatch_rate`] estimates what other hosts
 //!   have sent since their last report.
+//! - [`admission`] decides which new streams are admitted while engines are short of memory.
 //! - [`reported_loads`] sums the loads that other hosts have reported.
 //! - [`probing`] decides when the stages of a chain are probed.
 //! - [`adaptive_timeout`] decides how long to wait for a run, and when its chain is probed.
@@ -31,6 +32,7 @@
 //! - [`token_bucket`] bounds a rate, for example of log lines or of bytes.
 
 pub mod adaptive_timeout;
+pub mod admission;
 pub mod budget;
 pub mod catalogue;
 pub mod chains;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use dragonflyrill_fleet::budget::BudgetConfig;
+use dragonflyrill_fleet::{
+    admission::{AdmissionConfig, RawAdmissionConfig},
+    budget::BudgetConfig,
+};
 use dragonflyrill_settings::{self as settings, Parser};
 
 pub use dragonflyrill_settings::SettingError;
@@ -49,6 +52,8 @@
     pub request_quarantine: Duration,
     /// The maximum number of successful requests a second that are logged in full.
     pub logged_per_s: f64,
+    /// The thresholds of admission; `None` if streams are sent even to chains that are planned full.
+    pub admission: Option<AdmissionConfig>,
 }
 
 /// The default of `requests_per_second`: some 60 lines and 20 KB a second.
@@ -57,6 +62,17 @@
 /// The default of `link_mbps`, in Mbit/s: a narrow link.
 const DEFAULT_LINK_MBPS: &str = "20";
 
+/// The default of `memory_ceiling`. Nine tenths of the memory are planned with, each request at its full length, but
+/// running requests hold half of their answers on average. So 1.2 times the planned memory fits where answers are at
+/// least a fifth as long as prompts.
+const DEFAULT_MEMORY_CEILING: &str = "1.2";
+
+/// The default of `last_level_ceiling`: no level is shed while a chain has room.
+const DEFAULT_LAST_LEVEL_CEILING: &str = "1.0";
+
+/// The default of `floor`: no kind of request is served less than a quarter as often as all.
+const DEFAULT_FLOOR: &str = "0.3";
+
 const BYTES_PER_MBIT: f64 = 1e6 / 8.0;
 
 /// The default of `endpoint_heartbeat_ms`, as in the platform's settings.
@@ -67,7 +83,7 @@
 const DEFAULT_REQUEST_QUARANTINE_S: &str = "3600";
 
 /// The known keys, by section. All are required except `link_mbps`, `peers_announced`, `endpoint_heartbeat_ms`,
-/// `hold_s` and those of `logs`.
+/// `hold_s` and those of `admission` and `logs`.
 const KNOWN_KEYS: settings::KnownKeys = &[
     ("host", &["name", "address", "data_centre", "link_mbps"]),
     (
@@ -92,6 +108,10 @@
         ],
     ),
     ("retries", &["ratio", "burst", "window_s", "hold_s"]),
+    (
+        "admission",
+        &["enabled", "memory_ceiling", "last_level_ceiling", "floor"],
+    ),
     ("logs", &["requests_per_second"]),
 ];
 
@@ -156,6 +176,7 @@
             DEFAULT_LOGGED_PER_S,
             settings::decimal,
         );
+        let admission = Self::admission(p);
         Some(Self {
             host: host?,
             data_centre: data_centre?.into(),
@@ -178,8 +199,35 @@
             },
             request_quarantine: quarantine?,
             logged_per_s: logged?,
+            admission: admission?,
         })
     }
+
+    /// The section `admission`; the inner `None` if it is missing or not enabled.
+    fn admission(p: &mut Parser<'_>) -> Option<Option<AdmissionConfig>> {
+        const SECTION: &str = "admission";
+        let enabled = p.optional(SECTION, "enabled", "no", settings::yes_or_no);
+        let ceiling = p.optional(
+            SECTION,
+            "memory_ceiling",
+            DEFAULT_MEMORY_CEILING,
+            settings::decimal,
+        );
+        let last_level = p.optional(
+            SECTION,
+            "last_level_ceiling",
+            DEFAULT_LAST_LEVEL_CEILING,
+            settings::decimal,
+        );
+        let floor = p.optional(SECTION, "floor", DEFAULT_FLOOR, settings::decimal);
+        let raw = RawAdmissionConfig {
+            ceiling: ceiling?,
+            last_level_ceiling: last_level?,
+            floor: floor?,
+        };
+        let config = p.checked(SECTION, AdmissionConfig::try_from(raw))?;
+        Some(enabled?.then_some(config))
+    }
 }
 
 fn ip(value: &str) -> Result<IpAddr, String> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -138,6 +138,14 @@
         self.check(section, key, &value, check)
     }
 
+    /// Returns the result of a check over several keys of a section. Returns `None` and adds an error for the section
+    /// if the check has failed.
+    pub fn checked<T>(&mut self, section: &str, result: Result<T, impl fmt::Display>) -> Option<T> {
+        result
+            .inspect_err(|e| self.push_error(section, "", e.to_string()))
+            .ok()
+    }
+
     /// Returns `settings`, or all errors if there are any. `settings` is `None` only if a value has added
     /// an error.
     pub fn finish<T>(self, settings: Option<T>) -> Result<T, Vec<SettingError>> {
@@ -198,6 +206,15 @@
     }
 }
 
+/// Parses `yes` or `no`.
+pub fn yes_or_no(value: &str) -> Result<bool, String> {
+    match value.trim() {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err("yes or no is needed".to_owned()),
+    }
+}
+
 /// Parses a number of seconds that may have a fraction.
 pub fn seconds(value: &str) -> Result<Duration, String> {
     decimal(value).map(Duration::from_secs_f64)
