fleet: return times of callers refused under overload

Cause: callers that no chain has room for are told to return after 0.9 to 2.5 s, whatever the load, so what is refused in a burst returns in a burst, and no host can tell such a return from a first attempt.

Change: `return_slots` derives the slot of a request from its fingerprint and the time of the slot from the store's clock. The delay aims at the part from 20 to 60% of a slot, 50 to 150 ms of 250: returns are late more often than early. The position within it is drawn, so that requests with the same body don't return at the same moment. The period must be a whole number of slots, so that all slots are equally long, and a slot has at least 50 ms.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`fingerprint`] determines whether one request is a retry of another; [`quarantine`] withholds
 //!   requests during which endpoints terminate; [`delta_sync`] tracks which changes of it another
 //!   host has not received yet.
+//! - [`return_slots`] determines when a caller refused under overload is to return, and which requests are such returns.
 //! - [`write_batch`] joins the writes of several hosts' rows in one call to the store.
 //! - [`token_bucket`] bounds a rate, for example of log lines or of bytes.
 
@@ -50,6 +51,7 @@
 pub mod probing;
 pub mod quarantine;
 pub mod reported_loads;
+pub mod return_slots;
 pub mod row_writes;
 pub mod share;
 pub mod stated_availability;
