gateway: return times of callers refused under overload

Cause: a host could neither tell a refused caller a return time that depends on its request, nor recognise a return.

Change: `Gateway::return_delay` and `Gateway::is_return` apply `fleet::return_slots` with the store's clock, extrapolated from the last read, and the counter `recognised_returns_total` counts returns. `Refusal::Overloaded` carries the delay: 503, "not run", told to the caller as it is, since a random addition would lead out of the slot. Nothing uses the refusal yet; the attribute `expect` on it fails the build once something does. Without slots the delay is that of requests that no endpoint can run. `docs/errors.md` is unchanged: its table is that of `delivery`, compared by a test, and contains `overloaded`.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -45,6 +45,7 @@
 pub use probe::Prober;
 pub(crate) use probe::poll_relisted;
 use refusal::Refusal;
+pub(crate) use refusal::no_endpoint_delay;
 pub use request_log::RequestLogBudget;
 use request_log::{Decision, RequestLog};
 pub use termination::TerminationChecks;
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -40,6 +40,10 @@
     /// The endpoints that could run the request accept no work, the first of them again after this time; it was not
     /// run.
     Backoff(Duration),
+    /// The endpoints that could run the request have no capacity left for it; it was not run, and the caller is to return
+    /// after this time.
+    #[expect(dead_code, reason = "streams are not refused by load yet")]
+    Overloaded(Duration),
     /// The request is quarantined for this long, because endpoints terminated while they ran it; this attempt
     /// was not run.
     EndsEndpoints(Duration),
@@ -62,6 +66,7 @@
             | Self::NoEndpoint(_)
             | Self::AtLimit
             | Self::Backoff(_)
+            | Self::Overloaded(_)
             | Self::EndsEndpoints(_)
             | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -78,9 +83,10 @@
             // Another host accepts the request at once.
             Self::Leaving => Some(MAX_OTHER_HOST_DELAY.mul_f64(draw)),
             Self::EndsEndpoints(remaining) => Some(*remaining),
+            // Spread over a period already; a random addition would lead out of the request's slot.
+            Self::Overloaded(delay) => Some(*delay),
             Self::Backoff(remaining) => Some(*remaining + RETRY_DELAY_SPREAD.mul_f64(draw)),
-            // Layers must be loaded first, or other requests must end.
-            Self::NoEndpoint(_) => Some(NO_ENDPOINT_DELAY + NO_ENDPOINT_DELAY_SPREAD.mul_f64(draw)),
+            Self::NoEndpoint(_) => Some(no_endpoint_delay(draw)),
             _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => {
                 Some(RETRY_DELAY + RETRY_DELAY_SPREAD.mul_f64(draw))
             }
@@ -89,6 +95,12 @@
     }
 }
 
+/// The delay after which the caller of a request that no endpoint can run is to retry: layers must be loaded first, or
+/// other requests must end. `draw` is in `0.0..1.0`.
+pub(crate) fn no_endpoint_delay(draw: f64) -> Duration {
+    NO_ENDPOINT_DELAY + NO_ENDPOINT_DELAY_SPREAD.mul_f64(draw)
+}
+
 /// Sends the answer of a refusal to the caller.
 pub(super) async fn send_answer(
     gateway: &Gateway,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod listing;
 mod reading;
+mod returns;
 mod suspects;
 
 use std::{
@@ -28,6 +29,7 @@
     freshness::Freshness,
     outage::StoreOutage,
     quarantine::Quarantine,
+    return_slots::ReturnSlots,
     share,
     store_access::StoreAccess,
 };
@@ -165,6 +167,8 @@
     pub limits: RefCell<EndpointLimits>,
     /// The paths to endpoints.
     pub paths: EndpointPaths,
+    /// The slots in which callers refused under overload return; `None` if such returns aren't spread.
+    return_slots: Option<ReturnSlots>,
 }
 
 impl Gateway {
@@ -212,6 +216,7 @@
             termination_checks: TerminationChecks::default(),
             limits: RefCell::default(),
             paths: EndpointPaths::new(codec.clone()),
+            return_slots: Some(ReturnSlots::default()),
             codec,
         })
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -117,6 +117,8 @@
     pub list_age_seconds: Gauge,
     /// Answers of polled hosts that did not contain the requested list of endpoints.
     pub lists_not_told: IntCounter,
+    /// Requests recognised as returns of callers that were refused under overload.
+    pub returns_recognised: IntCounter,
 }
 
 impl Default for Metrics {
@@ -262,6 +264,10 @@
                 "lists_not_told_total",
                 "Answers of other hosts without the list of endpoints",
             ),
+            returns_recognised: counter(
+                "recognised_returns_total",
+                "Requests recognised as returns of refused callers",
+            ),
             registry,
         }
     }
