fleet: fair shares of workspaces over all hosts

Cause: no decision knows how much of the engines a workspace uses, so one that sends ten times its share takes the others' places.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,7 +15,8 @@
 //! - [`layers`] has ranges of the layers of a model; [`chains`] finds chains of endpoints that cover all
 //!   layers; [`choice`] selects one of them for a request; [`dispatch_rate`] estimates what other hosts
 //!   have sent since their last report.
-//! - [`reported_loads`] sums the loads that other hosts have reported.
+//! - [`reported_loads`] sums the loads that other hosts have reported; [`fair_share`] computes from them how far a
+//!   workspace is above its fair share.
 //! - [`probing`] decides when the stages of a chain are probed.
 //! - [`adaptive_timeout`] decides how long to wait for a run, and when its chain is probed.
 //! - [`freshness`] limits how long a catalogue may be used without a freshness proof from the store.
@@ -39,6 +40,7 @@
 pub mod dispatch_rate;
 pub mod endpoint_limits;
 pub mod endpoints;
+pub mod fair_share;
 pub mod fingerprint;
 pub mod freshness;
 pub mod incarnations;
