gateway: hosts exchange the work of workspaces and compute their excess

Cause: a host knows only its own requests, so a workspace whose work is spread over all hosts, or is on another one, looks small everywhere.

Change: a guard counts the work of each run of a stream for its workspace. Polls and their answers carry it in their lists of loads, as entries workspace/NAME and one for the rest; they are taken out before the loads of endpoints are applied. Gateway::workspace_excess gives the result, and the gauge workspaces_over_share the number of workspaces above their share.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod send;
 mod stream;
 mod termination;
+mod workspace_work;
 
 use std::{
     cell::{OnceCell, RefCell},
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -284,6 +284,7 @@
         let gateway = self.gateway;
         let chain = &planned.chain;
         let chain_load = ChainLoadGuard::new(gateway, chain, &planned.demand);
+        let _work = self.admitted.count_work(gateway, &planned.demand);
         let hops: Vec<(SocketAddr, LayerRange)> =
             chain.stages.iter().map(|p| (p.addr, p.layers)).collect();
         let endpoint_ids: Vec<&Rc<str>> = chain.stages.iter().map(|p| &p.id).collect();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
     choice::Loads,
     endpoint_limits::EndpointLimits,
     endpoints::{Directory, EndpointCounts},
+    fair_share::WorkspaceUsage,
     freshness::Freshness,
     outage::StoreOutage,
     quarantine::Quarantine,
@@ -127,6 +128,8 @@
     pub endpoints_known: Cell<bool>,
     /// Loads of the endpoints.
     pub loads: RefCell<Loads>,
+    /// Work under way of each workspace.
+    pub usage: RefCell<WorkspaceUsage>,
     /// Number of live hosts, including this one.
     pub hosts: Cell<u32>,
     /// Idle connections to endpoints.
@@ -191,6 +194,7 @@
             directory: RefCell::default(),
             endpoints_known: Cell::new(false),
             loads: RefCell::default(),
+            usage: RefCell::default(),
             hosts: Cell::new(1),
             idle: IdleConnections::default(),
             metrics: Metrics::default(),
@@ -264,6 +268,8 @@
         let divisor = self.bounds.divisor(now);
         metrics.share_hosts.set(i64::from(divisor.unwrap_or(0)));
         metrics.cut_paths.set(self.paths.known().cut_count() as i64);
+        let over_share = self.usage.borrow().over_share_count(now);
+        metrics.workspaces_over_share.set(over_share as i64);
         metrics.open.set(i64::from(self.open_requests.get()));
         metrics
             .limited_endpoints
@@ -415,6 +421,12 @@
         self.loads.borrow_mut().hosts = hosts;
     }
 
+    /// How far a workspace is above its fair share of the work of all hosts: 0.0 up to its share, and if nothing is known
+    /// of it, to 1.0.
+    pub fn workspace_excess(&self, workspace: &str) -> f64 {
+        self.usage.borrow().excess(workspace, self.now())
+    }
+
     /// The chains of a service's usable endpoints. They are cached until the directory changes or
     /// an endpoint becomes usable or stops counting as slow.
     pub fn chains(&self, service: &Rc<str>, engine: &Engine) -> Rc<Vec<Chain>> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -81,6 +81,8 @@
     pub hosts: IntGauge,
     /// The number of hosts by which this one divides the shared bounds; 0 if it may use none of them.
     pub share_hosts: IntGauge,
+    /// Workspaces above their fair share of the work of all hosts.
+    pub workspaces_over_share: IntGauge,
     /// Requests that are being answered.
     pub open: IntGauge,
     /// Endpoints that terminated while they ran a request of this host, counted once for each request.
@@ -199,6 +201,10 @@
                 "share_hosts",
                 "By how many hosts this one divides what all share; 0 for no part",
             ),
+            workspaces_over_share: gauge(
+                "workspaces_over_share",
+                "Workspaces above their fair share of the work of all hosts",
+            ),
             open: gauge("open_requests", "Requests that are being answered"),
             ended_under: counter(
                 "endpoint_ends_total",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -5,6 +5,7 @@
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::Endpoint,
+    fair_share::WorkspaceReport,
     incarnations::{self, StartTime},
     layers::LayerRange,
     store_access::{self, Role, StoreReport},
@@ -226,7 +227,8 @@
             log::info!(target: "peers", host = &*host.host; "Another host is polled.");
             self.polled_host = Some(host.host.clone());
         }
-        let loads = gateway.loads.borrow().own().clone();
+        let mut loads = gateway.loads.borrow().own().clone();
+        gateway.usage.borrow().own_report().add_to(&mut loads);
         let mut offer = self.offer(&loads, true);
         let borrows = host.host < gateway.settings.host;
         let sent_at = gateway.now();
@@ -258,11 +260,7 @@
         // A host that ranks after this one knows less of the loads: all others report theirs to the
         // first host.
         if host.host < gateway.settings.host {
-            let loads = from_wire(&news.loads);
-            gateway
-                .loads
-                .borrow_mut()
-                .apply_update(loads, gateway.now());
+            apply_loads(&gateway, from_wire(&news.loads));
         }
         self.apply_update(news, sent_at, proof_age);
         Some(report)
@@ -344,9 +342,8 @@
                 peers.record_report(report, from_wire(&news.loads));
             }
         }
-        let now = gateway.now();
-        let others = peers.loads.borrow_mut().sum(now);
-        gateway.loads.borrow_mut().apply_update(others, now);
+        let others = peers.loads.borrow_mut().sum(gateway.now());
+        apply_loads(&gateway, others);
     }
 
     fn offer(&self, loads: &LoadMap, near: bool) -> PollRequest {
@@ -460,6 +457,14 @@
     Ok(())
 }
 
+/// Applies the loads caused by the other hosts, of endpoints and of workspaces.
+fn apply_loads(gateway: &Gateway, mut others: LoadMap) {
+    let now = gateway.now();
+    let workspaces = WorkspaceReport::take_from(&mut others);
+    gateway.usage.borrow_mut().apply_others(workspaces, now);
+    gateway.loads.borrow_mut().apply_update(others, now);
+}
+
 /// Applies another host's list of endpoints, unless this host knows a later store revision of the
 /// list.
 pub fn apply_list(gateway: &Rc<Gateway>, list: EndpointListUpdate) {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -6,7 +6,7 @@
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::{AvoidedEndpoint, Endpoint},
-    reported_loads,
+    fair_share, reported_loads,
 };
 use dragonflyrill_protocol::{
     MAX_FRAME,
@@ -210,17 +210,24 @@
 /// The loads caused by all hosts except `host`.
 fn loads_except(gateway: &Gateway, host: &str) -> LoadMap {
     let now = gateway.now();
-    let mut sum = gateway.peers.loads.borrow_mut().sum_except(host, now);
-    reported_loads::add(&mut sum, gateway.loads.borrow().own());
-    sum
+    let others = gateway.peers.loads.borrow_mut().sum_except(host, now);
+    with_own_loads(gateway, others)
 }
 
 /// The loads caused by the hosts of this data centre.
 pub(super) fn own_data_centre_loads(gateway: &Gateway) -> LoadMap {
     let near = &*gateway.settings.data_centre;
     let now = gateway.now();
-    let mut sum = gateway.peers.loads.borrow_mut().sum_of(near, now);
+    let others = gateway.peers.loads.borrow_mut().sum_of(near, now);
+    with_own_loads(gateway, others)
+}
+
+/// The sum of the loads caused by other hosts and by this one, including those of workspaces.
+fn with_own_loads(gateway: &Gateway, others: LoadMap) -> LoadMap {
+    let mut sum = others;
     reported_loads::add(&mut sum, gateway.loads.borrow().own());
+    gateway.usage.borrow().own_report().add_to(&mut sum);
+    fair_share::limit_named(&mut sum);
     sum
 }
 
