--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,8 @@
 //!   have sent since their last report.
 //! - [`admission`] decides which new streams are admitted while engines are short of memory.
 //! - [`reported_loads`] sums the loads that other hosts have reported.
+//! - [`reported_loads`] sums the loads that other hosts have reported; [`fair_share`] computes from them how far a
+//!   workspace is above its fair share.
 //! - [`probing`] decides when the stages of a chain are probed.
 //! - [`adaptive_timeout`] decides how long to wait for a run, and when its chain is probed.
 //! - [`freshness`] limits how long a catalogue may be used without a freshness proof from the store.
@@ -42,6 +44,7 @@
 pub mod dispatch_rate;
 pub mod endpoint_limits;
 pub mod endpoints;
+pub mod fair_share;
 pub mod fingerprint;
 pub mod freshness;
 pub mod incarnations;
