Tests of admission and of the ranks of streams

Admission had no tests of its own. Added: each error of the thresholds; the decision is monotone in fill, level and draw; nothing is shed below the last level's ceiling and everything above the ceiling; each level keeps the floor; the rank precedes excess and return; priorities that no route has; ranks of a service from its streams and the workspaces. 11 tests of admission and 3 new ones of the catalogue pass.

--- /dev/null
+++ b/crates/fleet/tests/admission.rs
@@ -0,0 +1,232 @@
+//! Tests which new streams are admitted while engines are short of memory.
+
+use dragonflyrill_fleet::admission::{
+    AdmissionConfig, AdmissionConfigError, Level, RankPosition, RawAdmissionConfig, Verdict,
+};
+use proptest::prelude::*;
+
+const RAW: RawAdmissionConfig = RawAdmissionConfig {
+    ceiling: 1.2,
+    last_level_ceiling: 1.0,
+    floor: 0.3,
+};
+const PRIORITIES: [u8; 3] = [0, 1, 2];
+/// Number of draws that are spread evenly over 0..1.
+const DRAWS: u32 = 1000;
+
+fn config(raw: RawAdmissionConfig) -> AdmissionConfig {
+    AdmissionConfig::try_from(raw).expect("valid thresholds")
+}
+
+fn admits(cfg: &AdmissionConfig, level: Level, fill: f64, draw: f64) -> bool {
+    cfg.decide(level, fill, draw) == Verdict::Admit
+}
+
+/// Fraction of draws for which a request is admitted.
+fn admitted_fraction(cfg: &AdmissionConfig, level: Level, fill: f64) -> f64 {
+    let draws = (0..DRAWS).map(|n| f64::from(n) / f64::from(DRAWS));
+    let admitted = draws.filter(|draw| admits(cfg, level, fill, *draw)).count();
+    admitted as f64 / f64::from(DRAWS)
+}
+
+/// Level of a first attempt of a workspace within its share.
+fn first_attempt(priority: u8) -> Level {
+    Level::of(RankPosition::of(priority, &PRIORITIES), 0.0, false)
+}
+
+/// Number of more urgent ranks, as a fraction of all ranks.
+fn position(priority: u8, priorities: &[u8]) -> f64 {
+    Level::of(RankPosition::of(priority, priorities), 0.0, true).value()
+}
+
+fn error(raw: RawAdmissionConfig) -> Option<AdmissionConfigError> {
+    AdmissionConfig::try_from(raw).err()
+}
+
+/// Guards against thresholds that shed while chains have room, or that a comparison with a value
+/// that is not a number lets through.
+#[test]
+fn thresholds_that_shed_while_chains_have_room_are_refused() {
+    for last_level_ceiling in [0.99, 0.0, -1.0, f64::NAN] {
+        let raw = RawAdmissionConfig {
+            last_level_ceiling,
+            ..RAW
+        };
+        assert_eq!(error(raw), Some(AdmissionConfigError::ShedsWithRoom));
+    }
+}
+
+/// Guards against an order of shedding that is the reverse of the levels.
+#[test]
+fn a_ceiling_below_that_of_the_last_level_is_refused() {
+    for ceiling in [0.99, f64::NAN] {
+        let raw = RawAdmissionConfig { ceiling, ..RAW };
+        assert_eq!(
+            error(raw),
+            Some(AdmissionConfigError::CeilingBelowLastLevel)
+        );
+    }
+    let equal = RawAdmissionConfig {
+        ceiling: 1.0,
+        ..RAW
+    };
+    assert_eq!(error(equal), None);
+}
+
+#[test]
+fn a_floor_that_is_no_fraction_is_refused() {
+    for floor in [-0.01, 1.01, f64::NAN] {
+        let raw = RawAdmissionConfig { floor, ..RAW };
+        assert_eq!(error(raw), Some(AdmissionConfigError::FloorOutOfRange));
+    }
+    for floor in [0.0, 1.0] {
+        assert_eq!(error(RawAdmissionConfig { floor, ..RAW }), None);
+    }
+}
+
+/// Guards against an order of shedding that is not the order of urgency.
+#[test]
+fn the_last_rank_is_shed_first_and_each_down_to_the_floor() {
+    let cfg = config(RAW);
+    let shed_at = |fill| PRIORITIES.map(|p| admitted_fraction(&cfg, first_attempt(p), fill) < 1.0);
+    assert_eq!(shed_at(1.0), [false, false, false]);
+    assert_eq!(shed_at(1.06), [false, false, true]);
+    assert_eq!(shed_at(1.14), [false, true, true]);
+    assert_eq!(shed_at(1.19), [true, true, true]);
+    for priority in PRIORITIES {
+        assert_eq!(
+            admitted_fraction(&cfg, first_attempt(priority), 1.19),
+            RAW.floor
+        );
+    }
+}
+
+/// Guards against levels that treat requests of one rank and of workspaces within their shares
+/// differently from each other, whatever number the rank has.
+#[test]
+fn requests_of_the_only_rank_differ_only_in_whether_they_return() {
+    let cfg = config(RAW);
+    for priority in [0, 1, 9] {
+        assert_eq!(RankPosition::of(priority, &[priority]), RankPosition::ONLY);
+    }
+    let returning = Level::of(RankPosition::ONLY, 0.0, true);
+    assert_eq!(admitted_fraction(&cfg, returning, 1.2), 1.0);
+    assert_eq!(admitted_fraction(&cfg, returning, 1.2 + 1e-9), 0.0);
+    let first = Level::of(RankPosition::ONLY, 0.0, false);
+    assert!(first > returning);
+    assert_eq!(admitted_fraction(&cfg, first, 1.15), 1.0);
+}
+
+/// Guards against a priority that no route has, for example of a workspace that a newer catalogue
+/// lists, whose requests take precedence over those of a more urgent rank.
+#[test]
+fn a_priority_that_is_not_listed_takes_the_next_less_urgent_position() {
+    let listed = [1, 4, 7];
+    let thirds = |priority| position(priority, &listed) * 3.0;
+    assert_eq!([1, 4, 7].map(thirds), [0.0, 1.0, 2.0]);
+    assert_eq!([0, 2, 5].map(thirds), [0.0, 1.0, 2.0]);
+    assert_eq!([8, 255].map(thirds), [2.0, 2.0]);
+    assert_eq!(RankPosition::of(3, &[]), RankPosition::ONLY);
+}
+
+fn any_config() -> impl Strategy<Value = RawAdmissionConfig> {
+    let raw = |(last_level_ceiling, range, floor)| RawAdmissionConfig {
+        ceiling: last_level_ceiling + range,
+        last_level_ceiling,
+        floor,
+    };
+    (1.0..2.0f64, 0.0..1.0f64, 0.0..=1.0f64).prop_map(raw)
+}
+
+/// Number of more urgent ranks, excess, and whether the request returns when told.
+fn any_request() -> impl Strategy<Value = (u8, f64, bool)> {
+    (0u8..5, -0.5..1.5f64, any::<bool>())
+}
+
+fn level((priority, excess, returning): (u8, f64, bool)) -> Level {
+    let rank = RankPosition::of(priority, &[0, 1, 2, 3, 4]);
+    Level::of(rank, excess, returning)
+}
+
+proptest! {
+    /// Guards against a request that is refused although one that is worse in one respect is
+    /// admitted: a fuller chain, a later level or a higher draw.
+    #[test]
+    fn the_decision_is_monotone(
+        raw in any_config(),
+        requests in (any_request(), any_request()),
+        fills in (0.0..3.0f64, 0.0..3.0f64),
+        draws in (0.0..1.0f64, 0.0..1.0f64),
+    ) {
+        let cfg = config(raw);
+        let levels = [level(requests.0), level(requests.1)];
+        let earlier = if levels[0] <= levels[1] { levels[0] } else { levels[1] };
+        let later = if levels[0] <= levels[1] { levels[1] } else { levels[0] };
+        let worst_admitted = admits(&cfg, later, fills.0.max(fills.1), draws.0.max(draws.1));
+        let best_admitted = admits(&cfg, earlier, fills.0.min(fills.1), draws.0.min(draws.1));
+        prop_assert!(best_admitted || !worst_admitted);
+        let [fill, draw] = [fills.0, draws.0];
+        prop_assert!(admits(&cfg, earlier, fill, draw) || !admits(&cfg, later, fill, draw));
+        let (less, more) = (fills.0.min(fills.1), fills.0.max(fills.1));
+        prop_assert!(admits(&cfg, later, less, draw) || !admits(&cfg, later, more, draw));
+        let (less, more) = (draws.0.min(draws.1), draws.0.max(draws.1));
+        prop_assert!(admits(&cfg, later, fill, less) || !admits(&cfg, later, fill, more));
+    }
+
+    /// Guards against refusals while chains have room, and against chains filled beyond the ceiling.
+    #[test]
+    fn everything_is_admitted_below_the_last_levels_ceiling_and_nothing_above_the_ceiling(
+        raw in any_config(),
+        request in any_request(),
+        fraction in 0.0..(1.0 - 1e-9),
+        beyond in 1e-9..10.0f64,
+        draw in 0.0..1.0f64,
+    ) {
+        let cfg = config(raw);
+        let level = level(request);
+        prop_assert!(admits(&cfg, level, raw.last_level_ceiling * fraction, draw));
+        prop_assert!(!admits(&cfg, level, cfg.ceiling() + beyond, draw));
+    }
+
+    /// Guards against a kind of requests that is not served at all during a surge.
+    #[test]
+    fn each_level_keeps_the_floor_up_to_the_ceiling(
+        raw in any_config(),
+        request in any_request(),
+        fraction in 0.0..=1.0f64,
+    ) {
+        let cfg = config(raw);
+        let admitted = admitted_fraction(&cfg, level(request), raw.ceiling * fraction);
+        prop_assert!(admitted >= raw.floor, "{admitted}");
+        let full = admitted == 1.0;
+        prop_assert!(full || (admitted - raw.floor).abs() <= 1.0 / f64::from(DRAWS), "{admitted}");
+    }
+
+    /// Guards against a workspace that is far over its share and whose urgent requests are served
+    /// after less urgent ones, and against levels outside of 0 to 1, whose thresholds would be
+    /// outside of the configured ones.
+    #[test]
+    fn the_rank_precedes_excess_and_return(
+        requests in (any_request(), any_request()),
+    ) {
+        let (a, b) = requests;
+        prop_assert!((0.0..=1.0).contains(&level(a).value()));
+        if a.0 < b.0 {
+            prop_assert!(level(a) <= level(b));
+        }
+    }
+
+    /// Guards against a workspace that gains by exceeding its share, and against a caller that gains
+    /// by not returning when told.
+    #[test]
+    fn within_a_rank_excess_and_early_returns_are_shed_first(
+        priority in 0u8..5,
+        excesses in (0.0..=1.0f64, 0.0..=1.0f64),
+    ) {
+        let (less, more) = (excesses.0.min(excesses.1), excesses.0.max(excesses.1));
+        for returning in [false, true] {
+            prop_assert!(level((priority, less, returning)) <= level((priority, more, returning)));
+        }
+        prop_assert!(level((priority, less, true)) <= level((priority, less, false)));
+    }
+}
--- a/crates/fleet/tests/catalogue.rs
+++ b/crates/fleet/tests/catalogue.rs
@@ -1,10 +1,11 @@
-//! Tests that routes are found by host and longest prefix, and that requests are split between
-//! services by weight.
+//! Tests that routes are found by host and longest prefix, that requests are split between services
+//! by weight, and which ranks the streams for a service may have.
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::catalogue::{
-    CallerLimits, Catalogue, CatalogueParts, Route, RouteKind, Service, Workspace,
+use dragonflyrill_fleet::{
+    admission::RankPosition,
+    catalogue::{CallerLimits, Catalogue, CatalogueParts, Route, RouteKind, Service, Workspace},
 };
 
 fn service(name: &str) -> Rc<Service> {
@@ -87,3 +88,82 @@
     );
     assert!(catalogue().workspace_by_key("other").is_none());
 }
+
+/// A route with a priority.
+fn prioritised(kind: RouteKind, priority: u8, services: &[&Rc<Service>]) -> (Box<str>, Route) {
+    let services = services.iter().map(|s| ((*s).clone(), 1)).collect();
+    let route = Route {
+        kind,
+        priority,
+        ..route("r", "/r/", services)
+    };
+    ("h".into(), route)
+}
+
+fn with_ranks(routes: Vec<(Box<str>, Route)>, priorities: &[Option<u8>]) -> Catalogue {
+    let workspace = |(n, priority): (usize, &Option<u8>)| {
+        let workspace = Workspace {
+            name: format!("w{n}").into(),
+            priority: *priority,
+        };
+        (format!("key{n}").into(), workspace)
+    };
+    Catalogue::from(CatalogueParts {
+        version: 3,
+        routes,
+        services: Vec::new(),
+        keys: priorities.iter().enumerate().map(workspace).collect(),
+        needs_keys: true,
+        caller_limits: CallerLimits::default(),
+    })
+}
+
+const STREAM: RouteKind = RouteKind::Stream { resumable: true };
+const SINGLE_RUN: RouteKind = RouteKind::Stream { resumable: false };
+
+/// Guards against ranks that depend on the order or the number of routes.
+#[test]
+fn ranks_are_the_distinct_priorities_of_the_streams_of_a_service() {
+    let (llm, other) = (service("llm"), service("other"));
+    let routes = vec![
+        prioritised(STREAM, 5, &[&llm]),
+        prioritised(SINGLE_RUN, 2, &[&llm, &other]),
+        prioritised(STREAM, 5, &[&llm]),
+    ];
+    let catalogue = with_ranks(routes, &[None]);
+    assert_eq!(catalogue.rank("llm", 2), RankPosition::of(0, &[0, 1]));
+    assert_eq!(catalogue.rank("llm", 5), RankPosition::of(1, &[0, 1]));
+    assert_eq!(catalogue.rank("other", 2), RankPosition::ONLY);
+    assert_eq!(catalogue.rank("unknown", 7), RankPosition::ONLY);
+}
+
+/// Guards against calls whose priorities shift the levels of streams, as calls are not admitted by
+/// level.
+#[test]
+fn the_priorities_of_calls_are_no_ranks_of_streams() {
+    let llm = service("llm");
+    let routes = vec![
+        prioritised(STREAM, 1, &[&llm]),
+        prioritised(RouteKind::Idempotent, 0, &[&llm]),
+        prioritised(RouteKind::NonIdempotent, 9, &[&llm]),
+    ];
+    assert_eq!(with_ranks(routes, &[]).rank("llm", 1), RankPosition::ONLY);
+}
+
+/// Guards against a workspace whose priority precedes that of the route but has no position of its
+/// own, so that its requests have the level of another rank.
+#[test]
+fn the_priorities_of_workspaces_are_ranks_of_each_service_with_streams() {
+    let (llm, app) = (service("llm"), service("app"));
+    let routes = vec![
+        prioritised(STREAM, 1, &[&llm]),
+        prioritised(RouteKind::Idempotent, 1, &[&app]),
+    ];
+    let catalogue = with_ranks(routes, &[Some(3), None, Some(0), Some(3)]);
+    let positions = [0, 1, 3].map(|priority| catalogue.rank("llm", priority));
+    assert_eq!(
+        positions,
+        [0, 1, 2].map(|n| RankPosition::of(n, &[0, 1, 2]))
+    );
+    assert_eq!(catalogue.rank("app", 3), RankPosition::ONLY);
+}
