--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -137,9 +137,9 @@
 }
 
 impl AdmissionConfig {
-    /// Fill above which no new stream is admitted.
-    pub fn ceiling(&self) -> f64 {
-        self.ceiling
+    /// Whether streams of every level are admitted whose chain would be filled to `memory_fill`.
+    pub fn admits_all(&self, memory_fill: f64) -> bool {
+        memory_fill <= self.last_level_ceiling
     }
 
     /// Decides on a new stream whose chain would be filled to `memory_fill`, the request included;
--- a/crates/fleet/src/return_slots.rs
+++ b/crates/fleet/src/return_slots.rs
@@ -23,11 +23,11 @@
 /// The part of the time left after which callers still follow a stated delay.
 const FOLLOWED_PART: u32 = 3;
 
-/// The part of a slot before the earliest time for which callers are told to return. With a slot of 250 ms, a host
-/// whose clock is 50 ms behind still recognises the return.
+/// The part of a slot before the earliest time for which callers are told to return. With a slot of 100 ms, a host
+/// whose clock is 20 ms behind still recognises the return.
 const EARLY_MARGIN: f64 = 0.2;
 
-/// The part of a slot in which callers are told to return. The rest of the slot, 100 ms of 250, is for late timers, new
+/// The part of a slot in which callers are told to return. The rest of the slot, 40 ms of 100, is for late timers, new
 /// connections and clocks that are ahead, because returns are late more often than early.
 const AIMED_PART: f64 = 0.4;
 
@@ -115,11 +115,11 @@
 }
 
 impl Default for ReturnSlots {
-    /// A period of 6 s, which callers with 20 s left still follow, in slots of 250 ms.
+    /// A period of 2 s in slots of 100 ms: one first attempt in 20 is taken for a return.
     fn default() -> Self {
         Self {
-            period: Duration::from_secs(6),
-            slot: Duration::from_millis(250),
+            period: Duration::from_secs(2),
+            slot: Duration::from_millis(100),
         }
     }
 }
@@ -136,8 +136,11 @@
     }
 
     /// The delay after which a refused caller is to return; `clock` is the store's clock, if known, and `draw` a random
-    /// number in `0.0..1.0`. At most a third of the time left, because callers don't wait for longer. Otherwise at
-    /// least [`MIN_DELAY`], and in the request's own slot if the caller has enough time left.
+    /// number in `0.0..1.0`.
+    ///
+    /// The delay leads to the last slot of the request within a third of the time left, because callers don't wait for
+    /// longer, and an overload lasts for seconds: who returns early is refused again. It is at least [`MIN_DELAY`] if
+    /// the caller has enough time left.
     pub fn delay(
         &self,
         fingerprint: Fingerprint,
@@ -146,19 +149,19 @@
         draw: f64,
     ) -> Duration {
         let longest = time_left / FOLLOWED_PART;
+        let first = longest.saturating_sub(self.period).max(MIN_DELAY);
         let Some(clock) = clock else {
             // The same range as with a known clock, as far as the caller follows it.
-            let spread = self.period.min(longest.saturating_sub(MIN_DELAY));
-            return (MIN_DELAY + spread.mul_f64(draw)).min(longest);
+            return (first + self.period.mul_f64(draw)).min(longest);
         };
         let offset = self.slot.mul_f64(EARLY_MARGIN + AIMED_PART * draw);
         let target = self.slot * self.slot_index(fingerprint) + offset;
-        let earliest = self.phase(clock.saturating_add(MIN_DELAY));
+        let earliest = self.phase(clock.saturating_add(first));
         let beyond_earliest = match target.checked_sub(earliest) {
             Some(wait) => wait,
             None => self.period + target - earliest,
         };
-        (MIN_DELAY + beyond_earliest).min(longest)
+        (first + beyond_earliest).min(longest)
     }
 
     /// Whether a request that arrives when the store's clock shows `clock` is in its own slot, as one that returns as
--- /dev/null
+++ b/crates/gateway/src/forward/admission.rs
@@ -0,0 +1,52 @@
+//! Admission control of new streams.
+
+use dragonflyrill_fleet::admission::{Level, Verdict};
+use rand::Rng;
+
+use super::{AdmittedRequest, attempts::Attempts, request_log::Decision};
+use crate::gateway::Gateway;
+
+impl AdmittedRequest {
+    /// Decides on a stream of which nothing has run yet and whose chain would be filled to `memory_fill`. A rejection is
+    /// recorded in `attempts`.
+    pub(super) fn admit_stream(
+        &self,
+        gateway: &Gateway,
+        memory_fill: f64,
+        attempts: &mut Attempts,
+    ) -> Verdict {
+        let Some(admission) = &gateway.settings.admission else {
+            return Verdict::Admit;
+        };
+        // Spares the hash of the request while there is room.
+        if admission.config.admits_all(memory_fill) {
+            return Verdict::Admit;
+        }
+        let level = self.level(gateway);
+        let draw = rand::rng().random();
+        let verdict = admission.config.decide(level, memory_fill, draw);
+        if verdict == Verdict::Reject {
+            gateway.metrics.rejected(level);
+            self.request_log
+                .record(Decision::Rejected { level, memory_fill });
+            self.record_overload(gateway, attempts);
+        }
+        verdict
+    }
+
+    /// Records that the stream is refused for lack of memory. Without admission control the refusal stays as it is.
+    pub(super) fn record_overload(&self, gateway: &Gateway, attempts: &mut Attempts) {
+        if gateway.settings.admission.is_some() {
+            let delay = gateway.return_delay(self.fingerprint(), self.time_left());
+            attempts.record_overload(delay);
+        }
+    }
+
+    /// How early the request is shed when memory is short.
+    fn level(&self, gateway: &Gateway) -> Level {
+        let rank = gateway.rank(&self.service.name, self.priority);
+        let workspace = self.workspace.as_deref();
+        let excess = workspace.map_or(0.0, |w| gateway.workspace_excess(w));
+        Level::of(rank, excess, gateway.is_return(self.fingerprint()))
+    }
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Records that the request was rejected, or refused by engines, for lack of memory. This replaces the refusals of
+    /// endpoints: the caller is to return after `delay`.
+    pub(super) fn record_overload(&mut self, delay: Duration) {
+        if !self.may_have_run {
+            self.refusal = Refusal::Overloaded(delay);
+        }
+    }
+
     /// Records a failed attempt.
     pub(super) fn record_failed_attempt(&mut self, error: DispatchError) {
         self.dispatches += u32::from(!matches!(error, DispatchError::NotSent(_)));
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! [`Forwarder`] parses the headers of a request, finds its route and workspace, and forwards it through `call` or
 //! `stream`. All refusals are defined in `refusal`.
 
+mod admission;
 mod attempts;
 mod call;
 mod chain_load;
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -42,7 +42,6 @@
     Backoff(Duration),
     /// The endpoints that could run the request have no capacity left for it; it was not run, and the caller is to return
     /// after this time.
-    #[expect(dead_code, reason = "streams are not refused by load yet")]
     Overloaded(Duration),
     /// The request is quarantined for this long, because endpoints terminated while they ran it; this attempt
     /// was not run.
--- a/crates/gateway/src/forward/request_log.rs
+++ b/crates/gateway/src/forward/request_log.rs
@@ -13,6 +13,7 @@
 
 use dragonflyrill_fleet::{
     adaptive_timeout::{Doubt, NextRun},
+    admission::Level,
     budget::BudgetState,
     catalogue::Route,
     token_bucket::TokenBucket,
@@ -61,6 +62,12 @@
         /// Time until the earlier of the route's timeout and the caller's deadline.
         time_left: Duration,
     },
+    /// The stream was rejected by admission control.
+    Rejected {
+        level: Level,
+        /// The fraction of its chain's planned memory that would be used with the stream.
+        memory_fill: f64,
+    },
     /// A retry was requested from the budget.
     Retry {
         allowed: bool,
@@ -118,6 +125,14 @@
                 left_ms = ms(*time_left);
                 "Request is admitted."
             ),
+            Self::Rejected { level, memory_fill } => log::info!(
+                target: "forward",
+                id = id,
+                after_ms = ms(after),
+                level = level.value(),
+                fill_percent = (memory_fill * 100.0) as u64;
+                "Stream is rejected by admission control."
+            ),
             Self::Retry {
                 allowed,
                 budget,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     adaptive_timeout::{NextRun, RunTiming},
+    admission::Verdict,
     catalogue::Engine,
     chains::Chain,
     choice::{self, Choice, RequestDemand},
@@ -132,6 +133,9 @@
             let Some(planned) = self.plan_run(&engine) else {
                 break;
             };
+            if self.is_new() && self.admit(&planned) == Verdict::Reject {
+                break;
+            }
             if self.attempts.dispatches() > 0 {
                 if !self.admitted.acquire_retry(self.gateway).await {
                     break;
@@ -155,13 +159,29 @@
                 RunEnd::Failed(error) => {
                     self.log_failed_run(&planned.chain, &error, out.started());
                     self.record_terminations(&planned.chain, &error).await;
+                    let refused = matches!(error, DispatchError::NotRun(_));
                     self.attempts.record_failed_attempt(error);
+                    if refused && planned.expected_fill > 1.0 {
+                        self.admitted
+                            .record_overload(self.gateway, &mut self.attempts);
+                    }
                 }
             }
         }
         Err(self.attempts.refusal().into())
     }
 
+    /// Whether nothing of the stream has run, neither now nor before its caller resumed it.
+    fn is_new(&self) -> bool {
+        !self.attempts.may_have_run() && self.events.last().is_none()
+    }
+
+    fn admit(&mut self, planned: &PlannedRun) -> Verdict {
+        let (gateway, fill) = (self.gateway, planned.expected_fill);
+        self.admitted
+            .admit_stream(gateway, fill, &mut self.attempts)
+    }
+
     fn log_failed_run(&self, chain: &Chain, error: &DispatchError, started: bool) {
         self.admitted.request_log.write_buffered();
         log::info!(
@@ -222,6 +242,7 @@
         if estimate.memory_fill > MAX_MEMORY_FILL {
             let short = Refusal::NoEndpoint("memory is short everywhere");
             self.attempts.record_not_sent(short);
+            self.admitted.record_overload(gateway, &mut self.attempts);
             return None;
         }
         Some(PlannedRun {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use actix_http::ServiceConfig;
 use bytes::Bytes;
 use dragonflyrill_fleet::{
+    admission::RankPosition,
     budget::BudgetState,
     catalogue::{Catalogue, Engine, Service},
     chains::{Chain, ChainFinder},
@@ -30,7 +31,6 @@
     freshness::Freshness,
     outage::StoreOutage,
     quarantine::Quarantine,
-    return_slots::ReturnSlots,
     share,
     store_access::StoreAccess,
 };
@@ -170,8 +170,6 @@
     pub limits: RefCell<EndpointLimits>,
     /// The paths to endpoints.
     pub paths: EndpointPaths,
-    /// The slots in which callers refused under overload return; `None` if such returns aren't spread.
-    return_slots: Option<ReturnSlots>,
 }
 
 impl Gateway {
@@ -184,6 +182,7 @@
         let quarantine =
             Quarantine::new(settings.request_quarantine).with_probe_spread(probe_spread);
         let outage = StoreOutage::new(settings.endpoint_heartbeat);
+        let usage = WorkspaceUsage::new(settings.admission.is_some());
         Rc::new(Self {
             settings,
             platform,
@@ -198,7 +197,7 @@
             directory: RefCell::default(),
             endpoints_known: Cell::new(false),
             loads: RefCell::default(),
-            usage: RefCell::default(),
+            usage: RefCell::new(usage),
             hosts: Cell::new(1),
             idle: IdleConnections::default(),
             metrics: Metrics::default(),
@@ -220,7 +219,6 @@
             termination_checks: TerminationChecks::default(),
             limits: RefCell::default(),
             paths: EndpointPaths::new(codec.clone()),
-            return_slots: Some(ReturnSlots::default()),
             codec,
         })
     }
@@ -432,6 +430,14 @@
         self.usage.borrow().excess(workspace, self.now())
     }
 
+    /// The position of a priority among those that streams for a service may have.
+    pub fn rank(&self, service: &str, priority: u8) -> RankPosition {
+        let catalogue = self.catalogue.borrow();
+        catalogue
+            .as_ref()
+            .map_or(RankPosition::ONLY, |c| c.rank(service, priority))
+    }
+
     /// The chains of a service's usable endpoints. They are cached until the directory changes or
     /// an endpoint becomes usable or stops counting as slow.
     pub fn chains(&self, service: &Rc<str>, engine: &Engine) -> Rc<Vec<Chain>> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! The fields of [`Metrics`] are named after the metrics that they hold.
 
+use dragonflyrill_fleet::admission::Level;
 use http::StatusCode;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
@@ -119,6 +120,8 @@
     pub list_age_seconds: Gauge,
     /// Answers of polled hosts that did not contain the requested list of endpoints.
     pub lists_not_told: IntCounter,
+    /// Streams that admission control rejected, by level in tenths.
+    pub admission_rejections: IntCounterVec,
     /// Requests recognised as returns of callers that were refused under overload.
     pub returns_recognised: IntCounter,
 }
@@ -270,6 +273,11 @@
                 "lists_not_told_total",
                 "Answers of other hosts without the list of endpoints",
             ),
+            admission_rejections: vector(
+                "admission_rejections_total",
+                "Streams rejected as engines are short of memory",
+                &["level"],
+            ),
             returns_recognised: counter(
                 "recognised_returns_total",
                 "Requests recognised as returns of refused callers",
@@ -297,6 +305,12 @@
         self.answers.with_label_values(&labels).inc();
     }
 
+    /// Counts a stream that admission control rejected.
+    pub fn rejected(&self, level: Level) {
+        let tenths = format!("{:.1}", level.value());
+        self.admission_rejections.with_label_values(&[tenths]).inc();
+    }
+
     /// All metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
         let mut out = Vec::new();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use dragonflyrill_fleet::{
     admission::{AdmissionConfig, RawAdmissionConfig},
     budget::BudgetConfig,
+    return_slots::{RawReturnSlots, ReturnSlots},
 };
 use dragonflyrill_settings::{self as settings, Parser};
 
@@ -52,8 +53,18 @@
     pub request_quarantine: Duration,
     /// The maximum number of successful requests a second that are logged in full.
     pub logged_per_s: f64,
-    /// The thresholds of admission; `None` if streams are sent even to chains that are planned full.
-    pub admission: Option<AdmissionConfig>,
+    /// How streams are admitted when engines are short of memory; `None` if they are sent even to chains that are
+    /// planned full.
+    pub admission: Option<AdmissionSettings>,
+}
+
+/// The settings of admission control.
+#[derive(Debug, Clone, Copy)]
+pub struct AdmissionSettings {
+    /// The thresholds of admission.
+    pub config: AdmissionConfig,
+    /// When the callers of rejected streams are to return.
+    pub return_slots: ReturnSlots,
 }
 
 /// The default of `requests_per_second`: some 60 lines and 20 KB a second.
@@ -73,6 +84,12 @@
 /// The default of `floor`: no kind of request is served less than a quarter as often as all.
 const DEFAULT_FLOOR: &str = "0.3";
 
+/// The default of `return_period_s`: callers with 20 s left return after 4.7 to 6.7 s, later than most surges last.
+const DEFAULT_RETURN_PERIOD_S: &str = "2";
+
+/// The default of `return_slot_ms`: room for late timers and for clocks that differ.
+const DEFAULT_RETURN_SLOT_MS: &str = "100";
+
 const BYTES_PER_MBIT: f64 = 1e6 / 8.0;
 
 /// The default of `endpoint_heartbeat_ms`, as in the platform's settings.
@@ -110,7 +127,14 @@
     ("retries", &["ratio", "burst", "window_s", "hold_s"]),
     (
         "admission",
-        &["enabled", "memory_ceiling", "last_level_ceiling", "floor"],
+        &[
+            "enabled",
+            "memory_ceiling",
+            "last_level_ceiling",
+            "floor",
+            "return_period_s",
+            "return_slot_ms",
+        ],
     ),
     ("logs", &["requests_per_second"]),
 ];
@@ -204,29 +228,41 @@
     }
 
     /// The section `admission`; the inner `None` if it is missing or not enabled.
-    fn admission(p: &mut Parser<'_>) -> Option<Option<AdmissionConfig>> {
+    fn admission(p: &mut Parser<'_>) -> Option<Option<AdmissionSettings>> {
         const SECTION: &str = "admission";
         let enabled = p.optional(SECTION, "enabled", "no", settings::yes_or_no);
-        let ceiling = p.optional(
+        let mut threshold = |key, default| p.optional(SECTION, key, default, settings::decimal);
+        let ceiling = threshold("memory_ceiling", DEFAULT_MEMORY_CEILING);
+        let last_level_ceiling = threshold("last_level_ceiling", DEFAULT_LAST_LEVEL_CEILING);
+        let floor = threshold("floor", DEFAULT_FLOOR);
+        let period = p.optional(
             SECTION,
-            "memory_ceiling",
-            DEFAULT_MEMORY_CEILING,
-            settings::decimal,
+            "return_period_s",
+            DEFAULT_RETURN_PERIOD_S,
+            settings::seconds,
         );
-        let last_level = p.optional(
+        let slot = p.optional(
             SECTION,
-            "last_level_ceiling",
-            DEFAULT_LAST_LEVEL_CEILING,
-            settings::decimal,
+            "return_slot_ms",
+            DEFAULT_RETURN_SLOT_MS,
+            settings::fractional_millis,
         );
-        let floor = p.optional(SECTION, "floor", DEFAULT_FLOOR, settings::decimal);
-        let raw = RawAdmissionConfig {
+        let config = RawAdmissionConfig {
             ceiling: ceiling?,
-            last_level_ceiling: last_level?,
+            last_level_ceiling: last_level_ceiling?,
             floor: floor?,
         };
-        let config = p.checked(SECTION, AdmissionConfig::try_from(raw))?;
-        Some(enabled?.then_some(config))
+        let return_slots = RawReturnSlots {
+            period: period?,
+            slot: slot?,
+        };
+        let config = p.checked(SECTION, AdmissionConfig::try_from(config));
+        let return_slots = p.checked(SECTION, ReturnSlots::try_from(return_slots));
+        let admission = AdmissionSettings {
+            config: config?,
+            return_slots: return_slots?,
+        };
+        Some(enabled?.then_some(admission))
     }
 }
 
