Retry budget: retries after refusals use at most half of what a host may retry

Cause: at twice the load, refusals by full engines use up the retry budget, and retries of runs that were lost are denied. A request that was only refused can be answered as not run; one whose run was lost can't.

Change: a retry states its reason, `RetryReason::Loss` or `RetryReason::Refusal`. One after a refusal is allowed only if at least half of the host's allowed retries is left after it. A request that was refused after a loss counts as lost. The bound over all hosts, its record in the store and its share are unchanged, as retries for either reason count alike. The request's log names the reason.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -15,6 +15,10 @@
 //! the recorded number as made, for one window. Thus few writes are made, a burst of retries waits a few ms
 //! for a write at most, and half of the budget is available at once after a start and while the store is
 //! unavailable.
+//!
+//! When engines are full, refusals are many times as frequent as losses, and would use up the budget first. A
+//! request that was only refused can be answered as not run, so that its caller may return; one whose run was
+//! lost can't. Therefore half of the allowed retries is kept for losses.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -38,6 +42,36 @@
 /// writes, but the next process counts more retries as made that were not.
 const RECORD_GROWTH_FACTOR: f64 = 1.25;
 
+/// The fraction of the allowed retries that may be used before retries after refusals are denied.
+const REFUSAL_FRACTION: f64 = 0.5;
+
+/// What a retry follows. It decides how much of the budget the retry may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryReason {
+    /// A dispatch of the request may have run, and its answer is lost.
+    Loss,
+    /// Endpoints refused the request and have not run it.
+    Refusal,
+}
+
+impl RetryReason {
+    /// The name in the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Loss => "loss",
+            Self::Refusal => "refusal",
+        }
+    }
+
+    /// The fraction of the allowed retries that may be used by retries for this reason and all before them.
+    fn usable_fraction(self) -> f64 {
+        match self {
+            Self::Loss => 1.0,
+            Self::Refusal => REFUSAL_FRACTION,
+        }
+    }
+}
+
 /// The bounds of a budget.
 #[derive(Debug, Clone, Copy)]
 pub struct BudgetConfig {
@@ -68,24 +102,24 @@
     /// Number of retries in a window that this host's row in the store permits.
     pub recorded: u32,
     /// Requests that wait for a retry to be recorded.
-    waiting: usize,
+    pub waiting: usize,
     /// This host is shutting down.
     shutting_down: bool,
 }
 
 impl BudgetState {
     /// Whether one more retry may be made now.
-    pub fn retry_left(&self) -> bool {
-        self.allows_one_more() && self.retries < self.recorded as usize
+    pub fn retry_left(&self, reason: RetryReason) -> bool {
+        self.allows_one_more(reason) && self.retries < self.recorded as usize
     }
 
     /// Whether one more retry could be made if it were recorded first.
-    pub fn needs_record(&self) -> bool {
-        self.allows_one_more() && !self.retry_left()
+    pub fn needs_record(&self, reason: RetryReason) -> bool {
+        self.allows_one_more(reason) && !self.retry_left(reason)
     }
 
-    fn allows_one_more(&self) -> bool {
-        (self.retries + 1) as f64 <= self.allowed
+    fn allows_one_more(&self, reason: RetryReason) -> bool {
+        (self.retries + 1) as f64 <= reason.usable_fraction() * self.allowed
     }
 
     /// Number of retries to record in the row.
@@ -164,8 +198,13 @@
 
     /// Acquires one retry if the budget has one left; `divisor` is the number of hosts that share the burst,
     /// `None` if this host has no share of it.
-    pub fn try_acquire(&mut self, now: Duration, divisor: Option<u32>) -> bool {
-        let acquired = self.state(now, divisor).retry_left();
+    pub fn try_acquire(
+        &mut self,
+        now: Duration,
+        divisor: Option<u32>,
+        reason: RetryReason,
+    ) -> bool {
+        let acquired = self.state(now, divisor).retry_left(reason);
         if acquired {
             self.retries.push_back(now);
         }
--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -10,7 +10,7 @@
 };
 
 use dragonflyrill_fleet::{
-    budget::{BudgetConfig, BudgetState, RecordedRetries, RetryBudgets},
+    budget::{BudgetConfig, BudgetState, RecordedRetries, RetryBudgets, RetryReason},
     share::{Claim, ClaimDraft, ClaimRow, ClaimsSnapshot, Share, ShareHolding},
 };
 use dragonflyrill_protocol::exchange::{
@@ -166,10 +166,10 @@
     }
 
     /// Uses one retry of the budget of a service; false if none is left.
-    pub fn acquire_retry(&self, service: &Rc<str>, now: Duration) -> bool {
+    pub fn acquire_retry(&self, service: &Rc<str>, reason: RetryReason, now: Duration) -> bool {
         let divisor = self.divisor(now);
         let mut budgets = self.budgets.borrow_mut();
-        let acquired = budgets.service(service).try_acquire(now, divisor);
+        let acquired = budgets.service(service).try_acquire(now, divisor, reason);
         if budgets.service(service).record_due(now, divisor) {
             self.write_request.notify_one();
         }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use dragonflyrill_fleet::budget::RetryReason;
+
 use super::{refusal::Refusal, send::DispatchError};
 
 /// The failed attempts to dispatch one request.
@@ -69,6 +71,14 @@
         self.may_have_run
     }
 
+    /// The reason of a retry that follows. A request that was refused after a loss is still lost to its caller.
+    pub(super) fn retry_reason(&self) -> RetryReason {
+        match self.may_have_run {
+            true => RetryReason::Loss,
+            false => RetryReason::Refusal,
+        }
+    }
+
     /// The answer that holds for all dispatches.
     pub(super) fn refusal(&self) -> Refusal {
         self.refusal.clone()
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -83,7 +83,8 @@
         let Some(endpoint) = pick(gateway, admitted, &tried, &mut attempts) else {
             break;
         };
-        if attempts.dispatches() > 0 && !admitted.acquire_retry(gateway).await {
+        let reason = attempts.retry_reason();
+        if attempts.dispatches() > 0 && !admitted.acquire_retry(gateway, reason).await {
             break;
         }
         tried.push(endpoint.id.clone());
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -25,6 +25,7 @@
 use actix_http::{RequestHead, header};
 use bytes::Bytes;
 use dragonflyrill_fleet::{
+    budget::RetryReason,
     catalogue::{CallerLimits, Route, RouteKind, Service, Workspace},
     fingerprint::{Fingerprint, RequestIdentity},
     quarantine::RunSuspects,
@@ -180,12 +181,13 @@
     }
 
     /// Acquires a retry from the budget of the service; false if none is left.
-    async fn acquire_retry(&self, gateway: &Gateway) -> bool {
+    async fn acquire_retry(&self, gateway: &Gateway, reason: RetryReason) -> bool {
         let service = &self.service.name;
-        gateway.wait_for_retry_record(service).await;
+        gateway.wait_for_retry_record(service, reason).await;
         let budget = gateway.retry_budget_state(service);
-        let allowed = gateway.acquire_retry(service);
+        let allowed = gateway.acquire_retry(service, reason);
         self.request_log.record(Decision::Retry {
+            reason,
             allowed,
             budget,
             divisor: gateway.bounds.divisor(gateway.now()),
--- a/crates/gateway/src/forward/request_log.rs
+++ b/crates/gateway/src/forward/request_log.rs
@@ -13,7 +13,7 @@
 
 use dragonflyrill_fleet::{
     adaptive_timeout::{Doubt, NextRun},
-    budget::BudgetState,
+    budget::{BudgetState, RetryReason},
     catalogue::Route,
     token_bucket::TokenBucket,
 };
@@ -63,6 +63,7 @@
     },
     /// A retry was requested from the budget.
     Retry {
+        reason: RetryReason,
         allowed: bool,
         /// The state of the budget before the decision.
         budget: BudgetState,
@@ -119,6 +120,7 @@
                 "Request is admitted."
             ),
             Self::Retry {
+                reason,
                 allowed,
                 budget,
                 divisor,
@@ -126,6 +128,7 @@
                 target: "forward",
                 id = id,
                 after_ms = ms(after),
+                reason = reason.label(),
                 allowed = *allowed,
                 repeats = budget.retries as u64,
                 most = budget.allowed as u64,
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -55,6 +55,7 @@
         let mut probed: Option<Instant> = None;
         loop {
             if self.has_terminated_stage() {
+                // No more events follow: an answer is aborted rather than left waiting.
                 return AbandonReason::new("a part of its chain has ended");
             }
             let silence = since.elapsed();
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     adaptive_timeout::{NextRun, RunTiming},
+    budget::RetryReason,
     catalogue::Engine,
     chains::Chain,
     choice::{self, Choice, RequestDemand},
@@ -133,7 +134,8 @@
                 break;
             };
             if self.attempts.dispatches() > 0 {
-                if !self.admitted.acquire_retry(self.gateway).await {
+                let reason = self.attempts.retry_reason();
+                if !self.admitted.acquire_retry(self.gateway, reason).await {
                     break;
                 }
                 self.gateway
@@ -474,7 +476,7 @@
         NextRun {
             sent: target.sending.get(),
             dispatch_allowed: self.admitted.may_dispatch_again(&self.attempts),
-            retry_left: gateway.may_retry(&self.admitted.service.name),
+            retry_left: gateway.may_retry(&self.admitted.service.name, RetryReason::Loss),
             memory_fill: planned.map(|run| run.expected_fill),
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use actix_http::ServiceConfig;
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    budget::BudgetState,
+    budget::{BudgetState, RetryReason},
     catalogue::{Catalogue, Engine, Service},
     chains::{Chain, ChainFinder},
     choice::Loads,
@@ -368,8 +368,8 @@
 
     /// Acquires one retry of a request from the service's retry budget, and counts the result in
     /// the metrics; false if none is left.
-    pub fn acquire_retry(&self, service: &Rc<str>) -> bool {
-        let acquired = self.bounds.acquire_retry(service, self.now());
+    pub fn acquire_retry(&self, service: &Rc<str>, reason: RetryReason) -> bool {
+        let acquired = self.bounds.acquire_retry(service, reason, self.now());
         let metrics = &self.metrics;
         match acquired {
             true => metrics.repeats.inc(),
@@ -381,10 +381,10 @@
     /// Waits until a retry can be acquired, if the permission for it must be recorded in the store
     /// first. Returns after `MAX_RETRY_RECORD_WAIT` at the latest, or once the record can't be
     /// written.
-    pub async fn wait_for_retry_record(&self, service: &Rc<str>) {
+    pub async fn wait_for_retry_record(&self, service: &Rc<str>, reason: RetryReason) {
         let until = Instant::now() + MAX_RETRY_RECORD_WAIT;
         let mut waiter = None;
-        while self.retry_budget_state(service).needs_record() && self.bounds.can_write_row() {
+        while self.retry_budget_state(service).needs_record(reason) && self.bounds.can_write_row() {
             waiter.get_or_insert_with(|| self.bounds.begin_retry_wait(service));
             let mut written = self.bounds.request_write();
             if time::timeout_at(until, written.changed()).await.is_err() {
@@ -399,9 +399,9 @@
     }
 
     /// Whether the service's retry budget allows a retry, at once or after a record is written.
-    pub fn may_retry(&self, service: &Rc<str>) -> bool {
+    pub fn may_retry(&self, service: &Rc<str>, reason: RetryReason) -> bool {
         let budget = self.retry_budget_state(service);
-        budget.retry_left() || (budget.needs_record() && self.bounds.can_write_row())
+        budget.retry_left(reason) || (budget.needs_record(reason) && self.bounds.can_write_row())
     }
 
     /// Replaces the list of live hosts, which includes this one.
