--- a/crates/gateway/src/forward/request_log.rs
+++ b/crates/gateway/src/forward/request_log.rs
@@ -14,7 +14,7 @@
 use dragonflyrill_fleet::{
     adaptive_timeout::{Doubt, NextRun},
     admission::Level,
-    budget::BudgetState,
+    budget::{BudgetState, RetryReason},
     catalogue::Route,
     token_bucket::TokenBucket,
 };
@@ -70,6 +70,7 @@
     },
     /// A retry was requested from the budget.
     Retry {
+        reason: RetryReason,
         allowed: bool,
         /// The state of the budget before the decision.
         budget: BudgetState,
@@ -134,6 +135,7 @@
                 "Stream is rejected by admission control."
             ),
             Self::Retry {
+                reason,
                 allowed,
                 budget,
                 divisor,
@@ -141,6 +143,7 @@
                 target: "forward",
                 id = id,
                 after_ms = ms(after),
+                reason = reason.label(),
                 allowed = *allowed,
                 repeats = budget.retries as u64,
                 most = budget.allowed as u64,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -9,6 +9,7 @@
 use dragonflyrill_fleet::{
     adaptive_timeout::{NextRun, RunTiming},
     admission::Verdict,
+    budget::RetryReason,
     catalogue::Engine,
     chains::Chain,
     choice::{self, Choice, RequestDemand},
@@ -137,7 +138,8 @@
                 break;
             }
             if self.attempts.dispatches() > 0 {
-                if !self.admitted.acquire_retry(self.gateway).await {
+                let reason = self.attempts.retry_reason();
+                if !self.admitted.acquire_retry(self.gateway, reason).await {
                     break;
                 }
                 self.gateway
@@ -496,7 +498,7 @@
         NextRun {
             sent: target.sending.get(),
             dispatch_allowed: self.admitted.may_dispatch_again(&self.attempts),
-            retry_left: gateway.may_retry(&self.admitted.service.name),
+            retry_left: gateway.may_retry(&self.admitted.service.name, RetryReason::Loss),
             memory_fill: planned.map(|run| run.expected_fill),
         }
     }
