Admission: ranks by workspace, then by route; ranks are kept apart

A workspace's priority goes before that of the route; where workspaces set one, all kinds of streams had the same rank. Requests of one rank are spread over half of the distance to the next, as fills of chains vary by as much.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -11,6 +11,10 @@
 
 use thiserror::Error;
 
+/// Part of the distance between two ranks over which requests of one rank are spread. The rest keeps
+/// the ranks apart: the fills of chains vary by as much, since the loads of other hosts are known
+/// late.
+const WITHIN_RANK_RANGE: f64 = 0.5;
 /// Fraction of a rank's range of levels that a first attempt is behind one that returns when told.
 const FIRST_ATTEMPT_OFFSET: f64 = 0.25;
 
@@ -78,6 +82,18 @@
     }
 }
 
+/// How urgent a request is; the lesser rank is the more urgent one.
+///
+/// A workspace's priority goes before that of the route. Among requests of the same priority, those
+/// of the more urgent route go first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Priority of the workspace, or of the route if the workspace has none; 0 is the highest.
+    pub priority: u8,
+    /// Priority of the route.
+    pub route_priority: u8,
+}
+
 /// Position of a rank among the ranks that requests for a service may have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RankPosition {
@@ -91,11 +107,11 @@
     /// The only rank.
     pub const ONLY: Self = Self { index: 0, count: 1 };
 
-    /// The position of a priority among the priorities of a service, in ascending order. A priority
-    /// that is not among them takes the position of the next less urgent one, or the last.
-    pub fn of(priority: u8, priorities: &[u8]) -> Self {
-        let count = priorities.len().max(1);
-        let more_urgent = priorities.partition_point(|p| *p < priority);
+    /// The position of a rank among the ranks of a service, in ascending order. A rank that is not
+    /// among them takes the position of the next less urgent one, or the last.
+    pub fn of(rank: Rank, ranks: &[Rank]) -> Self {
+        let count = ranks.len().max(1);
+        let more_urgent = ranks.partition_point(|r| *r < rank);
         Self {
             index: more_urgent.min(count - 1) as u32,
             count: count as u32,
@@ -117,8 +133,10 @@
     pub fn of(rank: RankPosition, excess: f64, returning: bool) -> Self {
         let offset = if returning { 0.0 } else { FIRST_ATTEMPT_OFFSET };
         let within_rank = offset + (1.0 - offset) * excess.clamp(0.0, 1.0);
-        let count = f64::from(rank.count);
-        Self((f64::from(rank.index) + within_rank) / count)
+        let rank_units = f64::from(rank.index) + WITHIN_RANK_RANGE * within_rank;
+        // The last rank ends at 1; a single rank ends at half, as nothing has to stay behind it.
+        let all_units = (f64::from(rank.count) - 1.0 + WITHIN_RANK_RANGE).max(1.0);
+        Self(rank_units / all_units)
     }
 
     /// The level as a number from 0 to 1.
--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -4,7 +4,11 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::{admission::RankPosition, endpoints::Endpoint, layers::LayerRange};
+use crate::{
+    admission::{Rank, RankPosition},
+    endpoints::Endpoint,
+    layers::LayerRange,
+};
 
 /// One version of the catalogue; immutable after it is read.
 #[derive(Debug, Clone, Default)]
@@ -15,8 +19,8 @@
     routes: FxHashMap<Box<str>, Vec<Rc<Route>>>,
     services: FxHashMap<Rc<str>, Rc<Service>>,
     workspaces: FxHashMap<Box<str>, Workspace>,
-    /// Priorities that requests for a service may have, by service name; ascending and distinct.
-    priorities: FxHashMap<Rc<str>, Vec<u8>>,
+    /// Ranks that streams for a service may have, by service name; ascending and distinct.
+    ranks: FxHashMap<Rc<str>, Vec<Rank>>,
     /// Whether any workspace is declared; if none is, requests need no key.
     pub needs_keys: bool,
     /// Limits on requests from callers.
@@ -218,29 +222,37 @@
     pub caller_limits: CallerLimits,
 }
 
-/// The priorities that streams for each service may have: those of its routes and those of the
-/// workspaces, which override them.
-fn priorities(parts: &CatalogueParts) -> FxHashMap<Rc<str>, Vec<u8>> {
-    let of_workspaces: Vec<u8> = parts.keys.iter().filter_map(|(_, w)| w.priority).collect();
-    let mut priorities: FxHashMap<Rc<str>, Vec<u8>> = FxHashMap::default();
+/// The ranks that streams for each service may have, ascending and distinct.
+fn ranks(parts: &CatalogueParts) -> FxHashMap<Rc<str>, Vec<Rank>> {
+    let mut overrides: Vec<Option<u8>> = parts.keys.iter().map(|(_, w)| w.priority).collect();
+    overrides.push(None);
+    overrides.sort_unstable();
+    overrides.dedup();
+    let mut ranks: FxHashMap<Rc<str>, Vec<Rank>> = FxHashMap::default();
     let routes = parts.routes.iter().map(|(_, route)| route);
     for route in routes.filter(|r| matches!(r.kind, RouteKind::Stream { .. })) {
+        let of_route = overrides.iter().map(|priority| Rank {
+            priority: priority.unwrap_or(route.priority),
+            route_priority: route.priority,
+        });
+        let of_route: Vec<Rank> = of_route.collect();
         for (service, _) in &route.services {
-            let of_service = priorities.entry(service.name.clone()).or_default();
-            of_service.push(route.priority);
-            of_service.extend(&of_workspaces);
+            ranks
+                .entry(service.name.clone())
+                .or_default()
+                .extend(&of_route);
         }
     }
-    for of_service in priorities.values_mut() {
+    for of_service in ranks.values_mut() {
         of_service.sort_unstable();
         of_service.dedup();
     }
-    priorities
+    ranks
 }
 
 impl From<CatalogueParts> for Catalogue {
     fn from(parts: CatalogueParts) -> Self {
-        let priorities = priorities(&parts);
+        let ranks = ranks(&parts);
         let mut routes: FxHashMap<Box<str>, Vec<Rc<Route>>> = FxHashMap::default();
         for (host, route) in parts.routes {
             routes.entry(host).or_default().push(Rc::new(route));
@@ -254,7 +266,7 @@
             routes,
             services: parts.services.into_iter().map(by_name).collect(),
             workspaces: parts.keys.into_iter().collect(),
-            priorities,
+            ranks,
             needs_keys: parts.needs_keys,
             caller_limits: parts.caller_limits,
         }
@@ -279,10 +291,10 @@
         self.services.get(name)
     }
 
-    /// The position of a priority among those that streams for a service may have.
-    pub fn rank(&self, service: &str, priority: u8) -> RankPosition {
-        let of_service = self.priorities.get(service).map_or(&[][..], Vec::as_slice);
-        RankPosition::of(priority, of_service)
+    /// The position of a rank among those that streams for a service may have.
+    pub fn rank_position(&self, service: &str, rank: Rank) -> RankPosition {
+        let of_service = self.ranks.get(service).map_or(&[][..], Vec::as_slice);
+        RankPosition::of(rank, of_service)
     }
 
     /// Iterates over all services, in no particular order.
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -1,6 +1,6 @@
 //! Admission control of new streams.
 
-use dragonflyrill_fleet::admission::{Level, Verdict};
+use dragonflyrill_fleet::admission::{Level, Rank, Verdict};
 use rand::Rng;
 
 use super::{AdmittedRequest, attempts::Attempts, request_log::Decision};
@@ -44,9 +44,13 @@
 
     /// How early the request is shed when memory is short.
     fn level(&self, gateway: &Gateway) -> Level {
-        let rank = gateway.rank(&self.service.name, self.priority);
+        let rank = Rank {
+            priority: self.priority,
+            route_priority: self.route.priority,
+        };
+        let position = gateway.rank_position(&self.service.name, rank);
         let workspace = self.workspace.as_deref();
         let excess = workspace.map_or(0.0, |w| gateway.workspace_excess(w));
-        Level::of(rank, excess, gateway.is_return(self.fingerprint()))
+        Level::of(position, excess, gateway.is_return(self.fingerprint()))
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 use actix_http::ServiceConfig;
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    admission::RankPosition,
+    admission::{Rank, RankPosition},
     budget::{BudgetState, RetryReason},
     catalogue::{Catalogue, Engine, Service},
     chains::{Chain, ChainFinder},
@@ -430,12 +430,12 @@
         self.usage.borrow().excess(workspace, self.now())
     }
 
-    /// The position of a priority among those that streams for a service may have.
-    pub fn rank(&self, service: &str, priority: u8) -> RankPosition {
+    /// The position of a rank among those that streams for a service may have.
+    pub fn rank_position(&self, service: &str, rank: Rank) -> RankPosition {
         let catalogue = self.catalogue.borrow();
         catalogue
             .as_ref()
-            .map_or(RankPosition::ONLY, |c| c.rank(service, priority))
+            .map_or(RankPosition::ONLY, |c| c.rank_position(service, rank))
     }
 
     /// The chains of a service's usable endpoints. They are cached until the directory changes or
