Streams: a request whose time is over is answered 503 if nothing of it may have run

Cause: when the time of a stream was over, the answer was 504, which promises nothing, even if no connection had been opened or all dispatches had been refused unrun.

Change: the stream knows whether anything of the run under way was sent. If not, and no earlier dispatch may have run, the answer is 503 with Retry-After. A failed run is recorded before the checks for terminations that follow it, so that a refusal counts as one while they run.

Result: a stream without a connection got 504 before and gets 503 now.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// The answer once the time of the request is over. `sent` states whether a dispatch is under way of which
+    /// anything was sent.
+    pub(super) fn refusal_out_of_time(&self, sent: bool) -> Refusal {
+        match self.may_have_run || sent {
+            true => Refusal::OutOfTime,
+            false => Refusal::NotRun("its time was over before anything of it ran".to_owned()),
+        }
+    }
+
     /// The answer that holds for all dispatches.
     pub(super) fn refusal(&self) -> Refusal {
         self.refusal.clone()
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -183,7 +183,7 @@
     limit: Duration,
 ) -> Result<CompleteAnswer, DispatchError> {
     let _guard = EndpointRequestGuard::new(gateway, &endpoint.id);
-    let via = Cell::new(None);
+    let (via, sending) = (Cell::new(None), Cell::new(false));
     let target = Target {
         id: &endpoint.id,
         name: &endpoint.name,
@@ -191,7 +191,7 @@
         chain: &[],
         endpoint_ids: &[&endpoint.id],
         after_event: None,
-        sending: Cell::new(false),
+        sending: &sending,
         via: &via,
     };
     let until = time::Instant::now() + limit;
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -58,7 +58,7 @@
     /// The id of the event after which the answer is to continue.
     pub(super) after_event: Option<u64>,
     /// Becomes true before the first byte of the request is sent.
-    pub(super) sending: Cell<bool>,
+    pub(super) sending: &'a Cell<bool>,
     /// How the request reaches the endpoint; `None` until a connection is open.
     pub(super) via: &'a Cell<Option<Via>>,
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -45,12 +45,14 @@
     admitted: &AdmittedRequest,
     out: &mut Responder<'_>,
 ) -> Result<(), ForwardError> {
+    let sending = Cell::new(false);
     let mut stream = Stream {
         gateway,
         admitted,
         events: EventSplitter::after(admitted.incoming.last_event),
         tried_chains: Vec::new(),
         attempts: Attempts::new(Refusal::NoEndpoint("no chain covers all layers")),
+        sending: &sending,
         last_event_at: None,
         progress: RunProgress::Beginning,
     };
@@ -65,7 +67,7 @@
         Err(_) => Err(abort_if_started(
             admitted,
             out,
-            ForwardError::Refused(Refusal::OutOfTime),
+            ForwardError::Refused(stream.attempts.refusal_out_of_time(sending.get())),
         )),
     }
 }
@@ -96,6 +98,8 @@
     tried_chains: Vec<u64>,
     /// The runs that failed.
     attempts: Attempts,
+    /// Whether a run is under way of which anything was sent.
+    sending: &'a Cell<bool>,
     /// When the last events were relayed.
     last_event_at: Option<Instant>,
     /// How far the answer of the current run has got.
@@ -156,8 +160,10 @@
                 RunEnd::Complete(status) => return Ok(status),
                 RunEnd::Failed(error) => {
                     self.log_failed_run(&planned.chain, &error, out.started());
+                    // Recorded first, as the time of the request may be over before the checks are.
+                    self.attempts.record_failed_attempt(error.clone());
+                    self.sending.set(false);
                     self.record_terminations(&planned.chain, &error).await;
-                    self.attempts.record_failed_attempt(error);
                 }
             }
         }
@@ -297,7 +303,7 @@
             chain: &hops,
             endpoint_ids: &endpoint_ids,
             after_event: self.events.last(),
-            sending: Cell::new(false),
+            sending: self.sending,
             via: &via,
         };
         let mut monitor = RunMonitor {
