Choice: the expected first event of a full chain includes the wait for memory

Cause: the estimate for a chain whose planned memory is full was that of a request that is admitted at once, some tens of ms. A request that waits for memory takes a share of an answer's duration more, so that its run was probed and abandoned by far too short a timeout.

Change: above a memory fill of 1, the estimate adds the wait until running requests have freed what is missing: during one answer as much becomes free as is in use. Requests that fit run; the others wait before this one.

It changes the probe time and the timeout of a run's first event, which follow from the expected time, and the rank among chains that miss their targets: between full chains, one that frees its memory sooner is preferred. At a fill of 1 or below, estimates are equal bit by bit (a test compares with the formula).

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -226,7 +226,7 @@
 /// Estimated service of a request by a chain.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
-    /// Time to the first event, in ms.
+    /// Time to the first event, in ms. It includes the wait for memory if the chain's planned memory is full.
     pub first_event_ms: f64,
     /// Gap between events, in ms.
     pub gap_ms: f64,
@@ -263,8 +263,7 @@
         token_ms += stage.token_ms_per_request * load.requests;
         running = running.max(load.requests);
         let used_token_layers = load.token_layers + demand_tokens * f64::from(stage.layers.count());
-        memory_fill = memory_fill
-            .max(used_token_layers / (stage.capacity * PLANNED_MEMORY_FRACTION).max(1.0));
+        memory_fill = memory_fill.max(used_token_layers / planned_token_layers(stage));
     }
     let gap_ms = token_ms * demand.tokens_per_event;
     // Prefills of other requests interleave with the steps; their share of the time follows from
@@ -275,8 +274,11 @@
         / answer_ms.max(1.0))
     .min(0.95);
     let slowed = 1.0 / (1.0 - prefill_fraction);
-    let first_event_ms =
+    let mut first_event_ms =
         prefill_wait_ms + (demand.prompt_tokens * chain.prefill_ms_per_token + gap_ms) * slowed;
+    if memory_fill > 1.0 {
+        first_event_ms += memory_wait_ms(chain, demand, load);
+    }
     Estimate {
         first_event_ms,
         gap_ms: gap_ms * slowed,
@@ -285,6 +287,45 @@
     }
 }
 
+/// Token-layers that a stage is planned to hold.
+fn planned_token_layers(stage: &Stage) -> f64 {
+    (stage.capacity * PLANNED_MEMORY_FRACTION).max(1.0)
+}
+
+/// Time until a chain whose planned memory is full has room for a request, in ms.
+///
+/// The requests that fit run, and the others wait before this one. Each frees its memory when its answer
+/// ends. So during one answer as much becomes free as is in use, and the wait is the same fraction of an
+/// answer's duration as what is missing is of what is in use. The other requests are assumed to be like this
+/// one.
+fn memory_wait_ms(chain: &Chain, demand: &RequestDemand, load: impl Fn(&Stage) -> Load) -> f64 {
+    let demand_tokens = demand.prompt_tokens + demand.answer_tokens;
+    let mut token_ms = chain.token_ms;
+    let mut running: f64 = 0.0;
+    let mut answers: f64 = 0.0;
+    for stage in &chain.stages {
+        let load = load(stage);
+        let planned = planned_token_layers(stage);
+        let in_use = load.token_layers.min(planned);
+        if in_use <= 0.0 {
+            continue;
+        }
+        let fitting_requests = load.requests * (in_use / load.token_layers);
+        token_ms += stage.token_ms_per_request * fitting_requests;
+        running = running.max(fitting_requests);
+        let used = load.token_layers + demand_tokens * f64::from(stage.layers.count());
+        // A request that exceeds the memory of an idle stage waits for no more than what is in use.
+        let missing = (used - planned).clamp(0.0, load.token_layers);
+        answers = answers.max(missing / in_use);
+    }
+    // Each of the running requests is prefilled once during an answer.
+    let prompts_ms = running * demand.prompt_tokens * chain.bottleneck_prefill_ms;
+    let answer_ms = demand.prompt_tokens * chain.prefill_ms_per_token
+        + demand.answer_tokens * token_ms
+        + prompts_ms;
+    answers * answer_ms
+}
+
 /// The chain chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Choice {
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -155,3 +155,134 @@
     let after_prefill = choice::choose(&chains, &loads, &DEMAND, ms(0), 0.0, |_| true);
     assert_eq!(after_prefill, idle);
 }
+
+/// Requests of the mean length on a chain. Those that fit into its planned memory run; the others wait in order.
+struct ChainModel<'a> {
+    chain: &'a Chain,
+    /// Number of requests that fit.
+    fitting: usize,
+    /// Tokens that each running request still has to generate.
+    tokens_left: Vec<f64>,
+    now_ms: f64,
+}
+
+impl<'a> ChainModel<'a> {
+    /// A chain that has run for long: the running requests are evenly spread over their answers.
+    fn in_steady_state(chain: &'a Chain, requests: usize) -> Self {
+        let tokens = DEMAND.prompt_tokens + DEMAND.answer_tokens;
+        let fit = |s: &chains::Stage| 0.9 * s.capacity / (tokens * f64::from(s.layers.count()));
+        let fitting = chain.stages.iter().map(fit).fold(f64::INFINITY, f64::min) as usize;
+        let running = requests.min(fitting);
+        let left = |n: usize| DEMAND.answer_tokens * (n as f64 + 0.5) / running as f64;
+        Self {
+            chain,
+            fitting,
+            tokens_left: (0..running).map(left).collect(),
+            now_ms: 0.0,
+        }
+    }
+
+    /// Generates one token of each running request, and removes the requests that end.
+    fn step(&mut self) {
+        let running = self.tokens_left.len() as f64;
+        let stages = self.chain.stages.iter();
+        let per_request: f64 = stages.map(|s| s.token_ms_per_request).sum();
+        self.now_ms += self.chain.token_ms + per_request * running;
+        self.tokens_left.iter_mut().for_each(|left| *left -= 1.0);
+        self.tokens_left.retain(|left| *left > 0.0);
+    }
+
+    /// The time until `waiting` requests and one more have been admitted.
+    fn wait_ms(mut self, waiting: usize) -> f64 {
+        for _ in 0..waiting + 1 {
+            while self.tokens_left.len() >= self.fitting {
+                self.step();
+            }
+            self.tokens_left.push(DEMAND.answer_tokens);
+            self.now_ms += DEMAND.prompt_tokens * self.chain.bottleneck_prefill_ms;
+        }
+        self.now_ms
+    }
+}
+
+/// The estimate for a request on a chain with a number of requests of the same length.
+fn estimate_with(chain: &Chain, requests: usize) -> choice::Estimate {
+    let tokens = DEMAND.prompt_tokens + DEMAND.answer_tokens;
+    choice::predict(chain, &DEMAND, 0.0, |stage| {
+        let n = requests as f64;
+        load(n, n * tokens * f64::from(stage.layers.count()))
+    })
+}
+
+/// Guards against a timeout for the first event that a request on a full chain can't meet: it was expected as if the
+/// request did not wait for memory.
+#[test]
+fn the_expected_wait_for_memory_is_within_a_factor_of_two_of_a_model() {
+    for chain in &two_chains() {
+        let fitting = ChainModel::in_steady_state(chain, 0).fitting;
+        let without_wait = estimate_with(chain, fitting - 1).first_event_ms;
+        for percent in [5, 10, 20, 40, 60] {
+            let waiting = fitting * percent / 100;
+            let modelled = ChainModel::in_steady_state(chain, fitting).wait_ms(waiting);
+            let estimate = estimate_with(chain, fitting + waiting);
+            assert!(estimate.memory_fill > 1.0);
+            let waited = estimate.first_event_ms - without_wait;
+            let ratio = waited / modelled;
+            assert!(
+                (0.5..2.0).contains(&ratio),
+                "{waited} ms expected, {modelled} ms modelled"
+            );
+        }
+    }
+}
+
+/// The estimate without a wait for memory: first event, gap and total time, in ms.
+fn estimate_without_wait(chain: &Chain, requests: f64) -> [f64; 3] {
+    let (prompt, answer) = (DEMAND.prompt_tokens, DEMAND.answer_tokens);
+    let mut token_ms = chain.token_ms;
+    for stage in &chain.stages {
+        token_ms += stage.token_ms_per_request * requests;
+    }
+    let gap_ms = token_ms * DEMAND.tokens_per_event;
+    let answer_ms = answer * token_ms + prompt * chain.prefill_ms_per_token;
+    let prefill_fraction =
+        (requests * prompt * chain.bottleneck_prefill_ms / answer_ms.max(1.0)).min(0.95);
+    let slowed = 1.0 / (1.0 - prefill_fraction);
+    let first_event_ms = 3.0 + (prompt * chain.prefill_ms_per_token + gap_ms) * slowed;
+    let total_ms = first_event_ms + answer * token_ms * slowed;
+    [first_event_ms, gap_ms * slowed, total_ms]
+}
+
+/// Deployments whose memory is not full are served exactly as before the wait for memory was estimated.
+#[test]
+fn a_chain_whose_planned_memory_is_not_full_has_no_wait_for_memory() {
+    let tokens = DEMAND.prompt_tokens + DEMAND.answer_tokens;
+    for chain in &two_chains() {
+        let fitting = ChainModel::in_steady_state(chain, 0).fitting;
+        for requests in 0..fitting {
+            let n = requests as f64;
+            let estimate = choice::predict(chain, &DEMAND, 3.0, |stage| {
+                load(n, n * tokens * f64::from(stage.layers.count()))
+            });
+            assert!(estimate.memory_fill <= 1.0);
+            let estimated = [estimate.first_event_ms, estimate.gap_ms, estimate.total_ms];
+            let expected = estimate_without_wait(chain, n);
+            assert_eq!(estimated.map(f64::to_bits), expected.map(f64::to_bits));
+        }
+    }
+}
+
+/// Guards against an infinite expected time, which is not a duration.
+#[test]
+fn a_request_that_exceeds_the_memory_of_a_chain_has_a_finite_expected_time() {
+    let huge = RequestDemand {
+        prompt_tokens: 1e7,
+        ..DEMAND
+    };
+    for token_layers in [0.0, 1e-300, 1.0, 1e6, 1e12] {
+        let chain = &two_chains()[0];
+        let estimate = choice::predict(chain, &huge, 0.0, |_| load(1.0, token_layers));
+        assert!(estimate.memory_fill > 1.0);
+        assert!(estimate.first_event_ms.is_finite(), "{estimate:?}");
+    }
+}
