--- a/crates/fleet/src/fair_share.rs
+++ b/crates/fleet/src/fair_share.rs
@@ -174,12 +174,10 @@
 }
 
 impl WorkspaceUsage {
-    /// Creates a usage without work. Unless `enabled`, no report is made and every excess is 0.
-    pub fn new(enabled: bool) -> Self {
-        Self {
-            enabled,
-            ..Self::default()
-        }
+    /// Sets whether work is reported and shares are computed. Initially they are not: no report is made and every
+    /// excess is 0.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.enabled = enabled;
     }
 
     /// Counts work that begins for a workspace: the tokens of the prompt and of the expected answer.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -182,7 +182,8 @@
         let quarantine =
             Quarantine::new(settings.request_quarantine).with_probe_spread(probe_spread);
         let outage = StoreOutage::new(settings.endpoint_heartbeat);
-        let usage = WorkspaceUsage::new(settings.admission.is_some());
+        let mut usage = WorkspaceUsage::default();
+        usage.set_enabled(settings.admission.is_some());
         Rc::new(Self {
             settings,
             platform,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -74,12 +74,13 @@
 const DEFAULT_LINK_MBPS: &str = "20";
 
 /// The default of `memory_ceiling`. Nine tenths of the memory are planned with, each request at its full length, but
-/// running requests hold half of their answers on average. So 1.2 times the planned memory fits where answers are at
-/// least a fifth as long as prompts.
-const DEFAULT_MEMORY_CEILING: &str = "1.2";
+/// running requests hold half of their answers on average. So 1.25 times the planned memory just fits where answers are
+/// a quarter as long as prompts.
+const DEFAULT_MEMORY_CEILING: &str = "1.25";
 
-/// The default of `last_level_ceiling`: no level is shed while a chain has room.
-const DEFAULT_LAST_LEVEL_CEILING: &str = "1.0";
+/// The default of `last_level_ceiling`. The loads of other hosts are known up to half a second late, in which a tenth
+/// of the requests of a chain begin or end; nothing is to be shed for that.
+const DEFAULT_LAST_LEVEL_CEILING: &str = "1.1";
 
 /// The default of `floor`: no kind of request is served less than a quarter as often as all.
 const DEFAULT_FLOOR: &str = "0.3";
