Streams: the retry for which a run is abandoned is acquired at once

Cause: between the decision to abandon a run and its retry, probes and checks for terminations take some 100 ms. Late runs that were abandoned in that time for the same retry ended with 502, but one.

Change: the retry is acquired as the run is abandoned. If the host's row has to permit it first, it is acquired after that, as before.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -184,6 +184,12 @@
     async fn acquire_retry(&self, gateway: &Gateway, reason: RetryReason) -> bool {
         let service = &self.service.name;
         gateway.wait_for_retry_record(service, reason).await;
+        self.acquire_recorded_retry(gateway, reason)
+    }
+
+    /// The same without waiting until a retry is recorded in the store.
+    fn acquire_recorded_retry(&self, gateway: &Gateway, reason: RetryReason) -> bool {
+        let service = &self.service.name;
         let budget = gateway.retry_budget_state(service);
         let allowed = gateway.acquire_retry(service, reason);
         self.request_log.record(Decision::Retry {
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -32,6 +32,8 @@
     pub(super) why: &'static str,
     /// Whether only the connection is lost: the chain may be used again.
     pub(super) lost_path: bool,
+    /// Whether the run may still answer, and was abandoned because another one is possible.
+    pub(super) replaced: bool,
 }
 
 impl AbandonReason {
@@ -39,6 +41,14 @@
         Self {
             why,
             lost_path: false,
+            replaced: false,
+        }
+    }
+
+    fn doubt(why: &'static str, replaced: bool) -> Self {
+        Self {
+            replaced,
+            ..Self::new(why)
         }
     }
 }
@@ -65,10 +75,12 @@
             {
                 Step::Abandon => {
                     if self.abandons(Doubt::TimedOut, &mut next_run) {
-                        return AbandonReason::new(match self.timing.started {
+                        let why = match self.timing.started {
                             true => "the run stalled",
                             false => "no answer in time",
-                        });
+                        };
+                        // Otherwise its caller leaves.
+                        return AbandonReason::doubt(why, self.timing.may_retry);
                     }
                     continue;
                 }
@@ -94,12 +106,13 @@
                 && self.has_unresponsive_stage()
                 && self.abandons(Doubt::UnresponsiveStage, &mut next_run)
             {
-                return AbandonReason::new("a stage of its chain is unresponsive");
+                return AbandonReason::doubt("a stage of its chain is unresponsive", true);
             }
             if probed.is_some() && self.timing.may_abandon() && self.has_lost_path() {
                 return AbandonReason {
                     why: "its connection carries nothing",
                     lost_path: true,
+                    replaced: false,
                 };
             }
         }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -52,6 +52,7 @@
         events: EventSplitter::after(admitted.incoming.last_event),
         tried_chains: Vec::new(),
         attempts: Attempts::new(Refusal::NoEndpoint("no chain covers all layers")),
+        retry_acquired: false,
         sending: &sending,
         last_event_at: None,
         progress: RunProgress::Beginning,
@@ -98,6 +99,8 @@
     tried_chains: Vec<u64>,
     /// The runs that failed.
     attempts: Attempts,
+    /// A retry was acquired when the last run was abandoned.
+    retry_acquired: bool,
     /// Whether a run is under way of which anything was sent.
     sending: &'a Cell<bool>,
     /// When the last events were relayed.
@@ -139,7 +142,8 @@
             };
             if self.attempts.dispatches() > 0 {
                 let reason = self.attempts.retry_reason();
-                if !self.admitted.acquire_retry(self.gateway, reason).await {
+                let acquired = std::mem::take(&mut self.retry_acquired);
+                if !acquired && !self.admitted.acquire_retry(self.gateway, reason).await {
                     break;
                 }
                 self.gateway
@@ -324,6 +328,7 @@
             sent = send::send(gateway, self.admitted, &target, deadlines) => sent,
             abandoned = monitor.until_abandoned(sent_at, || self.next_run(&target)) => {
                 self.allow_again(chain, &abandoned);
+                self.acquire_retry_to_replace(&abandoned);
                 Err(target.abandoned(abandoned.why))
             }
         };
@@ -407,6 +412,7 @@
                         monitor.timing.may_retry = false;
                         continue;
                     }
+                    self.acquire_retry_to_replace(&abandoned);
                     return Ok(abandoned_run(abandoned.why));
                 }
             };
@@ -466,6 +472,20 @@
         }
     }
 
+    /// Acquires the retry for which a run is abandoned, at once: until the checks that follow have ended, other
+    /// streams may use up the budget.
+    fn acquire_retry_to_replace(&mut self, abandoned: &AbandonReason) {
+        let service = &self.admitted.service.name;
+        let reason = RetryReason::Loss;
+        if abandoned.replaced
+            && self.sending.get()
+            && self.gateway.retry_budget_state(service).retry_left(reason)
+        {
+            let acquired = self.admitted.acquire_recorded_retry(self.gateway, reason);
+            self.retry_acquired = acquired;
+        }
+    }
+
     /// The run that would follow if the one to `target` were abandoned now.
     fn next_run(&mut self, target: &Target<'_>) -> NextRun {
         let gateway = self.gateway;
