--- a/crates/fleet/tests/overload.rs
+++ b/crates/fleet/tests/overload.rs
@@ -34,7 +34,7 @@
 fn admission() -> Rule {
     let raw = RawAdmissionConfig {
         ceiling: 1.25,
-        last_level_ceiling: 1.1,
+        last_level_ceiling: 1.0,
         floor: 0.3,
     };
     Rule::Admission(AdmissionConfig::try_from(raw).expect("valid thresholds"))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -78,9 +78,8 @@
 /// a quarter as long as prompts.
 const DEFAULT_MEMORY_CEILING: &str = "1.25";
 
-/// The default of `last_level_ceiling`. The loads of other hosts are known up to half a second late, in which a tenth
-/// of the requests of a chain begin or end; nothing is to be shed for that.
-const DEFAULT_LAST_LEVEL_CEILING: &str = "1.1";
+/// The default of `last_level_ceiling`: nothing is shed while a chain has room.
+const DEFAULT_LAST_LEVEL_CEILING: &str = "1.0";
 
 /// The default of `floor`: no kind of request is served less than a quarter as often as all.
 const DEFAULT_FLOOR: &str = "0.3";
