--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -9,8 +9,13 @@
 //! The decision depends on the loads that all hosts exchange anyway, so that all hosts shed the same
 //! levels at about the same time without a message of their own.
 
+use std::time::Duration;
+
 use thiserror::Error;
 
+/// How old the loads of other hosts are at most: a report takes two polls of a quarter of a second.
+const HORIZON: Duration = Duration::from_millis(500);
+
 /// Part of the distance between two ranks over which requests of one rank are spread. The rest keeps
 /// the ranks apart: the fills of chains vary by as much, since the loads of other hosts are known
 /// late.
@@ -160,18 +165,54 @@
         memory_fill <= self.last_level_ceiling
     }
 
-    /// Decides on a new stream whose chain would be filled to `memory_fill`, the request included;
-    /// `draw` is uniform in 0..1.
-    pub fn decide(&self, level: Level, memory_fill: f64, draw: f64) -> Verdict {
-        let shed_above = self.ceiling - level.0 * (self.ceiling - self.last_level_ceiling);
-        let admitted = match memory_fill {
-            fill if fill <= shed_above => true,
-            fill if fill <= self.ceiling => draw < self.floor,
-            _ => false,
-        };
-        match admitted {
+    /// Decides on a new stream under the given load; `draw` is uniform in 0..1.
+    pub fn decide(&self, level: Level, load: &ServiceLoad, draw: f64) -> Verdict {
+        match draw < self.admitted_fraction(level, load) {
             true => Verdict::Admit,
             false => Verdict::Reject,
         }
     }
+
+    /// The fraction of the new streams of a level that is admitted.
+    fn admitted_fraction(&self, level: Level, load: &ServiceLoad) -> f64 {
+        if self.admits_all(load.memory_fill) {
+            return 1.0;
+        }
+        let target_of =
+            |level: f64| self.ceiling - level * (self.ceiling - self.last_level_ceiling);
+        let fraction = load.fraction_to_fill(target_of(level.0));
+        let first_level = load.fraction_to_fill(target_of(0.0));
+        fraction.max(self.floor * first_level)
+    }
+}
+
+/// What a host knows of the load of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceLoad {
+    /// Fill of the best chain's planned memory, the new stream included. At saturation all chains are
+    /// about as full.
+    pub memory_fill: f64,
+    /// Number of running requests of all hosts.
+    pub running: f64,
+    /// New streams per second at all hosts.
+    pub offered_per_s: f64,
+    /// Duration of an answer.
+    pub answer: Duration,
+}
+
+impl ServiceLoad {
+    /// The fraction of the new streams that all hosts must admit so that the chains are filled to
+    /// `target_fill` after [`HORIZON`].
+    ///
+    /// All hosts see the same loads, which are as old as the horizon. If each of them admitted
+    /// everything up to the target, all would overfill the chains at the same time, and then all
+    /// reject for as long. So they admit what ends within the horizon, and what is missing to the
+    /// target.
+    fn fraction_to_fill(&self, target_fill: f64) -> f64 {
+        let horizon_s = HORIZON.as_secs_f64();
+        let missing = self.running * (target_fill / self.memory_fill.max(0.01) - 1.0);
+        let ending = self.running * horizon_s / self.answer.as_secs_f64().max(horizon_s);
+        let offered = (self.offered_per_s * horizon_s).max(f64::MIN_POSITIVE);
+        ((missing + ending) / offered).clamp(0.0, 1.0)
+    }
 }
--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
+    admission::ServiceLoad,
     chains::{Chain, Stage},
     dispatch_rate::RecentDispatches,
 };
@@ -90,6 +91,8 @@
     full_until: FxHashMap<Rc<str>, Duration>,
     /// Recent dispatches of this host.
     dispatches: RecentDispatches,
+    /// Recent new streams at this host, whether they were admitted or not.
+    arrivals: RecentDispatches,
     /// Number of hosts that send requests, including this one.
     pub hosts: u32,
 }
@@ -122,6 +125,31 @@
         self.dispatches.record(now);
     }
 
+    /// Records that a new stream has arrived at this host.
+    pub fn record_arrival(&mut self, now: Duration) {
+        self.arrivals.record(now);
+    }
+
+    /// The load of a service with the given chains, as the choice of a chain sees it.
+    pub fn service_load(
+        &self,
+        chains: &[Chain],
+        estimate: &Estimate,
+        now: Duration,
+    ) -> ServiceLoad {
+        let mut first_stages: Vec<&Rc<str>> = chains.iter().map(|c| &c.first_stage().id).collect();
+        first_stages.sort_unstable();
+        first_stages.dedup();
+        let requests = |id: &&Rc<str>| self.load_at(id, now).requests;
+        let answer_ms = estimate.total_ms - estimate.first_event_ms;
+        ServiceLoad {
+            memory_fill: estimate.memory_fill,
+            running: first_stages.iter().map(requests).sum(),
+            offered_per_s: self.arrivals.per_s(now) * f64::from(self.hosts.max(1)),
+            answer: Duration::from_secs_f64(answer_ms.max(0.0) / 1000.0),
+        }
+    }
+
     /// Estimates how many requests the other hosts have sent since they last reported their loads.
     fn unreported_requests(&self, now: Duration) -> f64 {
         let others = self.hosts.saturating_sub(1);
--- a/crates/fleet/src/dispatch_rate.rs
+++ b/crates/fleet/src/dispatch_rate.rs
@@ -31,7 +31,7 @@
     }
 
     /// Dispatches per second.
-    fn per_s(&self, now: Duration) -> f64 {
+    pub fn per_s(&self, now: Duration) -> f64 {
         let expired = |t: &Duration| *t + RATE_WINDOW < now;
         let recent = self.times.len() - self.times.partition_point(expired);
         let since_first = self
--- a/crates/fleet/tests/common/load_model.rs
+++ b/crates/fleet/tests/common/load_model.rs
@@ -231,6 +231,7 @@
             prompt_tokens: attempt.prompt_tokens(),
             ..STREAM
         };
+        self.hosts[attempt.host].record_arrival(now);
         let loads = &self.hosts[attempt.host];
         let with_capacity = |chain: &Chain| reachable(chain) && !loads.is_full(chain, now);
         let draw = self.rng.random();
@@ -243,7 +244,8 @@
                 let ranks = RANKS.map(route_rank);
                 let rank = RankPosition::of(ranks[attempt.rank], &ranks);
                 let level = Level::of(rank, 0.0, attempt.returning);
-                cfg.decide(level, estimate.memory_fill, self.rng.random()) == Verdict::Admit
+                let load = loads.service_load(&self.chains, &estimate, now);
+                cfg.decide(level, &load, self.rng.random()) == Verdict::Admit
             }
         };
         let window = &mut self.windows[window_of(&attempt)];
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -1,34 +1,32 @@
 //! Admission control of new streams.
 
-use dragonflyrill_fleet::admission::{Level, Rank, Verdict};
+use dragonflyrill_fleet::admission::{Level, Rank, ServiceLoad, Verdict};
 use rand::Rng;
 
 use super::{AdmittedRequest, attempts::Attempts, request_log::Decision};
 use crate::gateway::Gateway;
 
 impl AdmittedRequest {
-    /// Decides on a stream of which nothing has run yet and whose chain would be filled to `memory_fill`. A rejection is
-    /// recorded in `attempts`.
+    /// Decides on a stream of which nothing has run yet. A rejection is recorded in `attempts`.
     pub(super) fn admit_stream(
         &self,
         gateway: &Gateway,
-        memory_fill: f64,
+        load: &ServiceLoad,
         attempts: &mut Attempts,
     ) -> Verdict {
         let Some(admission) = &gateway.settings.admission else {
             return Verdict::Admit;
         };
         // Spares the hash of the request while there is room.
-        if admission.config.admits_all(memory_fill) {
+        if admission.config.admits_all(load.memory_fill) {
             return Verdict::Admit;
         }
         let level = self.level(gateway);
-        let draw = rand::rng().random();
-        let verdict = admission.config.decide(level, memory_fill, draw);
+        let verdict = admission.config.decide(level, load, rand::rng().random());
         if verdict == Verdict::Reject {
             gateway.metrics.rejected(level);
-            self.request_log
-                .record(Decision::Rejected { level, memory_fill });
+            let load = *load;
+            self.request_log.record(Decision::Rejected { level, load });
             self.record_overload(gateway, attempts);
         }
         verdict
--- a/crates/gateway/src/forward/request_log.rs
+++ b/crates/gateway/src/forward/request_log.rs
@@ -13,7 +13,7 @@
 
 use dragonflyrill_fleet::{
     adaptive_timeout::{Doubt, NextRun},
-    admission::Level,
+    admission::{Level, ServiceLoad},
     budget::{BudgetState, RetryReason},
     catalogue::Route,
     token_bucket::TokenBucket,
@@ -63,11 +63,7 @@
         time_left: Duration,
     },
     /// The stream was rejected by admission control.
-    Rejected {
-        level: Level,
-        /// The fraction of its chain's planned memory that would be used with the stream.
-        memory_fill: f64,
-    },
+    Rejected { level: Level, load: ServiceLoad },
     /// A retry was requested from the budget.
     Retry {
         reason: RetryReason,
@@ -126,12 +122,14 @@
                 left_ms = ms(*time_left);
                 "Request is admitted."
             ),
-            Self::Rejected { level, memory_fill } => log::info!(
+            Self::Rejected { level, load } => log::info!(
                 target: "forward",
                 id = id,
                 after_ms = ms(after),
                 level = level.value(),
-                fill_percent = (memory_fill * 100.0) as u64;
+                fill_percent = (load.memory_fill * 100.0) as u64,
+                running = load.running as u64,
+                offered_per_s = load.offered_per_s as u64;
                 "Stream is rejected by admission control."
             ),
             Self::Retry {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     adaptive_timeout::{NextRun, RunTiming},
-    admission::Verdict,
+    admission::{ServiceLoad, Verdict},
     budget::RetryReason,
     catalogue::Engine,
     chains::Chain,
@@ -119,6 +119,8 @@
     expected_first: Duration,
     /// The estimated memory fill of the fullest stage.
     expected_fill: f64,
+    /// The load of the service when the run was planned.
+    load: ServiceLoad,
 }
 
 /// How a run ended.
@@ -134,6 +136,8 @@
         let Some(engine) = self.admitted.service.engine.clone() else {
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
+        let now = self.gateway.now();
+        self.gateway.loads.borrow_mut().record_arrival(now);
         for _ in 0..self.admitted.max_dispatches() + call::EXTRA_ATTEMPTS {
             if !self.admitted.may_dispatch(self.gateway, &mut self.attempts) {
                 break;
@@ -188,9 +192,8 @@
     }
 
     fn admit(&mut self, planned: &PlannedRun) -> Verdict {
-        let (gateway, fill) = (self.gateway, planned.expected_fill);
         self.admitted
-            .admit_stream(gateway, fill, &mut self.attempts)
+            .admit_stream(self.gateway, &planned.load, &mut self.attempts)
     }
 
     fn log_failed_run(&self, chain: &Chain, error: &DispatchError, started: bool) {
@@ -261,6 +264,7 @@
             demand,
             expected_first: Duration::from_secs_f64(estimate.first_event_ms.max(0.0) / 1000.0),
             expected_fill: estimate.memory_fill,
+            load: loads.service_load(&chains, &estimate, now),
         })
     }
 
