--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -26,11 +26,11 @@
 /// Unchecked values of an [`AdmissionConfig`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RawAdmissionConfig {
-    /// See [`AdmissionConfig::ceiling`].
+    /// Fill to which the first level is admitted.
     pub ceiling: f64,
-    /// See [`AdmissionConfig::last_level_ceiling`].
+    /// Fill to which the last level is admitted.
     pub last_level_ceiling: f64,
-    /// See [`AdmissionConfig::floor`].
+    /// Part of the first level's admitted fraction that every level keeps.
     pub floor: f64,
 }
 
--- a/crates/fleet/tests/common/load_model.rs
+++ b/crates/fleet/tests/common/load_model.rs
@@ -30,6 +30,9 @@
 
 pub(crate) const RANKS: [u8; 3] = [0, 1, 2];
 
+/// The service of all streams.
+const SERVICE: &str = "llm";
+
 fn route_rank(priority: u8) -> Rank {
     Rank {
         priority,
@@ -175,7 +178,9 @@
         for host in (turn..self.hosts.len()).step_by(intervals) {
             let data_centre = host % DATA_CENTRES;
             let reported = &mut self.reported[data_centre];
-            let (name, own) = (format!("h{host}"), self.hosts[host].own().clone());
+            let name = format!("h{host}");
+            let mut own = self.hosts[host].own().clone();
+            self.hosts[host].add_arrivals_to(&mut own, now);
             reported.record(&name, &format!("z{data_centre}"), own, now);
             let others = reported.sum_except(&name, now);
             self.hosts[host].apply_update(others, now);
@@ -231,7 +236,7 @@
             prompt_tokens: attempt.prompt_tokens(),
             ..STREAM
         };
-        self.hosts[attempt.host].record_arrival(now);
+        self.hosts[attempt.host].record_arrival(&SERVICE.into(), now);
         let loads = &self.hosts[attempt.host];
         let with_capacity = |chain: &Chain| reachable(chain) && !loads.is_full(chain, now);
         let draw = self.rng.random();
@@ -244,7 +249,7 @@
                 let ranks = RANKS.map(route_rank);
                 let rank = RankPosition::of(ranks[attempt.rank], &ranks);
                 let level = Level::of(rank, 0.0, attempt.returning);
-                let load = loads.service_load(&self.chains, &estimate, now);
+                let load = loads.service_load(SERVICE, &self.chains, &estimate, now);
                 cfg.decide(level, &load, self.rng.random()) == Verdict::Admit
             }
         };
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -137,7 +137,8 @@
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
         let now = self.gateway.now();
-        self.gateway.loads.borrow_mut().record_arrival(now);
+        let service = &self.admitted.service.name;
+        self.gateway.loads.borrow_mut().record_arrival(service, now);
         for _ in 0..self.admitted.max_dispatches() + call::EXTRA_ATTEMPTS {
             if !self.admitted.may_dispatch(self.gateway, &mut self.attempts) {
                 break;
@@ -264,7 +265,7 @@
             demand,
             expected_first: Duration::from_secs_f64(estimate.first_event_ms.max(0.0) / 1000.0),
             expected_fill: estimate.memory_fill,
-            load: loads.service_load(&chains, &estimate, now),
+            load: loads.service_load(&self.admitted.service.name, &chains, &estimate, now),
         })
     }
 
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -228,7 +228,7 @@
             self.polled_host = Some(host.host.clone());
         }
         let mut loads = gateway.loads.borrow().own().clone();
-        gateway.usage.borrow().own_report().add_to(&mut loads);
+        super::add_reports(&gateway, &mut loads);
         let mut offer = self.offer(&loads, true);
         let borrows = host.host < gateway.settings.host;
         let sent_at = gateway.now();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -37,7 +37,7 @@
 use tokio::sync::Notify;
 
 use self::documents::CatalogueDocuments;
-use crate::settings::Settings;
+use crate::{gateway::Gateway, settings::Settings};
 
 /// How long the loads that another host has reported are used.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1500);
@@ -322,6 +322,15 @@
     }
 }
 
+/// Adds to a list of loads what admission control exchanges: the work of workspaces and the arrivals of new streams.
+fn add_reports(gateway: &Gateway, loads: &mut LoadMap) {
+    gateway.usage.borrow().own_report().add_to(loads);
+    if gateway.settings.admission.is_some() {
+        let now = gateway.now();
+        gateway.loads.borrow().add_arrivals_to(loads, now);
+    }
+}
+
 fn to_wire(loads: &LoadMap) -> Vec<EndpointLoad> {
     let one = |(id, load): (&Rc<str>, &Load)| EndpointLoad {
         endpoint: id.to_string(),
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -226,7 +226,7 @@
 fn with_own_loads(gateway: &Gateway, others: LoadMap) -> LoadMap {
     let mut sum = others;
     reported_loads::add(&mut sum, gateway.loads.borrow().own());
-    gateway.usage.borrow().own_report().add_to(&mut sum);
+    super::add_reports(gateway, &mut sum);
     fair_share::limit_named(&mut sum);
     sum
 }
