--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -1,24 +1,23 @@
 //! Decides which new streams are admitted while engines are short of memory.
 //!
 //! Past saturation an engine that gets more requests than fit in its memory preempts running ones
-//! and reads their prompts again, so that all of them end late. A host therefore admits a new
-//! stream only up to a ceiling on the planned memory of its chain, and refuses the rest at once,
+//! and reads their prompts again, so that all of them end late. A host therefore admits new streams
+//! only until the planned memory of the chains is filled to a target, and refuses the rest at once,
 //! before any engine is asked.
 //!
-//! Below the ceiling, requests are shed by [`Level`]: the last level first, each down to a floor.
-//! The decision depends on the loads that all hosts exchange anyway, so that all hosts shed the same
-//! levels at about the same time without a message of their own.
+//! The target depends on the [`Level`] of a stream, so that the last level is shed first, but for a
+//! floor. All hosts see the loads that they exchange, and so shed the same levels at about the same
+//! time.
 
 use std::time::Duration;
 
 use thiserror::Error;
 
-/// How old the loads of other hosts are at most: a report takes two polls of a quarter of a second.
+/// Time in which the chains are to be filled to the target. The loads of other hosts are as old as
+/// this: a report takes two polls of a quarter of a second.
 const HORIZON: Duration = Duration::from_millis(500);
-
 /// Part of the distance between two ranks over which requests of one rank are spread. The rest keeps
-/// the ranks apart: the fills of chains vary by as much, since the loads of other hosts are known
-/// late.
+/// the ranks apart, as the fills of chains vary.
 const WITHIN_RANK_RANGE: f64 = 0.5;
 /// Fraction of a rank's range of levels that a first attempt is behind one that returns when told.
 const FIRST_ATTEMPT_OFFSET: f64 = 0.25;
@@ -37,13 +36,12 @@
 /// Thresholds of admission, as fractions of the memory that is planned with.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AdmissionConfig {
-    /// Fill above which no new stream is admitted. Invariant: at least `last_level_ceiling`.
+    /// Fill to which the first level is admitted. Invariant: at least `last_level_ceiling`.
     ceiling: f64,
-    /// Fill above which the last level is shed. Invariant: at least 1, because a chain that is not
+    /// Fill to which the last level is admitted. Invariant: at least 1, because a chain that is not
     /// full serves every level on time.
     last_level_ceiling: f64,
-    /// Fraction of the requests of a shed level that is still admitted below the ceiling.
-    /// Invariant: in 0..=1.
+    /// Part of the first level's admitted fraction that every level keeps. Invariant: in 0..=1.
     floor: f64,
 }
 
@@ -150,6 +148,37 @@
     }
 }
 
+/// What a host knows of the load of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceLoad {
+    /// Fill of the best chain's planned memory, the new stream included. At saturation all chains are
+    /// about as full.
+    pub memory_fill: f64,
+    /// Number of running requests of all hosts.
+    pub running: f64,
+    /// New streams per second at all hosts.
+    pub offered_per_s: f64,
+    /// Duration of an answer.
+    pub answer: Duration,
+}
+
+impl ServiceLoad {
+    /// The fraction of the new streams that all hosts must admit so that the chains are filled to
+    /// `target_fill` after [`HORIZON`].
+    ///
+    /// All hosts see the same loads, which are as old as the horizon. If each of them admitted
+    /// everything up to the target, all would overfill the chains at the same time, and then all
+    /// reject for as long. So they admit what ends within the horizon, and what is missing to the
+    /// target.
+    fn fraction_to_fill(&self, target_fill: f64) -> f64 {
+        let horizon_s = HORIZON.as_secs_f64();
+        let missing = self.running * (target_fill / self.memory_fill.max(0.01) - 1.0);
+        let ending = self.running * horizon_s / self.answer.as_secs_f64().max(horizon_s);
+        let offered = (self.offered_per_s * horizon_s).max(f64::MIN_POSITIVE);
+        ((missing + ending) / offered).clamp(0.0, 1.0)
+    }
+}
+
 /// The decision on a new stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -175,7 +204,9 @@
 
     /// The fraction of the new streams of a level that is admitted.
     fn admitted_fraction(&self, level: Level, load: &ServiceLoad) -> f64 {
-        if self.admits_all(load.memory_fill) {
+        // Where nothing runs, a stream that exceeds the planned memory by itself gains nothing by
+        // returning later.
+        if self.admits_all(load.memory_fill) || load.running < 1.0 {
             return 1.0;
         }
         let target_of =
@@ -185,34 +216,3 @@
         fraction.max(self.floor * first_level)
     }
 }
-
-/// What a host knows of the load of a service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ServiceLoad {
-    /// Fill of the best chain's planned memory, the new stream included. At saturation all chains are
-    /// about as full.
-    pub memory_fill: f64,
-    /// Number of running requests of all hosts.
-    pub running: f64,
-    /// New streams per second at all hosts.
-    pub offered_per_s: f64,
-    /// Duration of an answer.
-    pub answer: Duration,
-}
-
-impl ServiceLoad {
-    /// The fraction of the new streams that all hosts must admit so that the chains are filled to
-    /// `target_fill` after [`HORIZON`].
-    ///
-    /// All hosts see the same loads, which are as old as the horizon. If each of them admitted
-    /// everything up to the target, all would overfill the chains at the same time, and then all
-    /// reject for as long. So they admit what ends within the horizon, and what is missing to the
-    /// target.
-    fn fraction_to_fill(&self, target_fill: f64) -> f64 {
-        let horizon_s = HORIZON.as_secs_f64();
-        let missing = self.running * (target_fill / self.memory_fill.max(0.01) - 1.0);
-        let ending = self.running * horizon_s / self.answer.as_secs_f64().max(horizon_s);
-        let offered = (self.offered_per_s * horizon_s).max(f64::MIN_POSITIVE);
-        ((missing + ending) / offered).clamp(0.0, 1.0)
-    }
-}
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -122,6 +122,17 @@
     );
 }
 
+/// Guards against a stream that is refused for good because it exceeds the planned memory by itself.
+#[test]
+fn a_large_stream_is_admitted_where_nothing_runs() {
+    let idle = ServiceLoad {
+        running: 0.0,
+        ..load(1.5)
+    };
+    let last = Level::of(position(2, &PRIORITIES), 1.0, false);
+    assert_eq!(config(RAW).decide(last, &idle, 0.99), Verdict::Admit);
+}
+
 /// Guards against hosts that see the same old loads and all fill the same room: at the target fill
 /// only as much is admitted as ends meanwhile, whatever is offered.
 #[test]
