--- a/crates/fleet/src/dispatch_rate.rs
+++ b/crates/fleet/src/dispatch_rate.rs
@@ -10,7 +10,7 @@
 /// Minimum window, because a host that has just started has sent one request in almost no time.
 const MIN_RATE_WINDOW: Duration = Duration::from_millis(250);
 
-/// Recent dispatches of one host.
+/// Recent dispatches of one host, or other events that are counted like them.
 #[derive(Debug, Default)]
 pub struct RecentDispatches {
     /// Times of the dispatches, in ascending order. Invariant: when the last one was recorded, none
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -3,10 +3,13 @@
 
 mod common;
 
+use std::rc::Rc;
+
 use common::{endpoint, engine, ms, name};
 use dragonflyrill_fleet::{
     chains::{self, Chain},
     choice::{self, Load, Loads, RequestDemand},
+    reported_loads::ReportedLoads,
 };
 
 const DEMAND: RequestDemand = RequestDemand {
@@ -286,3 +289,40 @@
         assert!(estimate.first_event_ms.is_finite(), "{estimate:?}");
     }
 }
+
+/// Guards against a host that takes its own arrivals times the number of hosts for those of all, and so rejects more the
+/// busier it is itself: arrivals that others report count while their report is recent.
+#[test]
+fn what_is_offered_is_the_sum_of_the_arrivals_at_all_hosts() {
+    let chains = two_chains();
+    let service: Rc<str> = "llm".into();
+    let new = || {
+        let mut loads = Loads::default();
+        loads.hosts = 3;
+        loads
+    };
+    let (mut busy, mut idle) = (new(), new());
+    for n in 0..40 {
+        busy.record_arrival(&service, ms(n * 50));
+    }
+    let now = ms(1950);
+    let mut reported = ReportedLoads::new(ms(1500));
+    let mut report = busy.own().clone();
+    busy.add_arrivals_to(&mut report, now);
+    reported.record("h1", "z1", report, now);
+    idle.apply_update(reported.sum(now), now);
+    let offered = |loads: &Loads, at| {
+        let choice = choice::choose(&chains, loads, &DEMAND, at, 0.0, |_| true);
+        let estimate = choice.expect("all chains are usable").estimate;
+        let load = loads.service_load(&service, &chains, &estimate, at);
+        load.offered_per_s
+    };
+    let per_s = offered(&idle, now);
+    assert!((19.0..=21.0).contains(&per_s), "{per_s}");
+    assert_eq!(offered(&idle, now + ms(1500)), 0.0, "the report is old");
+    let alone = offered(&busy, now);
+    assert!(
+        (57.0..=63.0).contains(&alone),
+        "{alone}: three hosts like this one"
+    );
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -425,8 +425,7 @@
         self.loads.borrow_mut().hosts = hosts;
     }
 
-    /// How far a workspace is above its fair share of the work of all hosts: 0.0 up to its share, and if nothing is known
-    /// of it, to 1.0.
+    /// How far a workspace is above its fair share of the work of all hosts, from 0 to 1; 0 if nothing is known of it.
     pub fn workspace_excess(&self, workspace: &str) -> f64 {
         self.usage.borrow().excess(workspace, self.now())
     }
