Return slots: without a clock, returns are spread over what callers follow

Callers with little time left were all told the latest time that they follow. Found by its test, which assumed the earlier default period like some others; these state their period now, and their bounds follow from it.

--- a/crates/fleet/src/return_slots.rs
+++ b/crates/fleet/src/return_slots.rs
@@ -152,7 +152,8 @@
         let first = longest.saturating_sub(self.period).max(MIN_DELAY);
         let Some(clock) = clock else {
             // The same range as with a known clock, as far as the caller follows it.
-            return (first + self.period.mul_f64(draw)).min(longest);
+            let spread = longest.saturating_sub(first);
+            return (first + spread.mul_f64(draw)).min(longest);
         };
         let offset = self.slot.mul_f64(EARLY_MARGIN + AIMED_PART * draw);
         let target = self.slot * self.slot_index(fingerprint) + offset;
