Catalogue: ranks that no request can have take no part of the levels

Where each workspace has a priority, the ranks of requests without one lay between those of the kinds of streams.

--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -224,14 +224,16 @@
 
 /// The ranks that streams for each service may have, ascending and distinct.
 fn ranks(parts: &CatalogueParts) -> FxHashMap<Rc<str>, Vec<Rank>> {
-    let mut overrides: Vec<Option<u8>> = parts.keys.iter().map(|(_, w)| w.priority).collect();
-    overrides.push(None);
-    overrides.sort_unstable();
-    overrides.dedup();
+    let mut of_workspaces: Vec<Option<u8>> = parts.keys.iter().map(|(_, w)| w.priority).collect();
+    of_workspaces.sort_unstable();
+    of_workspaces.dedup();
     let mut ranks: FxHashMap<Rc<str>, Vec<Rank>> = FxHashMap::default();
     let routes = parts.routes.iter().map(|(_, route)| route);
     for route in routes.filter(|r| matches!(r.kind, RouteKind::Stream { .. })) {
-        let of_route = overrides.iter().map(|priority| Rank {
+        // Callers of other routes have a workspace, and its priority.
+        let without_workspace = (route.anonymous || !parts.needs_keys).then_some(None);
+        let priorities = of_workspaces.iter().copied().chain(without_workspace);
+        let of_route = priorities.map(|priority| Rank {
             priority: priority.unwrap_or(route.priority),
             route_priority: route.priority,
         });
--- a/crates/fleet/tests/catalogue.rs
+++ b/crates/fleet/tests/catalogue.rs
@@ -190,3 +190,28 @@
         RankPosition::ONLY
     );
 }
+
+/// Guards against ranks that no request has: where each workspace has a priority, they would lie between those of the
+/// kinds of streams and leave less distance for these. Callers of an anonymous route may have no workspace.
+#[test]
+fn ranks_without_a_workspace_count_only_where_callers_need_none() {
+    let llm = service("llm");
+    let routes = || {
+        vec![
+            prioritised(STREAM, 0, &[&llm]),
+            prioritised(STREAM, 2, &[&llm]),
+        ]
+    };
+    let positions = |catalogue: &Catalogue, ranks: &[Rank]| {
+        for of_request in ranks {
+            let expected = RankPosition::of(*of_request, ranks);
+            assert_eq!(catalogue.rank_position("llm", *of_request), expected);
+        }
+    };
+    let all_with_priority = with_ranks(routes(), &[Some(1), Some(1)]);
+    positions(&all_with_priority, &[rank(1, 0), rank(1, 2)]);
+    let mut anonymous = routes();
+    anonymous[1].1.anonymous = true;
+    let one_anonymous = with_ranks(anonymous, &[Some(1)]);
+    positions(&one_anonymous, &[rank(1, 0), rank(1, 2), rank(2, 2)]);
+}
