Admission: a rank's range of levels is its range in the demand; the load is summed up only where it decides

The sum of the loads was made for each planned run, also without admission control; now only above the last level's ceiling.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -16,8 +16,8 @@
 /// Time in which the chains are to be filled to the target. The loads of other hosts are as old as
 /// this: a report takes two polls of a quarter of a second.
 const HORIZON: Duration = Duration::from_millis(500);
-/// Part of the distance between two ranks over which requests of one rank are spread. The rest keeps
-/// the ranks apart, as the fills of chains vary.
+/// Part of a rank's range of levels over which its requests are spread. The rest keeps the ranks
+/// apart, as the fills of chains vary.
 const WITHIN_RANK_RANGE: f64 = 0.5;
 /// Fraction of a rank's range of levels that a first attempt is behind one that returns when told.
 const FIRST_ATTEMPT_OFFSET: f64 = 0.25;
@@ -97,29 +97,21 @@
     pub route_priority: u8,
 }
 
-/// Position of a rank among the ranks that requests for a service may have.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Position of a rank in the demand for a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RankPosition {
-    /// Number of ranks that are more urgent. Invariant: less than `count`.
-    index: u32,
-    /// Number of ranks. Invariant: at least 1.
-    count: u32,
+    /// Fraction of the demand that is more urgent. Invariant: `more_urgent + share` is at most 1.
+    pub(crate) more_urgent: f64,
+    /// Fraction of the demand that has this rank.
+    pub(crate) share: f64,
 }
 
 impl RankPosition {
     /// The only rank.
-    pub const ONLY: Self = Self { index: 0, count: 1 };
-
-    /// The position of a rank among the ranks of a service, in ascending order. A rank that is not
-    /// among them takes the position of the next less urgent one, or the last.
-    pub fn of(rank: Rank, ranks: &[Rank]) -> Self {
-        let count = ranks.len().max(1);
-        let more_urgent = ranks.partition_point(|r| *r < rank);
-        Self {
-            index: more_urgent.min(count - 1) as u32,
-            count: count as u32,
-        }
-    }
+    pub const ONLY: Self = Self {
+        more_urgent: 0.0,
+        share: 1.0,
+    };
 }
 
 /// How early a request is shed when memory is short: 0 last, 1 first.
@@ -129,17 +121,15 @@
 impl Level {
     /// The level of a request.
     ///
-    /// The rank decides first. Within a rank follow the `excess` of the request's workspace over
+    /// The rank decides first: its range of levels is the range that it has in the demand, so that
+    /// ranks with little demand take little of the room between the others. Within a rank follow the `excess` of the request's workspace over
     /// its fair share, from 0 to 1, and whether the request is `returning` at the time that it was
     /// told when it was refused. So no workspace, however large, puts its requests behind those of a
     /// less urgent rank.
     pub fn of(rank: RankPosition, excess: f64, returning: bool) -> Self {
         let offset = if returning { 0.0 } else { FIRST_ATTEMPT_OFFSET };
         let within_rank = offset + (1.0 - offset) * excess.clamp(0.0, 1.0);
-        let rank_units = f64::from(rank.index) + WITHIN_RANK_RANGE * within_rank;
-        // The last rank ends at 1; a single rank ends at half, as nothing has to stay behind it.
-        let all_units = (f64::from(rank.count) - 1.0 + WITHIN_RANK_RANGE).max(1.0);
-        Self(rank_units / all_units)
+        Self(rank.more_urgent + rank.share * WITHIN_RANK_RANGE * within_rank)
     }
 
     /// The level as a number from 0 to 1.
--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -4,11 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::{
-    admission::{Rank, RankPosition},
-    endpoints::Endpoint,
-    layers::LayerRange,
-};
+use crate::{admission::Rank, endpoints::Endpoint, layers::LayerRange};
 
 /// One version of the catalogue; immutable after it is read.
 #[derive(Debug, Clone, Default)]
@@ -293,10 +289,9 @@
         self.services.get(name)
     }
 
-    /// The position of a rank among those that streams for a service may have.
-    pub fn rank_position(&self, service: &str, rank: Rank) -> RankPosition {
-        let of_service = self.ranks.get(service).map_or(&[][..], Vec::as_slice);
-        RankPosition::of(rank, of_service)
+    /// The ranks that streams for a service may have, ascending and distinct.
+    pub fn ranks(&self, service: &str) -> &[Rank] {
+        self.ranks.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Iterates over all services, in no particular order.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,7 +15,8 @@
 //! - [`layers`] has ranges of the layers of a model; [`chains`] finds chains of endpoints that cover all
 //!   layers; [`choice`] selects one of them for a request; [`dispatch_rate`] estimates what other hosts
 //!   have sent since their last report.
-//! - [`admission`] decides which new streams are admitted while engines are short of memory.
+//! - [`admission`] decides which new streams are admitted while engines are short of memory; [`rank_demand`]
+//!   measures which part of the demand is more urgent than a stream.
 //! - [`reported_loads`] sums the loads that other hosts have reported.
 //! - [`reported_loads`] sums the loads that other hosts have reported; [`fair_share`] computes from them how far a
 //!   workspace is above its fair share.
@@ -55,6 +56,7 @@
 pub mod placement;
 pub mod probing;
 pub mod quarantine;
+pub mod rank_demand;
 pub mod reported_loads;
 pub mod return_slots;
 pub mod row_writes;
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use dragonflyrill_fleet::admission::{
-    AdmissionConfig, AdmissionConfigError, Level, Rank, RankPosition, RawAdmissionConfig,
-    ServiceLoad, Verdict,
+use dragonflyrill_fleet::{
+    admission::{
+        AdmissionConfig, AdmissionConfigError, Level, Rank, RankPosition, RawAdmissionConfig,
+        ServiceLoad, Verdict,
+    },
+    rank_demand::RankDemand,
 };
 use proptest::prelude::*;
 
@@ -52,7 +55,7 @@
 
 fn position(priority: u8, priorities: &[u8]) -> RankPosition {
     let ranks: Vec<Rank> = priorities.iter().copied().map(rank).collect();
-    RankPosition::of(rank(priority), &ranks)
+    RankDemand::default().position(rank(priority), &ranks)
 }
 
 /// Level of a first attempt of a workspace within its share.
@@ -195,7 +198,8 @@
         route_priority,
     };
     let ascending = [rank(0, 1), rank(0, 2), rank(1, 0), rank(1, 1)];
-    let levels = ascending.map(|r| Level::of(RankPosition::of(r, &ascending), 1.0, false));
+    let levels =
+        ascending.map(|r| Level::of(RankDemand::default().position(r, &ascending), 1.0, false));
     assert!(levels.is_sorted_by(|a, b| a < b), "{levels:?}");
 }
 
--- a/crates/fleet/tests/catalogue.rs
+++ b/crates/fleet/tests/catalogue.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
-    admission::{Rank, RankPosition},
+    admission::Rank,
     catalogue::{CallerLimits, Catalogue, CatalogueParts, Route, RouteKind, Service, Workspace},
 };
 
@@ -138,19 +138,9 @@
         prioritised(STREAM, 5, &[&llm]),
     ];
     let catalogue = with_ranks(routes, &[None]);
-    let ranks = [rank(2, 2), rank(5, 5)];
-    for of_route in ranks {
-        let expected = RankPosition::of(of_route, &ranks);
-        assert_eq!(catalogue.rank_position("llm", of_route), expected);
-    }
-    assert_eq!(
-        catalogue.rank_position("other", rank(2, 2)),
-        RankPosition::ONLY
-    );
-    assert_eq!(
-        catalogue.rank_position("unknown", rank(7, 7)),
-        RankPosition::ONLY
-    );
+    assert_eq!(catalogue.ranks("llm"), [rank(2, 2), rank(5, 5)]);
+    assert_eq!(catalogue.ranks("other"), [rank(2, 2)]);
+    assert_eq!(catalogue.ranks("unknown"), []);
 }
 
 /// Guards against calls whose priorities shift the levels of streams, as calls are not admitted by
@@ -163,11 +153,8 @@
         prioritised(RouteKind::Idempotent, 0, &[&llm]),
         prioritised(RouteKind::NonIdempotent, 9, &[&llm]),
     ];
-    let catalogue = with_ranks(routes, &[]);
-    assert_eq!(
-        catalogue.rank_position("llm", rank(1, 1)),
-        RankPosition::ONLY
-    );
+    let catalogue = with_ranks(routes, &[None]);
+    assert_eq!(catalogue.ranks("llm"), [rank(1, 1)]);
 }
 
 /// Guards against a workspace whose priority precedes that of the route but has no position of its
@@ -180,15 +167,8 @@
         prioritised(RouteKind::Idempotent, 1, &[&app]),
     ];
     let catalogue = with_ranks(routes, &[Some(3), None, Some(0), Some(3)]);
-    let ranks = [rank(0, 1), rank(1, 1), rank(3, 1)];
-    for of_workspace in ranks {
-        let expected = RankPosition::of(of_workspace, &ranks);
-        assert_eq!(catalogue.rank_position("llm", of_workspace), expected);
-    }
-    assert_eq!(
-        catalogue.rank_position("app", rank(3, 1)),
-        RankPosition::ONLY
-    );
+    assert_eq!(catalogue.ranks("llm"), [rank(0, 1), rank(1, 1), rank(3, 1)]);
+    assert_eq!(catalogue.ranks("app"), []);
 }
 
 /// Guards against ranks that no request has: where each workspace has a priority, they would lie between those of the
@@ -202,16 +182,13 @@
             prioritised(STREAM, 2, &[&llm]),
         ]
     };
-    let positions = |catalogue: &Catalogue, ranks: &[Rank]| {
-        for of_request in ranks {
-            let expected = RankPosition::of(*of_request, ranks);
-            assert_eq!(catalogue.rank_position("llm", *of_request), expected);
-        }
-    };
     let all_with_priority = with_ranks(routes(), &[Some(1), Some(1)]);
-    positions(&all_with_priority, &[rank(1, 0), rank(1, 2)]);
+    assert_eq!(all_with_priority.ranks("llm"), [rank(1, 0), rank(1, 2)]);
     let mut anonymous = routes();
     anonymous[1].1.anonymous = true;
     let one_anonymous = with_ranks(anonymous, &[Some(1)]);
-    positions(&one_anonymous, &[rank(1, 0), rank(1, 2), rank(2, 2)]);
+    assert_eq!(
+        one_anonymous.ranks("llm"),
+        [rank(1, 0), rank(1, 2), rank(2, 2)]
+    );
 }
--- a/crates/fleet/tests/common/load_model.rs
+++ b/crates/fleet/tests/common/load_model.rs
@@ -6,9 +6,10 @@
 use std::{ops::Range, rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
-    admission::{AdmissionConfig, Level, Rank, RankPosition, Verdict},
+    admission::{AdmissionConfig, Level, Rank, Verdict},
     chains::Chain,
     choice::{self, Choice, Loads, RequestDemand},
+    rank_demand::RankDemand,
     reported_loads::ReportedLoads,
 };
 use rand::{Rng, SeedableRng};
@@ -98,6 +99,8 @@
     chains: Vec<Chain>,
     models: Vec<ChainModel>,
     hosts: Vec<Loads>,
+    /// Demand by rank that each host has measured.
+    demand: Vec<RankDemand>,
     /// Reports received in each data centre.
     reported: Vec<ReportedLoads>,
     /// Refused attempts with the time at which they return.
@@ -116,6 +119,7 @@
         hosts: (0..scenario.hosts)
             .map(|_| new_host(scenario.hosts))
             .collect(),
+        demand: (0..scenario.hosts).map(|_| RankDemand::default()).collect(),
         reported: (0..DATA_CENTRES)
             .map(|_| ReportedLoads::new(REPORT_TTL))
             .collect(),
@@ -190,6 +194,7 @@
     /// Engines end the requests of hosts that they lose.
     fn restart_hosts(&mut self) {
         self.hosts.fill_with(|| new_host(self.scenario.hosts));
+        self.demand.fill_with(RankDemand::default);
         self.reported.fill_with(|| ReportedLoads::new(REPORT_TTL));
         for model in &mut self.models {
             model.running.clear();
@@ -236,7 +241,9 @@
             prompt_tokens: attempt.prompt_tokens(),
             ..STREAM
         };
+        let ranks = RANKS.map(route_rank);
         self.hosts[attempt.host].record_arrival(&SERVICE.into(), now);
+        self.demand[attempt.host].record(ranks[attempt.rank], now);
         let loads = &self.hosts[attempt.host];
         let with_capacity = |chain: &Chain| reachable(chain) && !loads.is_full(chain, now);
         let draw = self.rng.random();
@@ -246,8 +253,8 @@
         let admitted = match self.scenario.rule {
             Rule::MaxFill(fill) => estimate.memory_fill <= fill,
             Rule::Admission(cfg) => {
-                let ranks = RANKS.map(route_rank);
-                let rank = RankPosition::of(ranks[attempt.rank], &ranks);
+                let demand = &self.demand[attempt.host];
+                let rank = demand.position(ranks[attempt.rank], &ranks);
                 let level = Level::of(rank, 0.0, attempt.returning);
                 let load = loads.service_load(SERVICE, &self.chains, &estimate, now);
                 cfg.decide(level, &load, self.rng.random()) == Verdict::Admit
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{
     adaptive_timeout::{NextRun, RunTiming},
-    admission::{ServiceLoad, Verdict},
+    admission::Verdict,
     budget::RetryReason,
     catalogue::Engine,
     chains::Chain,
-    choice::{self, Choice, RequestDemand},
+    choice::{self, Choice, Estimate, RequestDemand},
     layers::LayerRange,
 };
 use rand::Rng;
@@ -115,12 +115,15 @@
     chain: Chain,
     /// The resources and latency targets of the run.
     demand: RequestDemand,
-    /// The expected time to its first event.
-    expected_first: Duration,
-    /// The estimated memory fill of the fullest stage.
-    expected_fill: f64,
-    /// The load of the service when the run was planned.
-    load: ServiceLoad,
+    /// The estimated service by the chain.
+    estimate: Estimate,
+}
+
+impl PlannedRun {
+    /// The expected time to the first event.
+    fn expected_first(&self) -> Duration {
+        Duration::from_secs_f64(self.estimate.first_event_ms.max(0.0) / 1000.0)
+    }
 }
 
 /// How a run ended.
@@ -136,9 +139,8 @@
         let Some(engine) = self.admitted.service.engine.clone() else {
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
-        let now = self.gateway.now();
         let service = &self.admitted.service.name;
-        self.gateway.loads.borrow_mut().record_arrival(service, now);
+        self.gateway.count_stream(service, self.admitted.rank());
         for _ in 0..self.admitted.max_dispatches() + call::EXTRA_ATTEMPTS {
             if !self.admitted.may_dispatch(self.gateway, &mut self.attempts) {
                 break;
@@ -164,7 +166,7 @@
             self.tried_chains.push(planned.chain.key);
             let after_event = out.started().then(|| self.events.last()).flatten();
             let to = planned.chain.to_string();
-            let (first, fill) = (planned.expected_first, planned.expected_fill);
+            let (first, fill) = (planned.expected_first(), planned.estimate.memory_fill);
             self.admitted
                 .request_log
                 .record_dispatch(to, first, fill, after_event);
@@ -177,7 +179,9 @@
                     self.attempts.record_failed_attempt(error.clone());
                     self.sending.set(false);
                     self.record_terminations(&planned.chain, &error).await;
-                    if matches!(error, DispatchError::NotRun(_)) && planned.expected_fill > 1.0 {
+                    if matches!(error, DispatchError::NotRun(_))
+                        && planned.estimate.memory_fill > 1.0
+                    {
                         self.admitted
                             .record_overload(self.gateway, &mut self.attempts);
                     }
@@ -194,7 +198,7 @@
 
     fn admit(&mut self, planned: &PlannedRun) -> Verdict {
         self.admitted
-            .admit_stream(self.gateway, &planned.load, &mut self.attempts)
+            .admit_stream(self.gateway, &planned.estimate, &mut self.attempts)
     }
 
     fn log_failed_run(&self, chain: &Chain, error: &DispatchError, started: bool) {
@@ -263,9 +267,7 @@
         Some(PlannedRun {
             chain: chains[index].clone(),
             demand,
-            expected_first: Duration::from_secs_f64(estimate.first_event_ms.max(0.0) / 1000.0),
-            expected_fill: estimate.memory_fill,
-            load: loads.service_load(&self.admitted.service.name, &chains, &estimate, now),
+            estimate,
         })
     }
 
@@ -305,7 +307,7 @@
             may_retry: self.admitted.may_dispatch_again(&self.attempts),
             first_event_target: route.latency_target,
             max_gap: route.gap_target,
-            expected_first: planned.expected_first,
+            expected_first: planned.expected_first(),
             waited_before: self
                 .last_event_at
                 .unwrap_or(self.admitted.received_at)
@@ -529,7 +531,7 @@
             sent: target.sending.get(),
             dispatch_allowed: self.admitted.may_dispatch_again(&self.attempts),
             retry_left: gateway.may_retry(&self.admitted.service.name, RetryReason::Loss),
-            memory_fill: planned.map(|run| run.expected_fill),
+            memory_fill: planned.map(|run| run.estimate.memory_fill),
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,17 +20,18 @@
 use actix_http::ServiceConfig;
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    admission::{Rank, RankPosition},
+    admission::{Rank, RankPosition, ServiceLoad},
     budget::{BudgetState, RetryReason},
     catalogue::{Catalogue, Engine, Service},
     chains::{Chain, ChainFinder},
-    choice::Loads,
+    choice::{Estimate, Loads},
     endpoint_limits::EndpointLimits,
     endpoints::{Directory, EndpointCounts},
     fair_share::WorkspaceUsage,
     freshness::Freshness,
     outage::StoreOutage,
     quarantine::Quarantine,
+    rank_demand::RankDemand,
     share,
     store_access::StoreAccess,
 };
@@ -132,6 +133,8 @@
     pub loads: RefCell<Loads>,
     /// Work under way of each workspace.
     pub usage: RefCell<WorkspaceUsage>,
+    /// Recent streams by service and rank.
+    rank_demand: RefCell<FxHashMap<Rc<str>, RankDemand>>,
     /// Number of live hosts, including this one.
     pub hosts: Cell<u32>,
     /// Idle connections to endpoints.
@@ -199,6 +202,7 @@
             endpoints_known: Cell::new(false),
             loads: RefCell::default(),
             usage: RefCell::new(usage),
+            rank_demand: RefCell::default(),
             hosts: Cell::new(1),
             idle: IdleConnections::default(),
             metrics: Metrics::default(),
@@ -430,12 +434,31 @@
         self.usage.borrow().excess(workspace, self.now())
     }
 
-    /// The position of a rank among those that streams for a service may have.
+    /// Counts a new stream for a service, whether it will be admitted or not.
+    pub fn count_stream(&self, service: &Rc<str>, rank: Rank) {
+        let now = self.now();
+        self.loads.borrow_mut().record_arrival(service, now);
+        let mut demand = self.rank_demand.borrow_mut();
+        demand.entry(service.clone()).or_default().record(rank, now);
+    }
+
+    /// The load of a service, by the estimate for the best chain; zero if the service has no engines.
+    pub fn service_load(&self, service: &Service, estimate: &Estimate) -> ServiceLoad {
+        let engine = service.engine.as_ref();
+        let chains = engine.map(|engine| self.chains(&service.name, engine));
+        let chains = chains.as_ref().map_or(&[][..], |c| &c[..]);
+        let loads = self.loads.borrow();
+        loads.service_load(&service.name, chains, estimate, self.now())
+    }
+
+    /// The position of a rank in the demand for a service.
     pub fn rank_position(&self, service: &str, rank: Rank) -> RankPosition {
         let catalogue = self.catalogue.borrow();
-        catalogue
-            .as_ref()
-            .map_or(RankPosition::ONLY, |c| c.rank_position(service, rank))
+        let ranks = catalogue.as_ref().map_or(&[][..], |c| c.ranks(service));
+        let demand = self.rank_demand.borrow();
+        demand
+            .get(service)
+            .map_or(RankPosition::ONLY, |d| d.position(rank, ranks))
     }
 
     /// The chains of a service's usable endpoints. They are cached until the directory changes or
