--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     admission::ServiceLoad,
+    arrivals::Arrivals,
     chains::{Chain, Stage},
     dispatch_rate::RecentDispatches,
 };
@@ -26,9 +27,6 @@
 /// Fraction of an endpoint's memory that is planned with, because answer lengths vary widely.
 const PLANNED_MEMORY_FRACTION: f64 = 0.9;
 
-/// What precedes the name of a service in the id of the entry with the arrivals of its new streams.
-const ARRIVALS_PREFIX: &str = "arrivals/";
-
 /// Resources and latency targets of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestDemand {
@@ -94,10 +92,8 @@
     full_until: FxHashMap<Rc<str>, Duration>,
     /// Recent dispatches of this host.
     dispatches: RecentDispatches,
-    /// Recent new streams at this host by service, whether they were admitted or not.
-    arrivals: FxHashMap<Rc<str>, RecentDispatches>,
-    /// New streams per second that the other hosts last reported, by service.
-    others_arrivals: FxHashMap<Rc<str>, f64>,
+    /// New streams.
+    pub arrivals: Arrivals,
     /// Number of hosts that send requests, including this one.
     pub hosts: u32,
 }
@@ -130,33 +126,12 @@
         self.dispatches.record(now);
     }
 
-    /// Records that a new stream for a service has arrived at this host.
-    pub fn record_arrival(&mut self, service: &Rc<str>, now: Duration) {
-        let arrivals = self.arrivals.entry(service.clone()).or_default();
-        arrivals.record(now);
-    }
-
-    /// Adds the arrivals at this host to a list of loads, which may be a sum that contains those of
-    /// other hosts. Hosts that don't know these entries pass them on as loads of unknown endpoints.
-    pub fn add_arrivals_to(&self, loads: &mut LoadMap, now: Duration) {
-        for (service, arrivals) in &self.arrivals {
-            let entry = loads.entry(format!("{ARRIVALS_PREFIX}{service}").into());
-            let sum = entry.or_default();
-            *sum = sum.plus(Load {
-                requests: arrivals.per_s(now),
-                token_layers: 0.0,
-            });
-        }
-    }
-
     /// New streams per second for a service at all hosts, as far as known. Without a recent report,
     /// each other host is assumed to receive as many as this one.
     fn offered_per_s(&self, service: &str, now: Duration) -> f64 {
-        let own = self.arrivals.get(service).map_or(0.0, |a| a.per_s(now));
+        let own = self.arrivals.own_per_s(service, now);
         match self.others_updated_at {
-            Some(at) if at + MAX_REPORT_AGE > now => {
-                own + self.others_arrivals.get(service).copied().unwrap_or(0.0)
-            }
+            Some(at) if at + MAX_REPORT_AGE > now => own + self.arrivals.others_per_s(service),
             _ => own * f64::from(self.hosts.max(1)),
         }
     }
@@ -241,14 +216,7 @@
 
     /// Replaces the loads caused by the other hosts by those received at `now`.
     pub fn apply_update(&mut self, mut others: LoadMap, now: Duration) {
-        self.others_arrivals.clear();
-        others.retain(|id, load| {
-            let Some(service) = id.strip_prefix(ARRIVALS_PREFIX) else {
-                return true;
-            };
-            self.others_arrivals.insert(service.into(), load.requests);
-            false
-        });
+        self.arrivals.take_from(&mut others);
         self.others = others;
         self.others_updated_at = Some(now);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,7 @@
 //!   layers; [`choice`] selects one of them for a request; [`dispatch_rate`] estimates what other hosts
 //!   have sent since their last report.
 //! - [`admission`] decides which new streams are admitted while engines are short of memory; [`rank_demand`]
-//!   measures which part of the demand is more urgent than a stream.
+//!   measures which part of the demand is more urgent than a stream, [`arrivals`] how many streams come to all hosts.
 //! - [`reported_loads`] sums the loads that other hosts have reported.
 //! - [`reported_loads`] sums the loads that other hosts have reported; [`fair_share`] computes from them how far a
 //!   workspace is above its fair share.
@@ -37,6 +37,7 @@
 
 pub mod adaptive_timeout;
 pub mod admission;
+pub mod arrivals;
 pub mod budget;
 pub mod catalogue;
 pub mod chains;
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -303,12 +303,12 @@
     };
     let (mut busy, mut idle) = (new(), new());
     for n in 0..40 {
-        busy.record_arrival(&service, ms(n * 50));
+        busy.arrivals.record(&service, ms(n * 50));
     }
     let now = ms(1950);
     let mut reported = ReportedLoads::new(ms(1500));
     let mut report = busy.own().clone();
-    busy.add_arrivals_to(&mut report, now);
+    busy.arrivals.add_to(&mut report, now);
     reported.record("h1", "z1", report, now);
     idle.apply_update(reported.sum(now), now);
     let offered = |loads: &Loads, at| {
--- a/crates/fleet/tests/common/load_model.rs
+++ b/crates/fleet/tests/common/load_model.rs
@@ -184,7 +184,7 @@
             let reported = &mut self.reported[data_centre];
             let name = format!("h{host}");
             let mut own = self.hosts[host].own().clone();
-            self.hosts[host].add_arrivals_to(&mut own, now);
+            self.hosts[host].arrivals.add_to(&mut own, now);
             reported.record(&name, &format!("z{data_centre}"), own, now);
             let others = reported.sum_except(&name, now);
             self.hosts[host].apply_update(others, now);
@@ -242,7 +242,9 @@
             ..STREAM
         };
         let ranks = RANKS.map(route_rank);
-        self.hosts[attempt.host].record_arrival(&SERVICE.into(), now);
+        self.hosts[attempt.host]
+            .arrivals
+            .record(&SERVICE.into(), now);
         self.demand[attempt.host].record(ranks[attempt.rank], now);
         let loads = &self.hosts[attempt.host];
         let with_capacity = |chain: &Chain| reachable(chain) && !loads.is_full(chain, now);
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -3,19 +3,14 @@
 //! Complete events are relayed as they arrive. If a run breaks off or stalls and the route allows it, a run on
 //! another chain continues the same answer after the last event that was relayed.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+mod plan;
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    adaptive_timeout::{NextRun, RunTiming},
-    admission::Verdict,
-    budget::RetryReason,
-    catalogue::Engine,
-    chains::Chain,
-    choice::{self, Choice, Estimate, RequestDemand},
-    layers::LayerRange,
+    admission::Verdict, budget::RetryReason, chains::Chain, layers::LayerRange,
 };
-use rand::Rng;
 use tokio::time::{self, Instant};
 
 use super::{
@@ -30,13 +25,9 @@
     send::{self, Answer, Deadlines, DispatchError, Target},
     termination,
 };
-use crate::{gateway::Gateway, http::callers::Responder, ports::RequestMetadata};
+use crate::{gateway::Gateway, http::callers::Responder};
+use plan::PlannedRun;
 
-/// The estimated memory fill of its fullest stage above which a chain gets no requests. Requests end early as
-/// often as late, so a chain that is estimated to be full may still have free capacity.
-const MAX_MEMORY_FILL: f64 = 1.6;
-/// The minimum time that is assumed to be left for an event to meet its target.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 /// The maximum size of the body of an answer that is not a success.
 const MAX_ERROR_ANSWER_BYTES: usize = 256 * 1024;
 
@@ -110,22 +101,6 @@
     progress: RunProgress,
 }
 
-/// The next run of a stream.
-struct PlannedRun {
-    chain: Chain,
-    /// The resources and latency targets of the run.
-    demand: RequestDemand,
-    /// The estimated service by the chain.
-    estimate: Estimate,
-}
-
-impl PlannedRun {
-    /// The expected time to the first event.
-    fn expected_first(&self) -> Duration {
-        Duration::from_secs_f64(self.estimate.first_event_ms.max(0.0) / 1000.0)
-    }
-}
-
 /// How a run ended.
 enum RunEnd {
     /// The stream is complete.
@@ -233,88 +208,6 @@
         termination::record_terminations(self.gateway, self.admitted, run).await;
     }
 
-    /// Plans the next run; `None` if no chain can accept it.
-    fn plan_run(&mut self, engine: &Engine) -> Option<PlannedRun> {
-        let gateway = self.gateway;
-        let chains = gateway.chains(&self.admitted.service.name, engine);
-        let now = gateway.now();
-        let demand = self.demand(engine);
-        let loads = gateway.loads.borrow();
-        let without_permit = gateway.without_permit(&self.admitted.service.name);
-        let permitted =
-            |chain: &Chain| !chain.stages.iter().any(|p| without_permit.contains(&p.id));
-        let untried = |chain: &Chain| !self.tried_chains.contains(&chain.key) && permitted(chain);
-        let with_capacity = |chain: &Chain| untried(chain) && !loads.is_full(chain, now);
-        let draw = rand::rng().random();
-        let chosen = choice::choose(&chains, &loads, &demand, now, draw, with_capacity)
-            .or_else(|| choice::choose(&chains, &loads, &demand, now, draw, untried));
-        let Some(Choice { index, estimate }) = chosen else {
-            if !chains.is_empty() && !without_permit.is_empty() {
-                self.attempts.record_not_sent(Refusal::AtLimit);
-            } else if chains.is_empty()
-                && let Some(remaining) = gateway.shortest_backoff(&self.admitted.service.name)
-            {
-                self.attempts.record_backoff(remaining);
-            }
-            return None;
-        };
-        if estimate.memory_fill > MAX_MEMORY_FILL {
-            let short = Refusal::NoEndpoint("memory is short everywhere");
-            self.attempts.record_not_sent(short);
-            self.admitted.record_overload(gateway, &mut self.attempts);
-            return None;
-        }
-        Some(PlannedRun {
-            chain: chains[index].clone(),
-            demand,
-            estimate,
-        })
-    }
-
-    /// The resources and latency targets of the next run.
-    fn demand(&self, engine: &Engine) -> RequestDemand {
-        let RequestMetadata {
-            tokens,
-            expected_answer_tokens,
-            ..
-        } = self.admitted.incoming;
-        let prompt_tokens = tokens.map_or(engine.typical_prompt_tokens, |(prompt, _)| {
-            f64::from(prompt)
-        });
-        let max_tokens = tokens.map_or(f64::INFINITY, |(_, max_tokens)| f64::from(max_tokens));
-        let route = &self.admitted.route;
-        let on_time = match self.last_event_at {
-            Some(at) => at + route.gap_target,
-            None => self.admitted.received_at + route.latency_target,
-        };
-        let left = on_time.saturating_duration_since(Instant::now());
-        RequestDemand {
-            prompt_tokens,
-            answer_tokens: expected_answer_tokens
-                .map_or(engine.typical_answer_tokens, f64::from)
-                .min(max_tokens),
-            first_event_target_ms: ms(left.max(MIN_TIME_LEFT)),
-            max_gap_ms: ms(route.gap_target),
-            tokens_per_event: engine.tokens_per_event,
-        }
-    }
-
-    /// The timing of a run that is dispatched now.
-    fn timing(&self, planned: &PlannedRun) -> RunTiming {
-        let route = &self.admitted.route;
-        RunTiming {
-            started: false,
-            may_retry: self.admitted.may_dispatch_again(&self.attempts),
-            first_event_target: route.latency_target,
-            max_gap: route.gap_target,
-            expected_first: planned.expected_first(),
-            waited_before: self
-                .last_event_at
-                .unwrap_or(self.admitted.received_at)
-                .elapsed(),
-        }
-    }
-
     async fn run_on_chain(
         &mut self,
         planned: &PlannedRun,
@@ -514,27 +407,6 @@
         }
     }
 
-    /// The run that would follow if the one to `target` were abandoned now.
-    fn next_run(&mut self, target: &Target<'_>) -> NextRun {
-        let gateway = self.gateway;
-        let planned = match self.admitted.quarantine_refusal(gateway) {
-            Some(_) => None,
-            None => {
-                let engine = self.admitted.service.engine.clone();
-                engine.and_then(|engine| self.plan_run(&engine))
-            }
-        };
-        let now = gateway.now();
-        let accepts_work = |run: &PlannedRun| !gateway.loads.borrow().is_full(&run.chain, now);
-        let planned = planned.filter(accepts_work);
-        NextRun {
-            sent: target.sending.get(),
-            dispatch_allowed: self.admitted.may_dispatch_again(&self.attempts),
-            retry_left: gateway.may_retry(&self.admitted.service.name, RetryReason::Loss),
-            memory_fill: planned.map(|run| run.estimate.memory_fill),
-        }
-    }
-
     async fn relay_events(
         &mut self,
         answer: &mut Answer,
@@ -560,7 +432,3 @@
 fn broken_run(why: &str) -> RunEnd {
     RunEnd::Failed(DispatchError::BrokeOff(why.to_owned()))
 }
-
-fn ms(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1000.0
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -437,7 +437,7 @@
     /// Counts a new stream for a service, whether it will be admitted or not.
     pub fn count_stream(&self, service: &Rc<str>, rank: Rank) {
         let now = self.now();
-        self.loads.borrow_mut().record_arrival(service, now);
+        self.loads.borrow_mut().arrivals.record(service, now);
         let mut demand = self.rank_demand.borrow_mut();
         demand.entry(service.clone()).or_default().record(rank, now);
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -327,7 +327,7 @@
     gateway.usage.borrow().own_report().add_to(loads);
     if gateway.settings.admission.is_some() {
         let now = gateway.now();
-        gateway.loads.borrow().add_arrivals_to(loads, now);
+        gateway.loads.borrow().arrivals.add_to(loads, now);
     }
 }
 
