Log and metric: what a further run lacked when an answer is truncated

A stream that breaks off has a log line with the end of its last run only: a denied retry, a refusal by the next engine and a deadline look alike unless the lines before are read. The line now has `lacked`, and broken_off_streams_total counts by it. No decision changes.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -6,6 +6,31 @@
 
 use super::{refusal::Refusal, send::DispatchError};
 
+/// What a further dispatch of a request lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Lack {
+    /// Time: its deadline or the timeout of its route was reached.
+    Time,
+    /// A dispatch that its route allows.
+    Dispatch,
+    /// An endpoint or a chain that accepts it.
+    Endpoint,
+    /// A retry of the budget.
+    Retry,
+}
+
+impl Lack {
+    /// The name in the log and in metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Time => "time",
+            Self::Dispatch => "dispatch",
+            Self::Endpoint => "endpoint",
+            Self::Retry => "retry",
+        }
+    }
+}
+
 /// The failed attempts to dispatch one request.
 ///
 /// Once one of them may have run, the request counts as possibly run for good: no later refusal makes it "not run".
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -15,7 +15,7 @@
 
 use super::{
     AdmittedRequest, ForwardError, RunProgress,
-    attempts::Attempts,
+    attempts::{Attempts, Lack},
     call,
     chain_load::ChainLoadGuard,
     events::{EventBatch, EventSplitter},
@@ -48,6 +48,7 @@
         sending: &sending,
         last_event_at: None,
         progress: RunProgress::Beginning,
+        lacked: Lack::Time,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
     match run {
@@ -56,11 +57,19 @@
             admitted.request_log.finish_answered(status);
             Ok(())
         }
-        Ok(Err(error)) => Err(abort_if_started(admitted, out, error)),
+        Ok(Err(error)) => Err(abort_if_started(
+            gateway,
+            admitted,
+            out,
+            error,
+            stream.lacked,
+        )),
         Err(_) => Err(abort_if_started(
+            gateway,
             admitted,
             out,
             ForwardError::Refused(stream.attempts.refusal_out_of_time(sending.get())),
+            Lack::Time,
         )),
     }
 }
@@ -68,14 +77,22 @@
 /// Aborts an answer that has started, since no other answer can replace it: the connection is closed without the
 /// end of the body, so that the caller sees that the answer is incomplete.
 fn abort_if_started(
+    gateway: &Gateway,
     admitted: &AdmittedRequest,
     out: &Responder<'_>,
     error: ForwardError,
+    lacked: Lack,
 ) -> ForwardError {
     match error {
         ForwardError::Refused(refusal) if out.started() => {
             admitted.request_log.write_buffered();
-            log::info!(target: "forward", id = admitted.request_log.id(), why:? = refusal; "Stream breaks off.");
+            let lacked = lacked.label();
+            gateway
+                .metrics
+                .broken_off
+                .with_label_values(&[lacked])
+                .inc();
+            log::info!(target: "forward", id = admitted.request_log.id(), lacked = lacked, why:? = refusal; "Stream breaks off.");
             ForwardError::Io(std::io::ErrorKind::ConnectionAborted.into())
         }
         other => other,
@@ -99,6 +116,8 @@
     last_event_at: Option<Instant>,
     /// How far the answer of the current run has got.
     progress: RunProgress,
+    /// What a further run lacked.
+    lacked: Lack,
 }
 
 /// How a run ended.
@@ -118,9 +137,11 @@
         self.gateway.count_stream(service, self.admitted.rank());
         for _ in 0..self.admitted.max_dispatches() + call::EXTRA_ATTEMPTS {
             if !self.admitted.may_dispatch(self.gateway, &mut self.attempts) {
+                self.lacked = Lack::Dispatch;
                 break;
             }
             let Some(planned) = self.plan_run(&engine) else {
+                self.lacked = Lack::Endpoint;
                 break;
             };
             if self.is_new() && self.admit(&planned) == Verdict::Reject {
@@ -130,6 +151,7 @@
                 let reason = self.attempts.retry_reason();
                 let acquired = std::mem::take(&mut self.retry_acquired);
                 if !acquired && !self.admitted.acquire_retry(self.gateway, reason).await {
+                    self.lacked = Lack::Retry;
                     break;
                 }
                 self.gateway
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub repeats_refused: IntCounter,
     /// Streams that were resumed at another chain.
     pub resumed: IntCounter,
+    /// Streams whose answer was truncated, by what a further run lacked.
+    pub broken_off: IntCounterVec,
     /// Bytes of relayed events.
     pub relayed: IntCounter,
     /// Callers that closed their connection before the answer was complete.
@@ -168,6 +170,11 @@
                 "Repeats that the budget did not allow",
             ),
             resumed: counter("resumed_streams_total", "Streams resumed at another chain"),
+            broken_off: vector(
+                "broken_off_streams_total",
+                "Streams whose answer was truncated",
+                &["lacked"],
+            ),
             relayed: counter("relayed_bytes_total", "Bytes of events relayed"),
             abandoned: counter("abandoned_total", "Callers that left early"),
             store_calls: vector(
