--- a/crates/fleet/src/adaptive_timeout.rs
+++ b/crates/fleet/src/adaptive_timeout.rs
@@ -1,14 +1,15 @@
-//! How long to wait for a run of a stream before it is abandoned.
+//! How long to wait for a run of a stream before another run is started beside it.
 //!
-//! A run that stalls is either on a chain with a lost stage, or queued behind other work. In the
-//! first case it must end at once, as another chain may still be on time. In the second it is
-//! better to wait, as abandoning the run discards its progress and repeats the work elsewhere.
-//! Silence alone does not distinguish the two. So the stages of a chain are probed after an unusual
-//! silence, and a run whose stages are not known to be lost is abandoned only shortly before its
-//! caller would leave.
+//! A run that stalls is on a chain with a lost stage, queued behind other work, or on an engine that
+//! is silent for a moment and then goes on. In the first case another run must start at once, to be
+//! on time. In the others the run is worth more than its replacement, which repeats its work.
+//! Silence alone does not distinguish them. So the stages of a chain are probed after an unusual
+//! silence, and a run that may be lost is kept until another one has answered: what goes on first
+//! continues the answer.
 //!
-//! A run is not abandoned for its silence unless another run can be dispatched at that moment:
-//! otherwise its caller would get an error instead of a late answer.
+//! Silence never ends an answer that has begun, nor a run whose stages answer probes. A run that has
+//! sent nothing for as long as callers wait, and whose stages don't answer, ends if nothing can
+//! replace it.
 
 use std::time::Duration;
 
@@ -28,14 +29,14 @@
 const TIMEOUT_EXPECTED_FACTOR: f64 = 4.0;
 const MIN_TIMEOUT_TARGETS: f64 = 0.6;
 const MAX_TIMEOUT_TARGETS: f64 = 2.4;
-/// How many times the first event's target the caller waits at most for the next event, the first
-/// or a later one: callers leave then, so a last run may take as long.
+/// How many times the first event's target callers wait for the first event: most leave then.
 const CALLER_TIMEOUT_TARGETS: f64 = 4.0;
-/// How many times the longest inter-event gap on time a gap may last while the stream may continue
-/// elsewhere.
+/// How many times the longest inter-event gap on time a gap may last before another run is started.
 const TIMEOUT_GAPS: f64 = 3.5;
-/// The estimated memory fill up to which a chain has room for the run that follows an abandoned one.
-/// A fuller chain may refuse it or make it wait, and the progress of the abandoned run is lost.
+/// The time between two attempts to start another run: chains and retries become free meanwhile.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
+/// The estimated memory fill up to which a chain has room for a run that replaces another one.
+/// A fuller chain may refuse it or make it wait.
 const MAX_NEXT_RUN_FILL: f64 = 1.0;
 
 /// The timing of a run of a stream that is waited for.
@@ -43,7 +44,9 @@
 pub struct RunTiming {
     /// Whether an event of it has come.
     pub started: bool,
-    /// Whether another run may follow.
+    /// Whether the caller has an event of the answer, of this run or of another one.
+    pub answer_begun: bool,
+    /// Whether the route allows another run beside this one or after it.
     pub may_retry: bool,
     /// The target for the time to the first event.
     pub first_event_target: Duration,
@@ -56,6 +59,21 @@
     pub waited_before: Duration,
 }
 
+/// How long a run has been silent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Silence {
+    /// The time since its dispatch or its last event.
+    pub total: Duration,
+    /// The time since the stages of its chain were probed; `None` if they were not during this
+    /// silence.
+    pub since_probe: Option<Duration>,
+    /// The time since it was last attempted to start another run; `None` if it was not during this
+    /// silence.
+    pub since_replacement: Option<Duration>,
+    /// Whether a stage of its chain does not answer probes, or its connection carries nothing.
+    pub suspect: bool,
+}
+
 /// What is to be done about a stalled run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -63,16 +81,18 @@
     Wait(Duration),
     /// Probe its chain.
     Probe,
-    /// Abandon it.
-    Abandon,
+    /// Start another run beside it, if possible.
+    Replace(Doubt),
+    /// End it without an answer.
+    GiveUp,
 }
 
-/// The run that would follow if the current one were abandoned now.
+/// The run that could replace a stalled one now.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct NextRun {
     /// Whether any of the current run was sent. If not, abandoning it loses nothing and takes no retry.
     pub sent: bool,
-    /// Whether the request may be dispatched again after the current run.
+    /// Whether the request may be dispatched again beside the current run.
     pub dispatch_allowed: bool,
     /// Whether the retry budget allows a retry.
     pub retry_left: bool,
@@ -81,7 +101,7 @@
 }
 
 impl NextRun {
-    /// Whether the current run may be abandoned for it: it can be dispatched now, or nothing is lost
+    /// Whether the current run may be replaced by it: it can be dispatched now, or nothing is lost
     /// if it can't.
     pub fn may_replace_current(&self) -> bool {
         let has_room = self
@@ -96,29 +116,55 @@
 pub enum Doubt {
     /// It was silent for longer than its timeout.
     TimedOut,
-    /// A stage of its chain does not answer probes.
-    UnresponsiveStage,
+    /// A stage of its chain does not answer probes, or its connection carries nothing.
+    Suspect,
 }
 
 impl RunTiming {
-    /// The next step after a silence; `since_probe` is how long ago the stages of the chain were
-    /// probed.
-    pub fn next_step(&self, silence: Duration, since_probe: Option<Duration>) -> Step {
-        let timeout = self.timeout();
-        if silence >= timeout {
-            return Step::Abandon;
+    /// The next step after a silence.
+    pub fn next_step(&self, silence: Silence) -> Step {
+        // Unanswered probes count only once this run is silent for unusually long itself.
+        let suspect = silence.suspect && silence.since_probe.is_some();
+        let until_replacement = self.until_replacement(silence, suspect);
+        if until_replacement.is_zero() {
+            return Step::Replace(match suspect {
+                true => Doubt::Suspect,
+                false => Doubt::TimedOut,
+            });
         }
-        let left = timeout - silence;
-        let until = match since_probe {
+        let until_caller_leaves = self.caller_timeout().saturating_sub(silence.total);
+        if !self.answer_begun && suspect && until_caller_leaves.is_zero() {
+            return Step::GiveUp;
+        }
+        let until_probe = match silence.since_probe {
             Some(ago) => PROBE_INTERVAL.saturating_sub(ago),
-            None => self.probe_after().saturating_sub(silence),
+            None => self.probe_after().saturating_sub(silence.total),
         };
-        match until.is_zero() {
-            true => Step::Probe,
-            false => Step::Wait(until.min(left)),
+        if until_probe.is_zero() {
+            return Step::Probe;
+        }
+        let until_next = until_probe.min(until_replacement);
+        match self.answer_begun || until_caller_leaves.is_zero() {
+            true => Step::Wait(until_next),
+            false => Step::Wait(until_next.min(until_caller_leaves)),
         }
     }
 
+    /// The time until another run is to be started beside this one.
+    fn until_replacement(&self, silence: Silence, suspect: bool) -> Duration {
+        if !self.may_retry {
+            return Duration::MAX;
+        }
+        let doubtful_in = match suspect {
+            true => Duration::ZERO,
+            false => self.timeout().saturating_sub(silence.total),
+        };
+        let since_last = silence.since_replacement;
+        doubtful_in.max(since_last.map_or(Duration::ZERO, |ago| {
+            REPLACEMENT_INTERVAL.saturating_sub(ago)
+        }))
+    }
+
     /// The silence after which the chain is probed.
     pub fn probe_after(&self) -> Duration {
         match self.started {
@@ -130,42 +176,25 @@
         }
     }
 
-    /// Whether the run is to be abandoned for a doubt about it: only if another run can be dispatched
-    /// now, or its caller leaves. Otherwise it is waited for as long as its caller waits.
-    pub fn abandons(&mut self, doubt: Doubt, next_run: impl FnOnce() -> NextRun) -> bool {
-        let caller_leaves = doubt == Doubt::TimedOut && !self.may_retry;
-        if caller_leaves {
-            return true;
-        }
-        self.may_retry = next_run().may_replace_current();
-        self.may_retry
-    }
-
-    /// Whether another run may be better than this one, once a stage of its chain is known to be
-    /// lost.
-    ///
-    /// An answer that has started and can't continue elsewhere is not abandoned: its caller decides
-    /// when to leave, and a draining endpoint may still finish it.
-    pub fn may_abandon(&self) -> bool {
-        self.may_retry || !self.started
-    }
-
-    /// The longest silence before the run is abandoned.
+    /// The longest silence before another run is started although the stages answer probes, and the
+    /// longest time to open a connection.
     pub fn timeout(&self) -> Duration {
         match (self.started, self.may_retry) {
-            (true, true) => self.max_gap.mul_f64(TIMEOUT_GAPS),
-            (true, false) => Duration::MAX,
+            (true, _) => self.max_gap.mul_f64(TIMEOUT_GAPS),
             (false, true) => {
                 let min = self.first_event_target.mul_f64(MIN_TIMEOUT_TARGETS);
                 let max = self.first_event_target.mul_f64(MAX_TIMEOUT_TARGETS);
                 let timeout = self.expected_first.mul_f64(TIMEOUT_EXPECTED_FACTOR);
                 timeout.clamp(min, max)
             }
-            (false, false) => {
-                let caller_timeout = self.first_event_target.mul_f64(CALLER_TIMEOUT_TARGETS);
-                let left = caller_timeout.saturating_sub(self.waited_before);
-                left.max(self.first_event_target.mul_f64(MIN_SILENCE_TARGETS))
-            }
+            (false, false) => self.caller_timeout(),
         }
     }
+
+    /// How long callers wait for the first event of this run.
+    fn caller_timeout(&self) -> Duration {
+        let caller_timeout = self.first_event_target.mul_f64(CALLER_TIMEOUT_TARGETS);
+        let left = caller_timeout.saturating_sub(self.waited_before);
+        left.max(self.first_event_target.mul_f64(MIN_SILENCE_TARGETS))
+    }
 }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -3,7 +3,7 @@
 //! So a call that may be retried can be dispatched again if its answer breaks off, and a partial answer never looks
 //! complete to the caller.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use dragonflyrill_fleet::endpoints::Endpoint;
@@ -14,7 +14,7 @@
     attempts::Attempts,
     is_success,
     refusal::Refusal,
-    send::{self, Answer, Deadlines, DispatchError, Target},
+    send::{self, Answer, Deadlines, DispatchError, DispatchState, Target},
     termination,
 };
 use crate::{
@@ -92,7 +92,7 @@
         admitted
             .request_log
             .record_dispatch(to, Duration::ZERO, 0.0, None);
-        let may_retry = admitted.may_dispatch_again(&attempts);
+        let may_retry = admitted.may_dispatch_beside(&attempts, 1);
         let left = admitted.time_left();
         let limit = if may_retry {
             left.mul_f64(NON_FINAL_TIME_FRACTION)
@@ -183,7 +183,7 @@
     limit: Duration,
 ) -> Result<CompleteAnswer, DispatchError> {
     let _guard = EndpointRequestGuard::new(gateway, &endpoint.id);
-    let (via, sending) = (Cell::new(None), Cell::new(false));
+    let state = DispatchState::default();
     let target = Target {
         id: &endpoint.id,
         name: &endpoint.name,
@@ -191,8 +191,7 @@
         chain: &[],
         endpoint_ids: &[&endpoint.id],
         after_event: None,
-        sending: &sending,
-        via: &via,
+        state: &state,
     };
     let until = time::Instant::now() + limit;
     let deadlines = Deadlines {
@@ -214,8 +213,8 @@
     let result = tokio::select! {
         biased;
         result = exchange => result,
-        () = until_terminated(gateway, &endpoint.id) => Err(target.abandoned("the endpoint has ended")),
-        () = until_path_lost(gateway, &target, first_check) => Err(target.abandoned("its connection carries nothing")),
+        () = until_terminated(gateway, &endpoint.id) => Err(state.cancelled("the endpoint has ended")),
+        () = until_path_lost(gateway, &target, first_check) => Err(state.cancelled("its connection carries nothing")),
     };
     if result.is_ok() {
         gateway.record_answer(admitted.fingerprint());
@@ -255,7 +254,7 @@
     loop {
         time::sleep(pause).await;
         pause = PATH_CHECK_INTERVAL;
-        let Some(via) = target.via.get() else {
+        let Some(via) = target.state.via.get() else {
             continue;
         };
         gateway.check_path(target.addr).await;
@@ -267,7 +266,7 @@
 
 /// Whether a failed exchange says nothing about its endpoint, because the connection was lost with its path.
 async fn has_lost_path(gateway: &Rc<Gateway>, target: &Target<'_>, error: &DispatchError) -> bool {
-    let Some(via) = target.via.get() else {
+    let Some(via) = target.state.via.get() else {
         return false;
     };
     match (via, error) {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -113,9 +113,9 @@
         may_run_again && attempts.dispatches() < self.max_dispatches()
     }
 
-    /// Whether another dispatch may follow the next one, even if the next one may have run.
-    fn may_dispatch_again(&self, attempts: &Attempts) -> bool {
-        self.route.kind.retryable() && attempts.dispatches() + 1 < self.max_dispatches()
+    /// Whether another dispatch may be made beside `open` ones, even if all of them may have run.
+    fn may_dispatch_beside(&self, attempts: &Attempts, open: u32) -> bool {
+        self.route.kind.retryable() && attempts.dispatches() + open < self.max_dispatches()
     }
 
     /// Identifies the request across all attempts of its caller.
@@ -187,12 +187,6 @@
     async fn acquire_retry(&self, gateway: &Gateway, reason: RetryReason) -> bool {
         let service = &self.service.name;
         gateway.wait_for_retry_record(service, reason).await;
-        self.acquire_recorded_retry(gateway, reason)
-    }
-
-    /// The same without waiting until a retry is recorded in the store.
-    fn acquire_recorded_retry(&self, gateway: &Gateway, reason: RetryReason) -> bool {
-        let service = &self.service.name;
         let budget = gateway.retry_budget_state(service);
         let allowed = gateway.acquire_retry(service, reason);
         self.request_log.record(Decision::Retry {
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -1,97 +1,98 @@
 //! Monitors a run of a stream while no events are received from it.
 
-use std::{cell::Cell, rc::Rc};
+use std::rc::Rc;
 
 use dragonflyrill_fleet::{
-    adaptive_timeout::{Doubt, NextRun, RunTiming, Step},
+    adaptive_timeout::{Doubt, RunTiming, Silence, Step},
     chains::Chain,
     probing::Suspicion,
 };
 use tokio::time::{self, Instant};
 
-use super::{
-    probe,
-    request_log::{Decision, RequestLog},
-};
-use crate::{gateway::Gateway, paths::Via};
+use super::{probe, send::DispatchState};
+use crate::gateway::Gateway;
 
-/// A run that is monitored while it stalls.
+/// A run that is monitored while it is silent.
 pub(super) struct RunMonitor<'a> {
     pub(super) gateway: &'a Rc<Gateway>,
-    pub(super) chain: &'a Chain,
-    pub(super) timing: RunTiming,
-    /// How the request reaches the first stage; `None` until a connection is open.
-    pub(super) via: &'a Cell<Option<Via>>,
-    pub(super) request_log: &'a RequestLog,
+    pub(super) chain: Rc<Chain>,
+    pub(super) dispatch: Rc<DispatchState>,
+    timing: RunTiming,
+    /// When it was dispatched, or its last events were received.
+    silent_since: Instant,
+    /// When its chain was last probed during this silence.
+    probed_at: Option<Instant>,
+    /// When the monitor last asked for a replacement during this silence.
+    replacement_at: Option<Instant>,
 }
 
-/// The reason for abandoning a run.
+/// What the silence of a run calls for.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct AbandonReason {
-    /// A description for the log.
-    pub(super) why: &'static str,
-    /// Whether only the connection is lost: the chain may be used again.
-    pub(super) lost_path: bool,
-    /// Whether the run may still answer, and was abandoned because another one is possible.
-    pub(super) replaced: bool,
+pub(super) enum Stall {
+    /// Another run is to be started beside it, if possible. `first` states whether this is the first time during this
+    /// silence.
+    Doubtful { doubt: Doubt, first: bool },
+    /// The run has to end, for the given reason.
+    Ended(&'static str),
 }
 
-impl AbandonReason {
-    fn new(why: &'static str) -> Self {
+impl<'a> RunMonitor<'a> {
+    /// Monitors a run that is dispatched now.
+    pub(super) fn new(
+        gateway: &'a Rc<Gateway>,
+        chain: Rc<Chain>,
+        dispatch: Rc<DispatchState>,
+        timing: RunTiming,
+    ) -> Self {
         Self {
-            why,
-            lost_path: false,
-            replaced: false,
+            gateway,
+            chain,
+            dispatch,
+            timing,
+            silent_since: Instant::now(),
+            probed_at: None,
+            replacement_at: None,
         }
     }
 
-    fn doubt(why: &'static str, replaced: bool) -> Self {
-        Self {
-            replaced,
-            ..Self::new(why)
-        }
+    /// Whether events have been received.
+    pub(super) fn started(&self) -> bool {
+        self.timing.started
     }
-}
 
-impl RunMonitor<'_> {
-    /// Waits until the run is to be abandoned, and returns the reason. `since` is the time of the last event, or of
-    /// the dispatch; `next_run` evaluates the run that would follow.
-    pub(super) async fn until_abandoned(
-        &mut self,
-        since: Instant,
-        mut next_run: impl FnMut() -> NextRun,
-    ) -> AbandonReason {
+    /// Records that events were received: the silence is over. `may_retry` is the new value of
+    /// [`RunTiming::may_retry`].
+    pub(super) fn record_events(&mut self, may_retry: bool) {
+        self.timing.started = true;
+        self.timing.answer_begun = true;
+        self.timing.may_retry = may_retry;
+        self.silent_since = Instant::now();
+        self.probed_at = None;
+        self.replacement_at = None;
+    }
+
+    /// Waits until the silence of the run calls for something.
+    pub(super) async fn until_stalled(&mut self) -> Stall {
         let mut failures = self.gateway.prober.endpoint_failures();
-        let mut probed: Option<Instant> = None;
         loop {
             if self.has_terminated_stage() {
                 // No more events follow: an answer is aborted rather than left waiting.
-                return AbandonReason::new("a part of its chain has ended");
+                return Stall::Ended("a part of its chain has ended");
             }
-            let silence = since.elapsed();
-            match self
-                .timing
-                .next_step(silence, probed.map(|at| at.elapsed()))
-            {
-                Step::Abandon => {
-                    if self.abandons(Doubt::TimedOut, &mut next_run) {
-                        let why = match self.timing.started {
-                            true => "the run stalled",
-                            false => "no answer in time",
-                        };
-                        // Otherwise its caller leaves.
-                        return AbandonReason::doubt(why, self.timing.may_retry);
-                    }
-                    continue;
+            match self.timing.next_step(self.silence()) {
+                Step::Replace(doubt) => {
+                    let first = self.replacement_at.replace(Instant::now()).is_none();
+                    return Stall::Doubtful { doubt, first };
                 }
+                Step::GiveUp => return Stall::Ended("no answer in time"),
                 Step::Probe => {
                     let suspicion = match self.timing.started {
                         true => Suspicion::Still,
                         false => Suspicion::Late,
                     };
-                    probe::probe_suspected(self.gateway, self.chain, suspicion);
+                    probe::probe_suspected(self.gateway, &self.chain, suspicion);
                     self.check_path_if_others_are_cut();
-                    probed = Some(Instant::now());
+                    self.probed_at = Some(Instant::now());
                 }
                 Step::Wait(wait) => {
                     tokio::select! {
@@ -101,36 +102,16 @@
                     }
                 }
             }
-            if probed.is_some()
-                && self.timing.may_abandon()
-                && self.has_unresponsive_stage()
-                && self.abandons(Doubt::UnresponsiveStage, &mut next_run)
-            {
-                return AbandonReason::doubt("a stage of its chain is unresponsive", true);
-            }
-            if probed.is_some() && self.timing.may_abandon() && self.has_lost_path() {
-                return AbandonReason {
-                    why: "its connection carries nothing",
-                    lost_path: true,
-                    replaced: false,
-                };
-            }
         }
     }
 
-    /// Whether the run is to be abandoned for a doubt about it. Records once if it is waited for instead.
-    fn abandons(&mut self, doubt: Doubt, mut next_run: impl FnMut() -> NextRun) -> bool {
-        let could_be_abandoned = self.timing.may_retry;
-        let mut evaluated = None;
-        let evaluate = || *evaluated.insert(next_run());
-        let abandons = self.timing.abandons(doubt, evaluate);
-        if let Some(next_run) = evaluated
-            && could_be_abandoned
-            && !abandons
-        {
-            self.request_log.record(Decision::Kept { doubt, next_run });
+    fn silence(&self) -> Silence {
+        Silence {
+            total: self.silent_since.elapsed(),
+            since_probe: self.probed_at.map(|at| at.elapsed()),
+            since_replacement: self.replacement_at.map(|at| at.elapsed()),
+            suspect: self.has_unresponsive_stage() || self.has_lost_path(),
         }
-        abandons
     }
 
     /// Checks the path to the first stage once this host knows that paths are cut: then the chains over them stall at the
@@ -144,9 +125,10 @@
         actix_rt::spawn(async move { gateway.check_path(addr).await });
     }
 
-    fn has_lost_path(&self) -> bool {
+    /// Whether the connection of the run carries nothing, while its chain may be reached over another one.
+    pub(super) fn has_lost_path(&self) -> bool {
         let first = self.chain.first_stage().addr;
-        let via = self.via.get();
+        let via = self.dispatch.via.get();
         via.is_some_and(|via| self.gateway.paths.is_lost(first, via))
     }
 
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -57,10 +57,27 @@
     pub(super) endpoint_ids: &'a [&'a Rc<str>],
     /// The id of the event after which the answer is to continue.
     pub(super) after_event: Option<u64>,
+    /// How far the dispatch has got.
+    pub(super) state: &'a DispatchState,
+}
+
+/// How far a dispatch has got.
+#[derive(Debug, Default)]
+pub(super) struct DispatchState {
     /// Becomes true before the first byte of the request is sent.
-    pub(super) sending: &'a Cell<bool>,
+    pub(super) sending: Cell<bool>,
     /// How the request reaches the endpoint; `None` until a connection is open.
-    pub(super) via: &'a Cell<Option<Via>>,
+    pub(super) via: Cell<Option<Via>>,
+}
+
+impl DispatchState {
+    /// The error of a dispatch that is cancelled: the request may have run from the first byte sent on.
+    pub(super) fn cancelled(&self, why: &str) -> DispatchError {
+        match self.sending.get() {
+            true => DispatchError::MayHaveRun(why.to_owned()),
+            false => DispatchError::NotSent(why.to_owned()),
+        }
+    }
 }
 
 impl Target<'_> {
@@ -76,14 +93,6 @@
         let mut at = stages.filter(|((stage, _), _)| *stage == addr);
         at.next().map(|(_, id)| *id)
     }
-
-    /// The error of a dispatch that is abandoned: the request may have run from the first byte sent on.
-    pub(super) fn abandoned(&self, why: &str) -> DispatchError {
-        match self.sending.get() {
-            true => DispatchError::MayHaveRun(why.to_owned()),
-            false => DispatchError::NotSent(why.to_owned()),
-        }
-    }
 }
 
 /// An answer whose head was read and whose body was not.
@@ -125,7 +134,7 @@
         if let Some(answer) = exchange(gateway, admitted, target, opened, deadlines.answer).await? {
             return Ok(answer);
         }
-        target.sending.set(false);
+        target.state.sending.set(false);
     }
     Err(DispatchError::NotSent("no host relays".to_owned()))
 }
@@ -172,8 +181,8 @@
         mut connection,
         via,
     } = opened;
-    target.via.set(Some(via));
-    target.sending.set(true);
+    target.state.via.set(Some(via));
+    target.state.sending.set(true);
     let sent_at = time::Instant::now();
     let head = outgoing_head(gateway, admitted, target, via);
     let sent = time::timeout_at(until, connection.send(head, admitted.body.clone())).await;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -1,32 +1,37 @@
 //! Event streams over chains. The first stage of a chain drives it.
 //!
-//! Complete events are relayed as they arrive. If a run breaks off or stalls and the route allows it, a run on
-//! another chain continues the same answer after the last event that was relayed.
+//! Complete events are relayed as they arrive. If a run breaks off and the route allows it, a run on another chain
+//! continues the same answer after the last event that was relayed. A run that is only silent is kept while another
+//! one is started beside it: the first of them that yields an event continues the answer, and the others are
+//! cancelled. So an answer does not depend on whether its replacement gets a retry, or is accepted by an engine.
 
 mod plan;
+mod run;
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    admission::Verdict, budget::RetryReason, chains::Chain, layers::LayerRange,
+    adaptive_timeout::NextRun, admission::Verdict, budget::RetryReason, catalogue::Engine,
+    chains::Chain, probing::Suspicion,
 };
+use futures_util::future::{self, FutureExt, LocalBoxFuture};
+use http::StatusCode;
 use tokio::time::{self, Instant};
 
 use super::{
     AdmittedRequest, ForwardError, RunProgress,
     attempts::{Attempts, Lack},
-    call,
-    chain_load::ChainLoadGuard,
-    events::{EventBatch, EventSplitter},
-    is_success, probe,
+    call, probe,
     refusal::Refusal,
-    run_monitor::{AbandonReason, RunMonitor},
-    send::{self, Answer, Deadlines, DispatchError, Target},
+    request_log::Decision,
+    run_monitor::Stall,
+    send::DispatchError,
     termination,
 };
 use crate::{gateway::Gateway, http::callers::Responder};
 use plan::PlannedRun;
+use run::{Run, RunOutput};
 
 /// The maximum size of the body of an answer that is not a success.
 const MAX_ERROR_ANSWER_BYTES: usize = 256 * 1024;
@@ -37,17 +42,16 @@
     admitted: &AdmittedRequest,
     out: &mut Responder<'_>,
 ) -> Result<(), ForwardError> {
-    let sending = Cell::new(false);
     let mut stream = Stream {
         gateway,
         admitted,
-        events: EventSplitter::after(admitted.incoming.last_event),
+        last_event: admitted.incoming.last_event,
+        last_event_at: None,
+        runs: Vec::new(),
+        replacement: None,
+        started_runs: 0,
         tried_chains: Vec::new(),
         attempts: Attempts::new(Refusal::NoEndpoint("no chain covers all layers")),
-        retry_acquired: false,
-        sending: &sending,
-        last_event_at: None,
-        progress: RunProgress::Beginning,
         lacked: Lack::Time,
     };
     let run = time::timeout_at(admitted.due, stream.run(out)).await;
@@ -64,13 +68,17 @@
             error,
             stream.lacked,
         )),
-        Err(_) => Err(abort_if_started(
-            gateway,
-            admitted,
-            out,
-            ForwardError::Refused(stream.attempts.refusal_out_of_time(sending.get())),
-            Lack::Time,
-        )),
+        Err(_) => {
+            let sent = stream.runs.iter().any(Run::sent);
+            let refusal = stream.attempts.refusal_out_of_time(sent);
+            Err(abort_if_started(
+                gateway,
+                admitted,
+                out,
+                refusal.into(),
+                Lack::Time,
+            ))
+        }
     }
 }
 
@@ -103,354 +111,448 @@
 struct Stream<'a> {
     gateway: &'a Rc<Gateway>,
     admitted: &'a AdmittedRequest,
-    events: EventSplitter,
+    /// The id of the last event that was relayed, or that the caller had before.
+    last_event: Option<u64>,
+    /// When the last events were relayed.
+    last_event_at: Option<Instant>,
+    /// The runs that may still yield events, in the order of their start. All but the newest are silent.
+    runs: Vec<Run<'a>>,
+    /// The run that is to be started beside them once a retry is acquired.
+    replacement: Option<Replacement<'a>>,
+    /// The number of runs that were started.
+    started_runs: u32,
     /// The keys of the chains to which it was dispatched.
     tried_chains: Vec<u64>,
     /// The runs that failed.
     attempts: Attempts,
-    /// A retry was acquired when the last run was abandoned.
-    retry_acquired: bool,
-    /// Whether a run is under way of which anything was sent.
-    sending: &'a Cell<bool>,
-    /// When the last events were relayed.
-    last_event_at: Option<Instant>,
-    /// How far the answer of the current run has got.
-    progress: RunProgress,
     /// What a further run lacked.
     lacked: Lack,
 }
 
-/// How a run ended.
-enum RunEnd {
-    /// The stream is complete.
-    Complete(http::StatusCode),
-    /// It broke off, was abandoned or did not start.
-    Failed(DispatchError),
+/// A run that replaces a silent one once a retry is acquired.
+struct Replacement<'a> {
+    planned: PlannedRun,
+    acquired: LocalBoxFuture<'a, bool>,
 }
 
-impl Stream<'_> {
-    async fn run(&mut self, out: &mut Responder<'_>) -> Result<http::StatusCode, ForwardError> {
+/// What the runs of a stream come to next.
+enum Step {
+    /// The run at this index yielded something.
+    Output(usize, RunOutput),
+    /// A retry for the replacement was acquired or denied.
+    Retry(bool),
+    /// The newest run is silent.
+    Stalled(Stall),
+}
+
+impl<'a> Stream<'a> {
+    async fn run(&mut self, out: &mut Responder<'_>) -> Result<StatusCode, ForwardError> {
         let Some(engine) = self.admitted.service.engine.clone() else {
             return Err(Refusal::NoEndpoint("the service has no engines").into());
         };
         let service = &self.admitted.service.name;
         self.gateway.count_stream(service, self.admitted.rank());
-        for _ in 0..self.admitted.max_dispatches() + call::EXTRA_ATTEMPTS {
-            if !self.admitted.may_dispatch(self.gateway, &mut self.attempts) {
-                self.lacked = Lack::Dispatch;
-                break;
-            }
-            let Some(planned) = self.plan_run(&engine) else {
-                self.lacked = Lack::Endpoint;
-                break;
-            };
-            if self.is_new() && self.admit(&planned) == Verdict::Reject {
-                break;
+        loop {
+            if self.runs.is_empty() && self.replacement.is_none() {
+                let Some(planned) = self.next_run(&engine).await else {
+                    return Err(self.attempts.refusal().into());
+                };
+                self.start_run(planned, out.started());
             }
-            if self.attempts.dispatches() > 0 {
-                let reason = self.attempts.retry_reason();
-                let acquired = std::mem::take(&mut self.retry_acquired);
-                if !acquired && !self.admitted.acquire_retry(self.gateway, reason).await {
-                    self.lacked = Lack::Retry;
-                    break;
+            match self.next_step().await {
+                Step::Output(from, output) => {
+                    if let Some(status) = self.handle_output(from, output, out).await? {
+                        return Ok(status);
+                    }
                 }
-                self.gateway
-                    .metrics
-                    .resumed
-                    .inc_by(u64::from(out.started()));
-                self.events.resume();
-            }
-            self.tried_chains.push(planned.chain.key);
-            let after_event = out.started().then(|| self.events.last()).flatten();
-            let to = planned.chain.to_string();
-            let (first, fill) = (planned.expected_first(), planned.estimate.memory_fill);
-            self.admitted
-                .request_log
-                .record_dispatch(to, first, fill, after_event);
-            self.progress = RunProgress::Beginning;
-            match self.run_on_chain(&planned, out).await? {
-                RunEnd::Complete(status) => return Ok(status),
-                RunEnd::Failed(error) => {
-                    self.log_failed_run(&planned.chain, &error, out.started());
-                    // Recorded first, as the time of the request may be over before the checks are.
-                    self.attempts.record_failed_attempt(error.clone());
-                    self.sending.set(false);
-                    self.record_terminations(&planned.chain, &error).await;
-                    if matches!(error, DispatchError::NotRun(_))
-                        && planned.estimate.memory_fill > 1.0
+                Step::Retry(acquired) => self.end_replacement(acquired, out.started()),
+                Step::Stalled(Stall::Ended(why)) => {
+                    let newest = self.runs.len() - 1;
+                    let error = self.runs[newest].cancelled(why);
+                    self.end_run(newest, error, out.started()).await;
+                }
+                Step::Stalled(Stall::Doubtful { doubt, first }) => {
+                    let decision = self.replace_newest(&engine, out.started()).await;
+                    if let Some(next_run) = decision
+                        && first
+                        && next_run.dispatch_allowed
                     {
                         self.admitted
-                            .record_overload(self.gateway, &mut self.attempts);
+                            .request_log
+                            .record(Decision::Kept { doubt, next_run });
                     }
                 }
             }
         }
-        Err(self.attempts.refusal().into())
     }
 
-    /// Whether nothing of the stream has run, neither now nor before its caller resumed it.
-    fn is_new(&self) -> bool {
-        !self.attempts.may_have_run() && self.events.last().is_none()
+    /// Plans the next run while none is open, and acquires the retry that it takes. `None` if there can be none.
+    async fn next_run(&mut self, engine: &Engine) -> Option<PlannedRun> {
+        if self.started_runs >= self.max_runs()
+            || !self.admitted.may_dispatch(self.gateway, &mut self.attempts)
+        {
+            self.lacked = Lack::Dispatch;
+            return None;
+        }
+        let Some(planned) = self.plan_run(engine) else {
+            self.lacked = Lack::Endpoint;
+            return None;
+        };
+        if self.is_new() && self.admit(&planned) == Verdict::Reject {
+            return None;
+        }
+        if self.attempts.dispatches() > 0 {
+            let reason = self.attempts.retry_reason();
+            if !self.admitted.acquire_retry(self.gateway, reason).await {
+                self.lacked = Lack::Retry;
+                return None;
+            }
+        }
+        Some(planned)
     }
 
-    fn admit(&mut self, planned: &PlannedRun) -> Verdict {
-        self.admitted
-            .admit_stream(self.gateway, &planned.estimate, &mut self.attempts)
+    /// Waits until a run yields something, the newest one has been silent for too long, or the retry for a replacement
+    /// is acquired or denied.
+    async fn next_step(&mut self) -> Step {
+        let replacement = self.replacement.as_mut();
+        let retry = async {
+            match replacement {
+                Some(replacement) => replacement.acquired.as_mut().await,
+                None => future::pending().await,
+            }
+        };
+        let Some((newest, older)) = self.runs.split_last_mut() else {
+            return Step::Retry(retry.await);
+        };
+        let index = older.len();
+        tokio::select! {
+            biased;
+            output = newest.exchange.next() => Step::Output(index, output),
+            (from, output) = first_output(older) => Step::Output(from, output),
+            acquired = retry => Step::Retry(acquired),
+            stall = newest.monitor.until_stalled() => Step::Stalled(stall),
+        }
     }
 
-    fn log_failed_run(&self, chain: &Chain, error: &DispatchError, started: bool) {
-        self.admitted.request_log.write_buffered();
-        log::info!(
-            target: "forward",
-            id = self.admitted.request_log.id(),
-            request:% = self.admitted.fingerprint(),
-            parts = self.admitted.prompt_parts_text(),
-            chain = chain.to_string(),
-            started = started,
-            after_event:? = self.events.last(),
-            why:? = error;
-            "A run of a stream failed."
+    /// Starts a run. If events were relayed before, it continues the answer.
+    fn start_run(&mut self, planned: PlannedRun, answer_begun: bool) {
+        if self.started_runs > 0 {
+            let resumed = &self.gateway.metrics.resumed;
+            resumed.inc_by(u64::from(answer_begun));
+        }
+        self.started_runs += 1;
+        self.tried_chains.push(planned.chain.key);
+        let after_event = answer_begun.then_some(self.last_event).flatten();
+        self.admitted.request_log.record_dispatch(
+            planned.chain.to_string(),
+            planned.expected_first(),
+            planned.estimate.memory_fill,
+            after_event,
         );
+        let timing = self.timing(&planned);
+        self.runs.push(Run::start(
+            self.gateway,
+            self.admitted,
+            planned,
+            timing,
+            self.last_event,
+        ));
     }
 
-    /// Records whether an endpoint terminated during a failed run, before the request is dispatched again.
-    async fn record_terminations(&self, chain: &Chain, error: &DispatchError) {
-        let stages = chain.stages.iter();
-        let endpoints: Vec<termination::RunEndpoint<'_>> = stages
-            .map(|stage| termination::RunEndpoint {
-                id: &stage.id,
-                addr: stage.addr,
-            })
-            .collect();
-        let run = termination::FailedRun {
-            endpoints: &endpoints,
-            error,
-            progress: self.progress,
+    /// Starts to replace the newest run, which stays open if anything of it was sent. Returns what was lacking if there
+    /// is no replacement.
+    async fn replace_newest(&mut self, engine: &Engine, answer_begun: bool) -> Option<NextRun> {
+        if self.replacement.is_some() {
+            return None;
+        }
+        let newest = self.runs.len() - 1;
+        if self.runs[newest].monitor.has_lost_path() {
+            // Only the connection is lost: the chain can be reached over another one.
+            let lost = self.runs[newest].chain.key;
+            self.tried_chains.retain(|key| *key != lost);
+        }
+        let (next_run, planned) = self.plan_replacement(engine);
+        if !next_run.sent {
+            let error = self.runs[newest].cancelled("no answer in time");
+            self.end_run(newest, error, answer_begun).await;
+            return None;
+        }
+        let Some(planned) = planned else {
+            return Some(next_run);
         };
-        termination::record_terminations(self.gateway, self.admitted, run).await;
+        self.record_suspected_terminations(newest).await;
+        let (gateway, admitted) = (self.gateway, self.admitted);
+        let acquired = async move { admitted.acquire_retry(gateway, RetryReason::Loss).await };
+        self.replacement = Some(Replacement {
+            planned,
+            acquired: acquired.boxed_local(),
+        });
+        None
     }
 
-    async fn run_on_chain(
+    /// Starts the replacement if its retry was acquired.
+    fn end_replacement(&mut self, acquired: bool, answer_begun: bool) {
+        let replacement = self.replacement.take();
+        match (acquired, replacement) {
+            (true, Some(Replacement { planned, .. })) => self.start_run(planned, answer_begun),
+            _ => self.lacked = Lack::Retry,
+        }
+    }
+
+    /// The maximum number of runs, including those of which nothing is sent.
+    fn max_runs(&self) -> u32 {
+        self.admitted.max_dispatches() + call::EXTRA_ATTEMPTS
+    }
+
+    /// Whether nothing of the stream has run, neither now nor before its caller resumed it.
+    fn is_new(&self) -> bool {
+        !self.attempts.may_have_run() && self.last_event.is_none()
+    }
+
+    fn admit(&mut self, planned: &PlannedRun) -> Verdict {
+        self.admitted
+            .admit_stream(self.gateway, &planned.estimate, &mut self.attempts)
+    }
+
+    /// Acts on what the run at index `from` yielded. Returns the status of the answer once it is complete.
+    async fn handle_output(
         &mut self,
-        planned: &PlannedRun,
+        from: usize,
+        output: RunOutput,
         out: &mut Responder<'_>,
-    ) -> Result<RunEnd, ForwardError> {
-        let gateway = self.gateway;
-        let chain = &planned.chain;
-        let chain_load = ChainLoadGuard::new(gateway, chain, &planned.demand);
-        let _work = self.admitted.count_work(gateway, &planned.demand);
-        let hops: Vec<(SocketAddr, LayerRange)> =
-            chain.stages.iter().map(|p| (p.addr, p.layers)).collect();
-        let endpoint_ids: Vec<&Rc<str>> = chain.stages.iter().map(|p| &p.id).collect();
-        let via = Cell::new(None);
-        let target = Target {
-            id: &chain.first_stage().id,
-            name: &chain.first_stage().name,
-            addr: chain.first_stage().addr,
-            chain: &hops,
-            endpoint_ids: &endpoint_ids,
-            after_event: self.events.last(),
-            sending: self.sending,
-            via: &via,
-        };
-        let mut monitor = RunMonitor {
-            gateway,
-            chain,
-            timing: self.timing(planned),
-            via: &via,
-            request_log: &self.admitted.request_log,
-        };
-        let sent_at = Instant::now();
-        let deadlines = Deadlines {
-            connection: sent_at + monitor.timing.timeout(),
-            // The monitor decides how long to wait for the answer.
-            answer: self.admitted.due,
-        };
-        let sent = tokio::select! {
-            biased;
-            sent = send::send(gateway, self.admitted, &target, deadlines) => sent,
-            abandoned = monitor.until_abandoned(sent_at, || self.next_run(&target)) => {
-                self.allow_again(chain, &abandoned);
-                self.acquire_retry_to_replace(&abandoned);
-                Err(target.abandoned(abandoned.why))
+    ) -> Result<Option<StatusCode>, ForwardError> {
+        match output {
+            RunOutput::Events(events) => {
+                self.cancel_others(from, out.started()).await;
+                self.relay_events(events, out).await?;
+                Ok(None)
             }
-        };
-        let answer = match sent {
-            Ok(answer) => answer,
-            Err(error) => {
-                if matches!(
-                    error,
-                    DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_)
-                ) {
-                    probe::after_break(gateway, chain).await;
-                }
-                return Ok(RunEnd::Failed(error));
+            RunOutput::Complete if out.started() => {
+                self.cancel_others(from, true).await;
+                self.complete(out).await
             }
-        };
-        if answer.head.status.is_server_error() {
-            let now = gateway.now();
-            gateway.directory.borrow_mut().record_error(target.id, now);
-            if self.admitted.may_dispatch_again(&self.attempts) {
-                let why = format!("the endpoint answered {}", answer.head.status.as_u16());
-                return Ok(RunEnd::Failed(DispatchError::MayHaveRun(why)));
+            RunOutput::Complete => {
+                self.end_run(from, run::ended_inside_event(), false).await;
+                Ok(None)
+            }
+            RunOutput::NoSuccess(status) => self.handle_error_answer(from, status, out).await,
+            RunOutput::Failed(error) => {
+                self.end_failed_run(from, error, out.started()).await;
+                Ok(None)
             }
         }
-        if !is_success(answer.head.status) {
-            return self.relay_error_answer(answer, out).await;
-        }
-        let end = self
-            .relay(&mut monitor, &target, &chain_load, answer, sent_at, out)
-            .await?;
-        if let RunEnd::Complete(_) = end {
-            gateway.record_answer(self.admitted.fingerprint());
-            self.record_begun_answer();
-            let stages = chain.stages.iter();
-            stages.for_each(|p| gateway.record_endpoint_success(&p.id));
-        }
-        Ok(end)
     }
 
-    /// Relays an answer that is not a success, unless events were relayed already.
-    async fn relay_error_answer(
+    /// Relays an answer that is not a success, unless another run may do better.
+    async fn handle_error_answer(
         &mut self,
-        mut answer: Answer,
+        from: usize,
+        status: StatusCode,
         out: &mut Responder<'_>,
-    ) -> Result<RunEnd, ForwardError> {
-        let status = answer.head.status;
+    ) -> Result<Option<StatusCode>, ForwardError> {
+        let code = status.as_u16();
+        let is_server_error = status.is_server_error();
+        if is_server_error {
+            let (now, first) = (self.gateway.now(), self.runs[from].chain.first_stage());
+            let mut directory = self.gateway.directory.borrow_mut();
+            directory.record_error(&first.id, now);
+        }
+        let may_improve = self.runs.len() > 1 || self.may_start_another(0);
+        let why = match is_server_error && may_improve {
+            true => Some(format!("the endpoint answered {code}")),
+            false if out.started() => Some(format!(
+                "the endpoint answered {code} instead of the remaining events"
+            )),
+            false => None,
+        };
+        if let Some(why) = why {
+            self.end_run(from, DispatchError::MayHaveRun(why), out.started())
+                .await;
+            return Ok(None);
+        }
+        self.cancel_others(from, false).await;
+        let Some(mut answer) = self.runs[0].exchange.take_answer() else {
+            return Ok(None);
+        };
         let body = match answer.connection.read_body(MAX_ERROR_ANSWER_BYTES).await {
             Ok(body) => body,
-            Err(e) => return Ok(RunEnd::Failed(DispatchError::MayHaveRun(e.to_string()))),
+            Err(e) => {
+                let error = DispatchError::MayHaveRun(e.to_string());
+                self.end_run(0, error, false).await;
+                return Ok(None);
+            }
         };
-        if out.started() {
-            let why = format!(
-                "the endpoint answered {} instead of the remaining events",
-                status.as_u16()
-            );
-            return Ok(RunEnd::Failed(DispatchError::MayHaveRun(why)));
-        }
         let mut headers = std::mem::take(&mut answer.head.headers);
         self.gateway.platform.dialect.strip_answer(&mut headers);
         out.send_complete(status, headers, body).await?;
-        Ok(RunEnd::Complete(status))
+        Ok(Some(status))
     }
 
-    async fn relay(
+    /// Relays events of the only run.
+    async fn relay_events(
         &mut self,
-        monitor: &mut RunMonitor<'_>,
-        target: &Target<'_>,
-        chain_load: &ChainLoadGuard<'_>,
-        mut answer: Answer,
-        sent_at: Instant,
+        events: Bytes,
         out: &mut Responder<'_>,
-    ) -> Result<RunEnd, ForwardError> {
-        let status = answer.head.status;
-        let mut since = sent_at;
-        loop {
-            let piece = tokio::select! {
-                biased;
-                piece = answer.connection.read_chunk() => piece,
-                abandoned = monitor.until_abandoned(since, || self.next_run(target)) => {
-                    self.allow_again(monitor.chain, &abandoned);
-                    if out.started() && abandoned.lost_path && !self.next_run(target).may_replace_current() {
-                        monitor.timing.may_retry = false;
-                        continue;
-                    }
-                    self.acquire_retry_to_replace(&abandoned);
-                    return Ok(abandoned_run(abandoned.why));
-                }
-            };
-            let piece = match piece {
-                Ok(Some(piece)) => piece,
-                Ok(None) if self.events.is_at_event_boundary() && out.started() => break,
-                Ok(None) => return Ok(broken_run("the stream ended inside an event")),
-                Err(e) => {
-                    probe::after_break(self.gateway, monitor.chain).await;
-                    return Ok(broken_run(&e.to_string()));
-                }
-            };
-            match self.events.push(piece) {
-                EventBatch::Empty => continue,
-                EventBatch::Missing => {
-                    return Ok(abandoned_run("events are missing in the stream"));
-                }
-                EventBatch::Events(events) => self.relay_events(&mut answer, events, out).await?,
-            }
-            chain_load.end_prefill();
-            if monitor.timing.started {
-                self.record_begun_answer();
-            }
-            if !monitor.timing.started {
-                monitor.timing.started = true;
-                // Another run may be possible again by the time that this one stalls.
-                monitor.timing.may_retry = self.admitted.may_dispatch_again(&self.attempts);
-            }
-            since = Instant::now();
-            self.last_event_at = Some(since);
-            let now = self.gateway.now();
-            self.gateway.prober.record_event(monitor.chain, now);
+    ) -> Result<(), ForwardError> {
+        let run = &mut self.runs[0];
+        if !out.started()
+            && let Some((status, mut headers)) = run.exchange.take_head()
+        {
+            self.gateway.platform.dialect.strip_answer(&mut headers);
+            out.start_stream(status, headers)?;
         }
+        self.gateway.metrics.relayed.inc_by(events.len() as u64);
+        out.send_chunk(events).await?;
+        self.admitted.request_log.record_relayed_events();
+        self.last_event = run.exchange.last_event();
+        self.last_event_at = Some(Instant::now());
+        run.load.end_prefill();
+        if run.monitor.started() {
+            self.record_begun_answer();
+        }
+        // Another run may be possible again by the time that this one stalls.
+        let may_retry = self.may_start_another(0);
+        let run = &mut self.runs[0];
+        run.monitor.record_events(may_retry);
+        let now = self.gateway.now();
+        self.gateway.prober.record_event(&run.chain, now);
+        Ok(())
+    }
+
+    /// Ends the answer after the last event of the only run.
+    async fn complete(
+        &mut self,
+        out: &mut Responder<'_>,
+    ) -> Result<Option<StatusCode>, ForwardError> {
         out.finish().await?;
+        let Some(mut answer) = self.runs[0].exchange.take_answer() else {
+            return Ok(None);
+        };
+        let status = answer.head.status;
+        let gateway = self.gateway;
         if answer.connection.reusable() {
             let addr = answer.connection.peer_addr();
-            self.gateway
-                .pool_connection(addr, answer.connection, &self.admitted.service);
+            gateway.pool_connection(addr, answer.connection, &self.admitted.service);
         }
-        Ok(RunEnd::Complete(status))
+        gateway.record_answer(self.admitted.fingerprint());
+        self.record_begun_answer();
+        let stages = self.runs[0].chain.stages.iter();
+        stages.for_each(|p| gateway.record_endpoint_success(&p.id));
+        Ok(Some(status))
     }
 
-    /// Records once that the answer of the current run has got beyond its beginning.
+    /// Records once that the answer of the only run has got beyond its beginning.
     fn record_begun_answer(&mut self) {
-        if self.progress == RunProgress::Beginning {
-            self.progress = RunProgress::BeyondBeginning;
+        let progress = &mut self.runs[0].progress;
+        if *progress == RunProgress::Beginning {
+            *progress = RunProgress::BeyondBeginning;
             let parts = &self.admitted.incoming.shared_prompt_parts;
             self.gateway.record_begun_answer(parts);
             self.admitted.end_probe();
         }
     }
 
-    /// Lets a chain be chosen again if only the connection to it was lost.
-    fn allow_again(&mut self, chain: &Chain, abandoned: &AbandonReason) {
-        if abandoned.lost_path {
-            self.tried_chains.retain(|key| *key != chain.key);
+    /// Cancels all runs but the one at index `kept`, which continues the answer.
+    async fn cancel_others(&mut self, kept: usize, answer_begun: bool) {
+        self.replacement = None;
+        for index in (0..self.runs.len()).rev().filter(|i| *i != kept) {
+            let error = self.runs[index].cancelled("another run continues the answer");
+            self.end_run(index, error, answer_begun).await;
         }
     }
 
-    /// Acquires the retry for which a run is abandoned, at once: until the checks that follow have ended, other
-    /// streams may use up the budget.
-    fn acquire_retry_to_replace(&mut self, abandoned: &AbandonReason) {
-        let service = &self.admitted.service.name;
-        let reason = RetryReason::Loss;
-        if abandoned.replaced
-            && self.sending.get()
-            && self.gateway.retry_budget_state(service).retry_left(reason)
-        {
-            let acquired = self.admitted.acquire_recorded_retry(self.gateway, reason);
-            self.retry_acquired = acquired;
+    /// Records once that a run which is to be replaced may be lost with an endpoint. Its replacement may answer before
+    /// the endpoint is known to have terminated.
+    async fn record_suspected_terminations(&mut self, index: usize) {
+        let run = &mut self.runs[index];
+        if std::mem::replace(&mut run.terminations_suspected, true) {
+            return;
         }
+        let (chain, progress) = (run.chain.clone(), run.progress);
+        let error = run.cancelled("the run is silent");
+        self.record_terminations(&chain, progress, &error).await;
     }
 
-    async fn relay_events(
-        &mut self,
-        answer: &mut Answer,
-        events: Bytes,
-        out: &mut Responder<'_>,
-    ) -> Result<(), ForwardError> {
-        if !out.started() {
-            let mut headers = std::mem::take(&mut answer.head.headers);
-            self.gateway.platform.dialect.strip_answer(&mut headers);
-            out.start_stream(answer.head.status, headers)?;
+    /// Ends a run that failed by itself.
+    async fn end_failed_run(&mut self, index: usize, error: DispatchError, answer_begun: bool) {
+        let may_have_run = matches!(
+            error,
+            DispatchError::MayHaveRun(_) | DispatchError::BrokeOff(_)
+        );
+        if may_have_run && self.runs.len() == 1 {
+            let chain = self.runs[index].chain.clone();
+            probe::after_break(self.gateway, &chain).await;
+        } else if may_have_run {
+            // The other runs are not kept waiting.
+            probe::probe_suspected(self.gateway, &self.runs[index].chain, Suspicion::Still);
+        }
+        self.end_run(index, error, answer_begun).await;
+    }
+
+    /// Ends a run, and records whether an endpoint terminated during it before the request is dispatched again.
+    async fn end_run(&mut self, index: usize, error: DispatchError, answer_begun: bool) {
+        let Run {
+            chain,
+            progress,
+            memory_fill,
+            terminations_suspected,
+            ..
+        } = self.runs.remove(index);
+        self.log_failed_run(&chain, &error, answer_begun);
+        // Recorded first, as the time of the request may be over before the checks are.
+        self.attempts.record_failed_attempt(error.clone());
+        if !terminations_suspected || matches!(error, DispatchError::BrokeOff(_)) {
+            self.record_terminations(&chain, progress, &error).await;
+        }
+        if matches!(error, DispatchError::NotRun(_)) && memory_fill > 1.0 {
+            self.admitted
+                .record_overload(self.gateway, &mut self.attempts);
         }
-        self.gateway.metrics.relayed.inc_by(events.len() as u64);
-        out.send_chunk(events).await?;
-        self.admitted.request_log.record_relayed_events();
-        Ok(())
     }
-}
 
-fn abandoned_run(why: &str) -> RunEnd {
-    RunEnd::Failed(DispatchError::MayHaveRun(why.to_owned()))
+    fn log_failed_run(&self, chain: &Chain, error: &DispatchError, started: bool) {
+        self.admitted.request_log.write_buffered();
+        log::info!(
+            target: "forward",
+            id = self.admitted.request_log.id(),
+            request:% = self.admitted.fingerprint(),
+            parts = self.admitted.prompt_parts_text(),
+            chain = chain.to_string(),
+            started = started,
+            after_event:? = self.last_event,
+            why:? = error;
+            "A run of a stream failed."
+        );
+    }
+
+    async fn record_terminations(
+        &self,
+        chain: &Chain,
+        progress: RunProgress,
+        error: &DispatchError,
+    ) {
+        let stages = chain.stages.iter();
+        let endpoints: Vec<termination::RunEndpoint<'_>> = stages
+            .map(|stage| termination::RunEndpoint {
+                id: &stage.id,
+                addr: stage.addr,
+            })
+            .collect();
+        let run = termination::FailedRun {
+            endpoints: &endpoints,
+            error,
+            progress,
+        };
+        termination::record_terminations(self.gateway, self.admitted, run).await;
+    }
 }
 
-fn broken_run(why: &str) -> RunEnd {
-    RunEnd::Failed(DispatchError::BrokeOff(why.to_owned()))
+/// What the first of some runs yields, with its index; pending if there are none.
+async fn first_output(runs: &mut [Run<'_>]) -> (usize, RunOutput) {
+    if runs.is_empty() {
+        return future::pending().await;
+    }
+    let outputs = runs.iter_mut().map(|run| run.exchange.next().boxed_local());
+    let (output, index, _) = future::select_all(outputs).await;
+    (index, output)
 }
--- a/crates/gateway/src/forward/stream/plan.rs
+++ b/crates/gateway/src/forward/stream/plan.rs
@@ -1,6 +1,6 @@
 //! Plans the runs of a stream: on which chain, and how long to wait for it.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_fleet::{
     adaptive_timeout::{NextRun, RunTiming},
@@ -12,20 +12,18 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::Stream;
-use crate::{
-    forward::{refusal::Refusal, send::Target},
-    ports::RequestMetadata,
-};
+use super::{Stream, run::Run};
+use crate::{forward::refusal::Refusal, ports::RequestMetadata};
 
 /// The estimated memory fill of its fullest stage above which a chain gets no requests. Requests end early as
 /// often as late, so a chain that is estimated to be full may still have free capacity.
 const MAX_MEMORY_FILL: f64 = 1.6;
 /// The minimum time that is assumed to be left for an event to meet its target.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
+
 /// The next run of a stream.
 pub(super) struct PlannedRun {
-    pub(super) chain: Chain,
+    pub(super) chain: Rc<Chain>,
     /// The resources and latency targets of the run.
     pub(super) demand: RequestDemand,
     /// The estimated service by the chain.
@@ -72,7 +70,7 @@
             return None;
         }
         Some(PlannedRun {
-            chain: chains[index].clone(),
+            chain: Rc::new(chains[index].clone()),
             demand,
             estimate,
         })
@@ -111,7 +109,8 @@
         let route = &self.admitted.route;
         RunTiming {
             started: false,
-            may_retry: self.admitted.may_dispatch_again(&self.attempts),
+            answer_begun: self.last_event_at.is_some(),
+            may_retry: self.may_start_another(1),
             first_event_target: route.latency_target,
             max_gap: route.gap_target,
             expected_first: planned.expected_first(),
@@ -122,25 +121,32 @@
         }
     }
 
-    /// The run that would follow if the one to `target` were abandoned now.
-    pub(super) fn next_run(&mut self, target: &Target<'_>) -> NextRun {
+    /// Whether the route allows another run once `more` runs were started besides those that are open.
+    pub(super) fn may_start_another(&self, more: u32) -> bool {
+        let open = self.runs.len() as u32 + more;
+        self.admitted.may_dispatch_beside(&self.attempts, open)
+    }
+
+    /// Plans the run that is to replace the newest one, and evaluates whether it may.
+    pub(super) fn plan_replacement(&mut self, engine: &Engine) -> (NextRun, Option<PlannedRun>) {
         let gateway = self.gateway;
-        let planned = match self.admitted.quarantine_refusal(gateway) {
-            Some(_) => None,
-            None => {
-                let engine = self.admitted.service.engine.clone();
-                engine.and_then(|engine| self.plan_run(&engine))
-            }
+        // A probe of quarantined parts of a prompt runs once.
+        let held = self.admitted.is_probe() || self.admitted.quarantine_refusal(gateway).is_some();
+        let planned = match held {
+            true => None,
+            false => self.plan_run(engine),
         };
         let now = gateway.now();
         let accepts_work = |run: &PlannedRun| !gateway.loads.borrow().is_full(&run.chain, now);
         let planned = planned.filter(accepts_work);
-        NextRun {
-            sent: target.sending.get(),
-            dispatch_allowed: self.admitted.may_dispatch_again(&self.attempts),
+        let next_run = NextRun {
+            sent: self.runs.last().is_some_and(Run::sent),
+            dispatch_allowed: self.may_start_another(0) && self.started_runs < self.max_runs(),
             retry_left: gateway.may_retry(&self.admitted.service.name, RetryReason::Loss),
-            memory_fill: planned.map(|run| run.estimate.memory_fill),
-        }
+            memory_fill: planned.as_ref().map(|run| run.estimate.memory_fill),
+        };
+        let replacement = planned.filter(|_| next_run.may_replace_current());
+        (next_run, replacement)
     }
 }
 
