Calls: a silent attempt is kept until another one has answered

What callers saw: a repeatable call was ended after half of its time with 502 when its retry was denied or refused or the other endpoint failed, though the first one would have answered in the other half.

Now it stays open while another one is made beside it, and the first answer is relayed; an answer with a server error is used only if no attempt yields a better one. The endpoint of a silent attempt is avoided as before. An attempt still ends when its endpoint is known to have ended or its connection is known to be cut.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -6,13 +6,13 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dragonflyrill_fleet::endpoints::Endpoint;
+use dragonflyrill_fleet::{budget::RetryReason, endpoints::Endpoint};
+use futures_util::future::{self, FutureExt, LocalBoxFuture};
 use tokio::time;
 
 use super::{
     AdmittedRequest, ForwardError, RunProgress,
     attempts::Attempts,
-    is_success,
     refusal::Refusal,
     send::{self, Answer, Deadlines, DispatchError, DispatchState, Target},
     termination,
@@ -27,8 +27,10 @@
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Attempts in addition to the dispatches that a route allows, for endpoints to which nothing can be sent.
 pub(super) const EXTRA_ATTEMPTS: u32 = 3;
-/// The fraction of the time left that a dispatch may take while another one may follow.
+/// The fraction of the time left that an attempt may take before another one is made beside it.
 const NON_FINAL_TIME_FRACTION: f64 = 0.5;
+/// The time between two attempts to replace a silent one: endpoints and retries become free meanwhile.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The fraction of its latency target after which the path of a call without an answer is checked.
 const PATH_CHECK_TARGETS: f64 = 0.5;
@@ -73,79 +75,248 @@
     gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
 ) -> Result<CompleteAnswer, Refusal> {
-    let mut tried: Vec<Rc<str>> = Vec::new();
-    let mut attempts = Attempts::new(Refusal::NoEndpoint("no endpoint of the service is known"));
-    let mut failure: Option<CompleteAnswer> = None;
-    for _ in 0..admitted.max_dispatches() + EXTRA_ATTEMPTS {
-        if admitted.time_left().is_zero() || !admitted.may_dispatch(gateway, &mut attempts) {
-            break;
+    let mut call = Call {
+        gateway,
+        admitted,
+        open: Vec::new(),
+        stalled: future::pending().boxed_local(),
+        replacement: None,
+        started: 0,
+        tried: Vec::new(),
+        attempts: Attempts::new(Refusal::NoEndpoint("no endpoint of the service is known")),
+        failure: None,
+    };
+    call.fetch_answer().await
+}
+
+/// A call that is forwarded, and its attempts so far.
+///
+/// An attempt that is only silent is kept while another one is made beside it: the first answer is relayed, and the
+/// other attempt is cancelled.
+struct Call<'a> {
+    gateway: &'a Rc<Gateway>,
+    admitted: &'a AdmittedRequest,
+    /// The attempts that may still be answered, in the order of their start.
+    open: Vec<Attempt<'a>>,
+    /// Completes when they have been silent for so long that another one is to be made beside them.
+    stalled: LocalBoxFuture<'a, ()>,
+    /// The attempt that is to be made beside them once a retry is acquired.
+    replacement: Option<Replacement<'a>>,
+    /// The number of attempts that were started.
+    started: u32,
+    /// The endpoints to which it was dispatched.
+    tried: Vec<Rc<str>>,
+    /// The attempts that failed.
+    attempts: Attempts,
+    /// An answer with a server error.
+    failure: Option<CompleteAnswer>,
+}
+
+/// An attempt to get an answer from an endpoint. Dropping it cancels it.
+struct Attempt<'a> {
+    endpoint: Rc<Endpoint>,
+    /// Whether its endpoint is avoided because it is silent.
+    avoided: bool,
+    result: LocalBoxFuture<'a, Result<CompleteAnswer, DispatchError>>,
+}
+
+/// An attempt that replaces a silent one once a retry is acquired.
+struct Replacement<'a> {
+    endpoint: Rc<Endpoint>,
+    acquired: LocalBoxFuture<'a, bool>,
+}
+
+/// What the attempts of a call come to next.
+enum Step {
+    /// The attempt at this index has ended.
+    Ended(usize, Box<Result<CompleteAnswer, DispatchError>>),
+    /// A retry for the replacement was acquired or denied.
+    Retry(bool),
+    /// The attempts are silent.
+    Stalled,
+}
+
+impl Call<'_> {
+    async fn fetch_answer(&mut self) -> Result<CompleteAnswer, Refusal> {
+        loop {
+            if self.open.is_empty() && self.replacement.is_none() {
+                let Some(endpoint) = self.next_endpoint().await else {
+                    break;
+                };
+                self.start(endpoint);
+            }
+            match self.next_step().await {
+                Step::Ended(index, result) => {
+                    let ended = self.open.remove(index);
+                    self.stalled = time::sleep(REPLACEMENT_INTERVAL).boxed_local();
+                    if let Some(complete) = self.end_attempt(&ended.endpoint, *result).await {
+                        return Ok(complete);
+                    }
+                }
+                Step::Retry(acquired) => {
+                    let replacement = self.replacement.take();
+                    if let (true, Some(replacement)) = (acquired, replacement) {
+                        self.start(replacement.endpoint);
+                    }
+                }
+                Step::Stalled => self.add_attempt(),
+            }
         }
-        let Some(endpoint) = pick(gateway, admitted, &tried, &mut attempts) else {
-            break;
-        };
-        let reason = attempts.retry_reason();
-        if attempts.dispatches() > 0 && !admitted.acquire_retry(gateway, reason).await {
-            break;
+        if let Some(complete) = self.failure.take() {
+            return Ok(complete);
+        }
+        match self.attempts.may_have_run() && self.admitted.time_left().is_zero() {
+            true => Err(Refusal::OutOfTime),
+            false => Err(self.attempts.refusal()),
+        }
+    }
+
+    /// Selects the endpoint of the next attempt while none is open, and acquires the retry that it takes. `None` if
+    /// there can be none.
+    async fn next_endpoint(&mut self) -> Option<Rc<Endpoint>> {
+        let (gateway, admitted) = (self.gateway, self.admitted);
+        if self.started >= self.max_started()
+            || admitted.time_left().is_zero()
+            || !admitted.may_dispatch(gateway, &mut self.attempts)
+        {
+            return None;
+        }
+        let endpoint = pick(gateway, admitted, &self.tried, &mut self.attempts)?;
+        let reason = self.attempts.retry_reason();
+        let is_retry = self.attempts.dispatches() > 0;
+        if is_retry && !admitted.acquire_retry(gateway, reason).await {
+            return None;
         }
-        tried.push(endpoint.id.clone());
+        Some(endpoint)
+    }
+
+    /// The maximum number of attempts, including those of which nothing is sent.
+    fn max_started(&self) -> u32 {
+        self.admitted.max_dispatches() + EXTRA_ATTEMPTS
+    }
+
+    fn start(&mut self, endpoint: Rc<Endpoint>) {
+        let (gateway, admitted) = (self.gateway, self.admitted);
+        self.started += 1;
+        self.tried.push(endpoint.id.clone());
         let to = endpoint.id.to_string();
         admitted
             .request_log
             .record_dispatch(to, Duration::ZERO, 0.0, None);
-        let may_retry = admitted.may_dispatch_beside(&attempts, 1);
-        let left = admitted.time_left();
-        let limit = if may_retry {
-            left.mul_f64(NON_FINAL_TIME_FRACTION)
-        } else {
-            left
+        let open = self.open.len() as u32 + 1;
+        let before_next = match admitted.may_dispatch_beside(&self.attempts, open) {
+            true => admitted.time_left().mul_f64(NON_FINAL_TIME_FRACTION),
+            false => admitted.time_left(),
         };
-        match attempt(gateway, admitted, &endpoint, limit).await {
-            Ok(complete)
-                if is_success(complete.answer.head.status)
-                    || !may_improve(&complete, may_retry) =>
-            {
-                return Ok(complete);
-            }
-            Ok(complete) => {
-                failure = Some(complete);
-                attempts.record_error_answer();
+        let stalls_at = time::Instant::now() + before_next;
+        let result = attempt(gateway, admitted, endpoint.clone(), stalls_at);
+        self.stalled = time::sleep_until(stalls_at).boxed_local();
+        self.open.push(Attempt {
+            endpoint,
+            avoided: false,
+            result: result.boxed_local(),
+        });
+    }
+
+    /// Waits until an attempt has ended, all have been silent for too long, or the retry for a replacement is
+    /// acquired or denied.
+    async fn next_step(&mut self) -> Step {
+        let replacement = self.replacement.as_mut();
+        let retry = async {
+            match replacement {
+                Some(replacement) => replacement.acquired.as_mut().await,
+                None => future::pending().await,
             }
-            Err(error) => {
-                admitted.request_log.write_buffered();
-                log::info!(
-                    target: "forward",
-                    id = admitted.request_log.id(),
-                    request:% = admitted.fingerprint(),
-                    endpoint = &*endpoint.id,
-                    why:? = error;
-                    "A call failed."
-                );
-                let run_endpoint = termination::RunEndpoint {
-                    id: &endpoint.id,
-                    addr: endpoint.addr,
-                };
-                let run = termination::FailedRun {
-                    endpoints: &[run_endpoint],
-                    error: &error,
-                    progress: RunProgress::Beginning,
-                };
-                termination::record_terminations(gateway, admitted, run).await;
-                attempts.record_failed_attempt(error);
+        };
+        if self.open.is_empty() {
+            return Step::Retry(retry.await);
+        }
+        let results = self.open.iter_mut().map(|open| open.result.as_mut());
+        tokio::select! {
+            biased;
+            (result, index, _) = future::select_all(results) => {
+                Step::Ended(index, Box::new(result))
             }
+            acquired = retry => Step::Retry(acquired),
+            () = &mut self.stalled => Step::Stalled,
         }
     }
-    if let Some(complete) = failure {
-        return Ok(complete);
+
+    /// Starts to make another attempt beside those that are open.
+    fn add_attempt(&mut self) {
+        let (gateway, admitted) = (self.gateway, self.admitted);
+        self.stalled = time::sleep(REPLACEMENT_INTERVAL).boxed_local();
+        self.avoid_silent();
+        let open = self.open.len() as u32;
+        let allowed = self.started < self.max_started()
+            && admitted.may_dispatch_beside(&self.attempts, open)
+            && admitted.quarantine_refusal(gateway).is_none()
+            && gateway.may_retry(&admitted.service.name, RetryReason::Loss);
+        if self.replacement.is_some() || !allowed {
+            return;
+        }
+        let Some(endpoint) = pick(gateway, admitted, &self.tried, &mut self.attempts) else {
+            return;
+        };
+        let acquired = async move { admitted.acquire_retry(gateway, RetryReason::Loss).await };
+        self.replacement = Some(Replacement {
+            endpoint,
+            acquired: acquired.boxed_local(),
+        });
     }
-    match attempts.may_have_run() && admitted.time_left().is_zero() {
-        true => Err(Refusal::OutOfTime),
-        false => Err(attempts.refusal()),
+
+    /// Records once that the endpoints of the open attempts are silent, so that other calls avoid them.
+    fn avoid_silent(&mut self) {
+        let now = self.gateway.now();
+        let mut directory = self.gateway.directory.borrow_mut();
+        for attempt in self.open.iter_mut().filter(|a| !a.avoided) {
+            attempt.avoided = true;
+            directory.record_failure(&attempt.endpoint.id, now);
+        }
     }
-}
 
-/// Whether another endpoint may give a better answer.
-fn may_improve(complete: &CompleteAnswer, may_retry: bool) -> bool {
-    may_retry && complete.answer.head.status.is_server_error()
+    /// Returns the answer of an attempt that has ended, if it can be relayed.
+    async fn end_attempt(
+        &mut self,
+        endpoint: &Endpoint,
+        result: Result<CompleteAnswer, DispatchError>,
+    ) -> Option<CompleteAnswer> {
+        let (gateway, admitted) = (self.gateway, self.admitted);
+        let error = match result {
+            Ok(complete) => {
+                let open = self.open.len() as u32;
+                let may_improve = open > 0 || admitted.may_dispatch_beside(&self.attempts, 1);
+                if !may_improve || !complete.answer.head.status.is_server_error() {
+                    return Some(complete);
+                }
+                self.failure = Some(complete);
+                self.attempts.record_error_answer();
+                return None;
+            }
+            Err(error) => error,
+        };
+        admitted.request_log.write_buffered();
+        log::info!(
+            target: "forward",
+            id = admitted.request_log.id(),
+            request:% = admitted.fingerprint(),
+            endpoint = &*endpoint.id,
+            why:? = error;
+            "A call failed."
+        );
+        let run_endpoint = termination::RunEndpoint {
+            id: &endpoint.id,
+            addr: endpoint.addr,
+        };
+        let run = termination::FailedRun {
+            endpoints: &[run_endpoint],
+            error: &error,
+            progress: RunProgress::Beginning,
+        };
+        termination::record_terminations(gateway, admitted, run).await;
+        self.attempts.record_failed_attempt(error);
+        None
+    }
 }
 
 /// Selects the endpoint of the next dispatch. If there is none because endpoints lack permits, or because all of them
@@ -179,11 +350,11 @@
 async fn attempt(
     gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
-    endpoint: &Endpoint,
-    limit: Duration,
+    endpoint: Rc<Endpoint>,
+    connected_by: time::Instant,
 ) -> Result<CompleteAnswer, DispatchError> {
-    let _guard = EndpointRequestGuard::new(gateway, &endpoint.id);
     let state = DispatchState::default();
+    let _guard = EndpointRequestGuard::new(gateway, &endpoint.id);
     let target = Target {
         id: &endpoint.id,
         name: &endpoint.name,
@@ -193,15 +364,14 @@
         after_event: None,
         state: &state,
     };
-    let until = time::Instant::now() + limit;
     let deadlines = Deadlines {
-        connection: until,
-        answer: until,
+        connection: connected_by,
+        answer: admitted.due,
     };
     let exchange = async {
         let mut answer = send::send(gateway, admitted, &target, deadlines).await?;
-        let body = time::timeout_at(until, answer.connection.read_body(MAX_ANSWER_BYTES)).await;
-        match body {
+        let body = answer.connection.read_body(MAX_ANSWER_BYTES);
+        match time::timeout_at(admitted.due, body).await {
             Ok(Ok(body)) => Ok(CompleteAnswer { answer, body }),
             Ok(Err(e)) => Err(DispatchError::BrokeOff(e.to_string())),
             Err(_) => Err(DispatchError::MayHaveRun(
