Streams, calls: replacements of silent runs that fail in unusual ways; runs on terminated stages end early

Silence now ends no run. A run without an event ends once a stage is known to have terminated (its port is closed and no other host reaches it, or another incarnation is there) and callers usually have left. A run that has a replacement ends as soon as that is known, so that its memory is free on the other stages. The error answer of a replacement is read completely before the first run is cancelled. A server error waits for a better answer for half of the time left at most.

--- a/crates/fleet/src/adaptive_timeout.rs
+++ b/crates/fleet/src/adaptive_timeout.rs
@@ -7,9 +7,8 @@
 //! silence, and a run that may be lost is kept until another one has answered: what goes on first
 //! continues the answer.
 //!
-//! Silence never ends an answer that has begun, nor a run whose stages answer probes. A run that has
-//! sent nothing for as long as callers wait, and whose stages don't answer, ends if nothing can
-//! replace it.
+//! Silence alone never ends a run. If a stage is known to have terminated, and nothing could replace
+//! the run for as long as callers wait for the first event, the run ends.
 
 use std::time::Duration;
 
@@ -72,6 +71,8 @@
     pub since_replacement: Option<Duration>,
     /// Whether a stage of its chain does not answer probes, or its connection carries nothing.
     pub suspect: bool,
+    /// Whether a stage of its chain is known to have terminated.
+    pub terminated: bool,
 }
 
 /// What is to be done about a stalled run.
@@ -124,7 +125,7 @@
     /// The next step after a silence.
     pub fn next_step(&self, silence: Silence) -> Step {
         // Unanswered probes count only once this run is silent for unusually long itself.
-        let suspect = silence.suspect && silence.since_probe.is_some();
+        let suspect = (silence.suspect || silence.terminated) && silence.since_probe.is_some();
         let until_replacement = self.until_replacement(silence, suspect);
         if until_replacement.is_zero() {
             return Step::Replace(match suspect {
@@ -133,7 +134,7 @@
             });
         }
         let until_caller_leaves = self.caller_timeout().saturating_sub(silence.total);
-        if !self.answer_begun && suspect && until_caller_leaves.is_zero() {
+        if !self.answer_begun && silence.terminated && until_caller_leaves.is_zero() {
             return Step::GiveUp;
         }
         let until_probe = match silence.since_probe {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dragonflyrill_fleet::{budget::RetryReason, endpoints::Endpoint};
 use futures_util::future::{self, FutureExt, LocalBoxFuture};
-use tokio::time;
+use tokio::{sync::watch, time};
 
 use super::{
     AdmittedRequest, ForwardError, RunProgress,
@@ -27,7 +27,8 @@
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Attempts in addition to the dispatches that a route allows, for endpoints to which nothing can be sent.
 pub(super) const EXTRA_ATTEMPTS: u32 = 3;
-/// The fraction of the time left that an attempt may take before another one is made beside it.
+/// The fraction of the time left that an attempt may take before another one is made beside it, or before the server
+/// error that another one was answered with is relayed.
 const NON_FINAL_TIME_FRACTION: f64 = 0.5;
 /// The time between two attempts to replace a silent one: endpoints and retries become free meanwhile.
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
@@ -108,13 +109,17 @@
     tried: Vec<Rc<str>>,
     /// The attempts that failed.
     attempts: Attempts,
-    /// An answer with a server error.
-    failure: Option<CompleteAnswer>,
+    /// An answer with a server error, and until when a better one is waited for.
+    failure: Option<(CompleteAnswer, time::Instant)>,
 }
 
 /// An attempt to get an answer from an endpoint. Dropping it cancels it.
 struct Attempt<'a> {
     endpoint: Rc<Endpoint>,
+    /// When it counts as silent.
+    stalls_at: time::Instant,
+    /// Whether its connection is known to carry nothing.
+    path_lost: watch::Receiver<bool>,
     /// Whether its endpoint is avoided because it is silent.
     avoided: bool,
     result: LocalBoxFuture<'a, Result<CompleteAnswer, DispatchError>>,
@@ -134,6 +139,8 @@
     Retry(bool),
     /// The attempts are silent.
     Stalled,
+    /// There is an answer with a server error, and no better one has come in time.
+    Settled,
 }
 
 impl Call<'_> {
@@ -148,7 +155,7 @@
             match self.next_step().await {
                 Step::Ended(index, result) => {
                     let ended = self.open.remove(index);
-                    self.stalled = time::sleep(REPLACEMENT_INTERVAL).boxed_local();
+                    self.stalled = self.until_newest_stalls();
                     if let Some(complete) = self.end_attempt(&ended.endpoint, *result).await {
                         return Ok(complete);
                     }
@@ -160,9 +167,10 @@
                     }
                 }
                 Step::Stalled => self.add_attempt(),
+                Step::Settled => break,
             }
         }
-        if let Some(complete) = self.failure.take() {
+        if let Some((complete, _)) = self.failure.take() {
             return Ok(complete);
         }
         match self.attempts.may_have_run() && self.admitted.time_left().is_zero() {
@@ -209,13 +217,16 @@
             false => admitted.time_left(),
         };
         let stalls_at = time::Instant::now() + before_next;
-        let result = attempt(gateway, admitted, endpoint.clone(), stalls_at);
-        self.stalled = time::sleep_until(stalls_at).boxed_local();
+        let (lost, path_lost) = watch::channel(false);
+        let result = attempt(gateway, admitted, endpoint.clone(), stalls_at, lost);
         self.open.push(Attempt {
             endpoint,
+            stalls_at,
+            path_lost,
             avoided: false,
             result: result.boxed_local(),
         });
+        self.stalled = self.until_newest_stalls();
     }
 
     /// Waits until an attempt has ended, all have been silent for too long, or the retry for a replacement is
@@ -231,6 +242,8 @@
         if self.open.is_empty() {
             return Step::Retry(retry.await);
         }
+        let failure = self.failure.as_ref();
+        let settles_at = failure.map_or(self.admitted.due, |(_, settles_at)| *settles_at);
         let results = self.open.iter_mut().map(|open| open.result.as_mut());
         tokio::select! {
             biased;
@@ -238,18 +251,40 @@
                 Step::Ended(index, Box::new(result))
             }
             acquired = retry => Step::Retry(acquired),
+            () = time::sleep_until(settles_at), if failure.is_some() => Step::Settled,
             () = &mut self.stalled => Step::Stalled,
         }
     }
 
+    /// Completes when the newest attempt counts as silent, or its connection is known to carry nothing.
+    fn until_newest_stalls(&self) -> LocalBoxFuture<'static, ()> {
+        let Some(newest) = self.open.last() else {
+            return future::pending().boxed_local();
+        };
+        let (stalls_at, mut path_lost) = (newest.stalls_at, newest.path_lost.clone());
+        let stalled = async move {
+            tokio::select! {
+                () = time::sleep_until(stalls_at) => {}
+                // The sender lives as long as the attempt.
+                _ = path_lost.wait_for(|lost| *lost) => {}
+            }
+        };
+        stalled.boxed_local()
+    }
+
     /// Starts to make another attempt beside those that are open.
     fn add_attempt(&mut self) {
         let (gateway, admitted) = (self.gateway, self.admitted);
         self.stalled = time::sleep(REPLACEMENT_INTERVAL).boxed_local();
         self.avoid_silent();
+        if let Some(newest) = self.open.last().filter(|a| *a.path_lost.borrow()) {
+            // Only the connection is lost: the endpoint may be reached over another one.
+            self.tried.retain(|id| *id != newest.endpoint.id);
+        }
         let open = self.open.len() as u32;
         let allowed = self.started < self.max_started()
             && admitted.may_dispatch_beside(&self.attempts, open)
+            && !admitted.is_probe()
             && admitted.quarantine_refusal(gateway).is_none()
             && gateway.may_retry(&admitted.service.name, RetryReason::Loss);
         if self.replacement.is_some() || !allowed {
@@ -269,7 +304,8 @@
     fn avoid_silent(&mut self) {
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.borrow_mut();
-        for attempt in self.open.iter_mut().filter(|a| !a.avoided) {
+        let silent = |a: &&mut Attempt<'_>| a.stalls_at <= time::Instant::now();
+        for attempt in self.open.iter_mut().filter(silent).filter(|a| !a.avoided) {
             attempt.avoided = true;
             directory.record_failure(&attempt.endpoint.id, now);
         }
@@ -289,7 +325,8 @@
                 if !may_improve || !complete.answer.head.status.is_server_error() {
                     return Some(complete);
                 }
-                self.failure = Some(complete);
+                let settles_in = admitted.time_left().mul_f64(NON_FINAL_TIME_FRACTION);
+                self.failure = Some((complete, time::Instant::now() + settles_in));
                 self.attempts.record_error_answer();
                 return None;
             }
@@ -312,6 +349,7 @@
             endpoints: &[run_endpoint],
             error: &error,
             progress: RunProgress::Beginning,
+            waits_for_checks: self.open.is_empty(),
         };
         termination::record_terminations(gateway, admitted, run).await;
         self.attempts.record_failed_attempt(error);
@@ -352,6 +390,7 @@
     admitted: &AdmittedRequest,
     endpoint: Rc<Endpoint>,
     connected_by: time::Instant,
+    path_lost: watch::Sender<bool>,
 ) -> Result<CompleteAnswer, DispatchError> {
     let state = DispatchState::default();
     let _guard = EndpointRequestGuard::new(gateway, &endpoint.id);
@@ -379,12 +418,12 @@
             )),
         }
     };
-    let first_check = admitted.route.latency_target.mul_f64(PATH_CHECK_TARGETS);
+    let kept_until = time::Instant::now() + admitted.time_left().mul_f64(NON_FINAL_TIME_FRACTION);
     let result = tokio::select! {
         biased;
         result = exchange => result,
         () = until_terminated(gateway, &endpoint.id) => Err(state.cancelled("the endpoint has ended")),
-        () = until_path_lost(gateway, &target, first_check) => Err(state.cancelled("its connection carries nothing")),
+        () = until_path_lost(gateway, admitted, &target, &path_lost, kept_until) => Err(state.cancelled("its connection carries nothing")),
     };
     if result.is_ok() {
         gateway.record_answer(admitted.fingerprint());
@@ -417,10 +456,18 @@
     }
 }
 
-/// Waits until the connection of a call is known to carry nothing. The path is checked first after `first_check`, if
-/// there is no answer by then.
-async fn until_path_lost(gateway: &Rc<Gateway>, target: &Target<'_>, first_check: Duration) {
-    let mut pause = first_check;
+/// Waits until a call has to end because its connection carries nothing. Another attempt can be made as soon as this is
+/// known, which `lost` announces; the call itself is kept until `kept_until`, as its connection may live on.
+///
+/// The path is checked first after a part of the latency target, if there is no answer by then.
+async fn until_path_lost(
+    gateway: &Rc<Gateway>,
+    admitted: &AdmittedRequest,
+    target: &Target<'_>,
+    lost: &watch::Sender<bool>,
+    kept_until: time::Instant,
+) {
+    let mut pause = admitted.route.latency_target.mul_f64(PATH_CHECK_TARGETS);
     loop {
         time::sleep(pause).await;
         pause = PATH_CHECK_INTERVAL;
@@ -429,7 +476,10 @@
         };
         gateway.check_path(target.addr).await;
         if gateway.paths.is_lost(target.addr, via) {
-            return;
+            lost.send_replace(true);
+            if time::Instant::now() >= kept_until {
+                return;
+            }
         }
     }
 }
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -75,7 +75,7 @@
     pub(super) async fn until_stalled(&mut self) -> Stall {
         let mut failures = self.gateway.prober.endpoint_failures();
         loop {
-            if self.has_terminated_stage() {
+            if self.has_superseded_stage() {
                 // No more events follow: an answer is aborted rather than left waiting.
                 return Stall::Ended("a part of its chain has ended");
             }
@@ -111,6 +111,7 @@
             since_probe: self.probed_at.map(|at| at.elapsed()),
             since_replacement: self.replacement_at.map(|at| at.elapsed()),
             suspect: self.has_unresponsive_stage() || self.has_lost_path(),
+            terminated: self.has_terminated_stage(),
         }
     }
 
@@ -132,11 +133,31 @@
         via.is_some_and(|via| self.gateway.paths.is_lost(first, via))
     }
 
-    fn has_terminated_stage(&self) -> bool {
+    /// Waits until a stage is known to have terminated: no more events follow.
+    pub(super) async fn until_terminated(&self) {
+        let mut failures = self.gateway.prober.endpoint_failures();
+        while !self.has_terminated_stage() {
+            // The sender lives as long as the gateway.
+            let _ = failures.changed().await;
+        }
+    }
+
+    /// Whether another incarnation has replaced a stage.
+    fn has_superseded_stage(&self) -> bool {
         let directory = self.gateway.directory.borrow();
         self.chain.stages.iter().any(|p| directory.has_ended(&p.id))
     }
 
+    /// Whether a stage is known to have terminated. A draining one may have closed its port before its last answers
+    /// are complete.
+    fn has_terminated_stage(&self) -> bool {
+        let checks = &self.gateway.termination_checks;
+        let directory = self.gateway.directory.borrow();
+        let port_is_closed = |id: &str| directory.is_active(id) && checks.has_terminated(id);
+        let mut stages = self.chain.stages.iter();
+        stages.any(|p| directory.has_ended(&p.id) || port_is_closed(&p.id))
+    }
+
     fn has_unresponsive_stage(&self) -> bool {
         let directory = self.gateway.directory.borrow();
         self.chain
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -12,8 +12,12 @@
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    adaptive_timeout::NextRun, admission::Verdict, budget::RetryReason, catalogue::Engine,
-    chains::Chain, probing::Suspicion,
+    adaptive_timeout::{Doubt, NextRun},
+    admission::Verdict,
+    budget::RetryReason,
+    catalogue::Engine,
+    chains::Chain,
+    probing::Suspicion,
 };
 use futures_util::future::{self, FutureExt, LocalBoxFuture};
 use http::StatusCode;
@@ -31,10 +35,7 @@
 };
 use crate::{gateway::Gateway, http::callers::Responder};
 use plan::PlannedRun;
-use run::{Run, RunOutput};
-
-/// The maximum size of the body of an answer that is not a success.
-const MAX_ERROR_ANSWER_BYTES: usize = 256 * 1024;
+use run::{ErrorAnswer, Run, RunOutput};
 
 /// Forwards a stream and relays its events.
 pub(super) async fn forward(
@@ -172,7 +173,8 @@
                     self.end_run(newest, error, out.started()).await;
                 }
                 Step::Stalled(Stall::Doubtful { doubt, first }) => {
-                    let decision = self.replace_newest(&engine, out.started()).await;
+                    let started = out.started();
+                    let decision = self.replace_newest(&engine, doubt, started).await;
                     if let Some(next_run) = decision
                         && first
                         && next_run.dispatch_allowed
@@ -261,7 +263,12 @@
 
     /// Starts to replace the newest run, which stays open if anything of it was sent. Returns what was lacking if there
     /// is no replacement.
-    async fn replace_newest(&mut self, engine: &Engine, answer_begun: bool) -> Option<NextRun> {
+    async fn replace_newest(
+        &mut self,
+        engine: &Engine,
+        doubt: Doubt,
+        answer_begun: bool,
+    ) -> Option<NextRun> {
         if self.replacement.is_some() {
             return None;
         }
@@ -280,7 +287,9 @@
         let Some(planned) = planned else {
             return Some(next_run);
         };
-        self.record_suspected_terminations(newest).await;
+        if doubt == Doubt::Suspect {
+            self.record_suspected_terminations(newest).await;
+        }
         let (gateway, admitted) = (self.gateway, self.admitted);
         let acquired = async move { admitted.acquire_retry(gateway, RetryReason::Loss).await };
         self.replacement = Some(Replacement {
@@ -327,15 +336,23 @@
                 self.relay_events(events, out).await?;
                 Ok(None)
             }
-            RunOutput::Complete if out.started() => {
+            // A run that continues an answer after its last event yields none.
+            RunOutput::Complete
+                if out.started() && (self.runs.len() == 1 || self.runs[from].monitor.started()) =>
+            {
                 self.cancel_others(from, true).await;
                 self.complete(out).await
             }
             RunOutput::Complete => {
-                self.end_run(from, run::ended_inside_event(), false).await;
+                let error = run::ended_inside_event();
+                self.end_run(from, error, out.started()).await;
                 Ok(None)
             }
-            RunOutput::NoSuccess(status) => self.handle_error_answer(from, status, out).await,
+            RunOutput::NoSuccess(status) => {
+                self.handle_error_answer(from, status, out.started()).await;
+                Ok(None)
+            }
+            RunOutput::ErrorAnswer(answer) => self.relay_error_answer(from, *answer, out).await,
             RunOutput::Failed(error) => {
                 self.end_failed_run(from, error, out.started()).await;
                 Ok(None)
@@ -343,13 +360,8 @@
         }
     }
 
-    /// Relays an answer that is not a success, unless another run may do better.
-    async fn handle_error_answer(
-        &mut self,
-        from: usize,
-        status: StatusCode,
-        out: &mut Responder<'_>,
-    ) -> Result<Option<StatusCode>, ForwardError> {
+    /// Decides on an answer that is not a success: it is read completely, unless another run may do better.
+    async fn handle_error_answer(&mut self, from: usize, status: StatusCode, answer_begun: bool) {
         let code = status.as_u16();
         let is_server_error = status.is_server_error();
         if is_server_error {
@@ -360,29 +372,31 @@
         let may_improve = self.runs.len() > 1 || self.may_start_another(0);
         let why = match is_server_error && may_improve {
             true => Some(format!("the endpoint answered {code}")),
-            false if out.started() => Some(format!(
+            false if answer_begun => Some(format!(
                 "the endpoint answered {code} instead of the remaining events"
             )),
             false => None,
         };
         if let Some(why) = why {
-            self.end_run(from, DispatchError::MayHaveRun(why), out.started())
-                .await;
-            return Ok(None);
+            let error = DispatchError::MayHaveRun(why);
+            return self.end_run(from, error, answer_begun).await;
         }
+        self.runs[from].exchange.read_error_answer();
+    }
+
+    /// Relays a complete answer that is not a success.
+    async fn relay_error_answer(
+        &mut self,
+        from: usize,
+        answer: ErrorAnswer,
+        out: &mut Responder<'_>,
+    ) -> Result<Option<StatusCode>, ForwardError> {
         self.cancel_others(from, false).await;
-        let Some(mut answer) = self.runs[0].exchange.take_answer() else {
-            return Ok(None);
-        };
-        let body = match answer.connection.read_body(MAX_ERROR_ANSWER_BYTES).await {
-            Ok(body) => body,
-            Err(e) => {
-                let error = DispatchError::MayHaveRun(e.to_string());
-                self.end_run(0, error, false).await;
-                return Ok(None);
-            }
-        };
-        let mut headers = std::mem::take(&mut answer.head.headers);
+        let ErrorAnswer {
+            status,
+            mut headers,
+            body,
+        } = answer;
         self.gateway.platform.dialect.strip_answer(&mut headers);
         out.send_complete(status, headers, body).await?;
         Ok(Some(status))
@@ -542,6 +556,7 @@
             endpoints: &endpoints,
             error,
             progress,
+            waits_for_checks: self.runs.is_empty(),
         };
         termination::record_terminations(self.gateway, self.admitted, run).await;
     }
@@ -552,7 +567,22 @@
     if runs.is_empty() {
         return future::pending().await;
     }
-    let outputs = runs.iter_mut().map(|run| run.exchange.next().boxed_local());
+    let outputs = runs.iter_mut().map(|run| next_of_silent(run).boxed_local());
     let (output, index, _) = future::select_all(outputs).await;
     (index, output)
 }
+
+/// What a run yields that is kept although it is silent. Fails once a stage is known to have terminated.
+async fn next_of_silent(run: &mut Run<'_>) -> RunOutput {
+    let Run {
+        exchange, monitor, ..
+    } = run;
+    tokio::select! {
+        biased;
+        output = exchange.next() => output,
+        () = monitor.until_terminated() => {
+            let error = monitor.dispatch.cancelled("a part of its chain has ended");
+            RunOutput::Failed(error)
+        }
+    }
+}
--- a/crates/gateway/src/forward/stream/plan.rs
+++ b/crates/gateway/src/forward/stream/plan.rs
@@ -131,18 +131,22 @@
     pub(super) fn plan_replacement(&mut self, engine: &Engine) -> (NextRun, Option<PlannedRun>) {
         let gateway = self.gateway;
         // A probe of quarantined parts of a prompt runs once.
-        let held = self.admitted.is_probe() || self.admitted.quarantine_refusal(gateway).is_some();
-        let planned = match held {
-            true => None,
-            false => self.plan_run(engine),
+        let dispatch_allowed = self.may_start_another(0)
+            && self.started_runs < self.max_runs()
+            && !self.admitted.is_probe()
+            && self.admitted.quarantine_refusal(gateway).is_none();
+        let retry_left = gateway.may_retry(&self.admitted.service.name, RetryReason::Loss);
+        let planned = match dispatch_allowed && retry_left {
+            true => self.plan_run(engine),
+            false => None,
         };
         let now = gateway.now();
         let accepts_work = |run: &PlannedRun| !gateway.loads.borrow().is_full(&run.chain, now);
         let planned = planned.filter(accepts_work);
         let next_run = NextRun {
             sent: self.runs.last().is_some_and(Run::sent),
-            dispatch_allowed: self.may_start_another(0) && self.started_runs < self.max_runs(),
-            retry_left: gateway.may_retry(&self.admitted.service.name, RetryReason::Loss),
+            dispatch_allowed,
+            retry_left,
             memory_fill: planned.as_ref().map(|run| run.estimate.memory_fill),
         };
         let replacement = planned.filter(|_| next_run.may_replace_current());
--- a/crates/gateway/src/forward/stream/run.rs
+++ b/crates/gateway/src/forward/stream/run.rs
@@ -23,6 +23,9 @@
     gateway::Gateway,
 };
 
+/// The maximum size of the body of an answer that is not a success.
+const MAX_ERROR_ANSWER_BYTES: usize = 256 * 1024;
+
 /// A run that was dispatched. Dropping it cancels it.
 pub(super) struct Run<'a> {
     pub(super) exchange: Exchange<'a>,
@@ -125,15 +128,26 @@
 enum Phase<'a> {
     Sending(LocalBoxFuture<'a, Result<Answer, DispatchError>>),
     Answering(Box<Answer>),
+    ReadingError(LocalBoxFuture<'a, Result<ErrorAnswer, DispatchError>>),
     Ended,
 }
 
+/// A complete answer that is not a success.
+pub(super) struct ErrorAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
 /// What a run yields next.
 pub(super) enum RunOutput {
     /// Complete events that continue the answer.
     Events(Bytes),
-    /// The endpoint answered with a status that is not a success.
+    /// The endpoint answered with a status that is not a success. Its body is read by
+    /// [`Exchange::read_error_answer`].
     NoSuccess(StatusCode),
+    /// The complete answer with such a status.
+    ErrorAnswer(Box<ErrorAnswer>),
     /// The answer has ended after a complete event, or before the first one.
     Complete,
     /// The run failed.
@@ -173,11 +187,25 @@
                         }
                     }
                 }
+                Phase::ReadingError(read) => match read.await {
+                    Ok(answer) => {
+                        self.phase = Phase::Ended;
+                        return RunOutput::ErrorAnswer(Box::new(answer));
+                    }
+                    Err(error) => return self.fail(error),
+                },
                 Phase::Ended => return std::future::pending().await,
             }
         }
     }
 
+    /// Reads the body of an answer that is not a success next.
+    pub(super) fn read_error_answer(&mut self) {
+        if let Some(answer) = self.take_answer() {
+            self.phase = Phase::ReadingError(read_error_answer(answer).boxed_local());
+        }
+    }
+
     fn fail(&mut self, error: DispatchError) -> RunOutput {
         self.phase = Phase::Ended;
         RunOutput::Failed(error)
@@ -195,7 +223,7 @@
                 let headers = std::mem::take(&mut answer.head.headers);
                 Some((answer.head.status, headers))
             }
-            Phase::Sending(_) | Phase::Ended => None,
+            Phase::Sending(_) | Phase::ReadingError(_) | Phase::Ended => None,
         }
     }
 
@@ -203,11 +231,23 @@
     pub(super) fn take_answer(&mut self) -> Option<Answer> {
         match std::mem::replace(&mut self.phase, Phase::Ended) {
             Phase::Answering(answer) => Some(*answer),
-            Phase::Sending(_) | Phase::Ended => None,
+            Phase::Sending(_) | Phase::ReadingError(_) | Phase::Ended => None,
         }
     }
 }
 
+async fn read_error_answer(mut answer: Answer) -> Result<ErrorAnswer, DispatchError> {
+    let body = answer.connection.read_body(MAX_ERROR_ANSWER_BYTES).await;
+    match body {
+        Ok(body) => Ok(ErrorAnswer {
+            status: answer.head.status,
+            headers: std::mem::take(&mut answer.head.headers),
+            body,
+        }),
+        Err(e) => Err(DispatchError::MayHaveRun(e.to_string())),
+    }
+}
+
 /// The error of a run whose answer ended regularly, but inside an event or before the first one.
 pub(super) fn ended_inside_event() -> DispatchError {
     DispatchError::BrokeOff("the stream ended inside an event".to_owned())
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -34,6 +34,14 @@
 pub struct TerminationChecks(RefCell<FxHashMap<Rc<str>, TerminationCheck>>);
 
 impl TerminationChecks {
+    /// Whether a check has shown that an endpoint has terminated.
+    pub(super) fn has_terminated(&self, id: &str) -> bool {
+        let checks = self.0.borrow();
+        checks
+            .get(id)
+            .is_some_and(|check| check.peek() == Some(&true))
+    }
+
     fn check(&self, gateway: &Rc<Gateway>, id: &Rc<str>, addr: SocketAddr) -> TerminationCheck {
         let mut checks = self.0.borrow_mut();
         // A negative result may change, so it is not kept. A termination is final.
@@ -93,6 +101,8 @@
     pub(super) error: &'a DispatchError,
     /// How far its answer had got.
     pub(super) progress: RunProgress,
+    /// Whether to wait for the checks of a run that broke off, as the request may be dispatched again next.
+    pub(super) waits_for_checks: bool,
 }
 
 impl FailedRun<'_> {
@@ -139,13 +149,13 @@
         let check = gateway
             .termination_checks
             .check(gateway, endpoint.id, endpoint.addr);
-        if broke_off {
+        if broke_off && run.waits_for_checks {
             if check.await {
                 return gateway.record_termination(&suspects(), endpoint.id, run.involvement());
             }
             gateway.record_broken_run(suspects(), endpoint.id);
         } else {
-            // A run that was abandoned must not wait for an address that may not respond either.
+            // An abandoned run must not wait for an address that may not respond either.
             gateway.record_broken_run(suspects(), endpoint.id);
             confirm_once_checked(gateway, endpoint.id, check);
         }
@@ -158,6 +168,7 @@
     actix_rt::spawn(async move {
         if check.await {
             gateway.confirm_termination(&id);
+            gateway.prober.notify_failure();
         }
     });
 }
