Entry: a stage that is only silent is kept until it has a replacement

What callers saw: a completion whose stage answered nothing for 0.4 s or more ended with 502 endpoint_failed (may_have_run) if no other endpoint held the layers, if the workspace's budget had no retry left, or if the generation had used its replacements, though the stage answered a second later. An answer that did survive a shorter silence could end with 504 long before its deadline.

Cause: the generation freed the silent stage before it asked for a replacement, and failed when there was none. The host took a retry from the budget before it knew whether there was any endpoint. The time of the silence counted in the expected time of the remaining tokens.

Now the stage is freed with the replacement; without one its step is sent again and its late answer counts, until the deadline. A lost answer (a connection that failed) and a refusal are handled as before.

The test of a frozen stage demanded the free before the replacement, which is the fault; it now demands that the free comes with the replacement and not before.

--- a/crates/delivery/src/generation/message.rs
+++ b/crates/delivery/src/generation/message.rs
@@ -131,7 +131,7 @@
     /// Endpoints for the layers of [`Action::Replace`].
     Replacement(Chain),
     /// There are no endpoints for the layers of [`Action::Replace`] or for a first chain, or the
-    /// retry budget is used up.
+    /// retry budget is used up. A generation whose stage is only silent waits for it further.
     NoReplacement,
     /// An endpoint exported its KV cache.
     Exported {
--- a/crates/delivery/src/generation/mod.rs
+++ b/crates/delivery/src/generation/mod.rs
@@ -52,7 +52,12 @@
         until: Duration,
     },
     /// A stage, or for `None` the whole chain, is waiting for its replacement.
-    Replacing { stage: Option<usize> },
+    Replacing {
+        stage: Option<usize>,
+        /// The step of a stage that is only silent. Nothing of its run has been freed: it continues if it answers
+        /// first or if there is no replacement.
+        silent: Option<PendingCall>,
+    },
     /// The generation has finished, failed, moved or been cancelled.
     Ended,
 }
@@ -176,7 +181,7 @@
                 start,
             } => self.on_step_lost(now, &endpoint, attempt, start, actions),
             Event::Replacement(chain) => self.on_replacement(now, &chain, actions),
-            Event::NoReplacement => self.on_no_replacement(actions),
+            Event::NoReplacement => self.on_no_replacement(now, actions),
             Event::Exported {
                 endpoint,
                 checkpoint,
@@ -278,7 +283,13 @@
 
     /// The pending step, if an answer from `endpoint` for `attempt` and `start` matches it.
     fn pending_step(&self, endpoint: &EndpointId, attempt: u32, start: u32) -> Option<PendingCall> {
-        let (Phase::Running(pending) | Phase::BackingOff { pending, .. }) = &self.phase else {
+        let (Phase::Running(pending)
+        | Phase::BackingOff { pending, .. }
+        | Phase::Replacing {
+            silent: Some(pending),
+            ..
+        }) = &self.phase
+        else {
             return None;
         };
         let stage = &self.stages[pending.stage_index];
@@ -414,7 +425,7 @@
         }
         match self.phase.clone() {
             Phase::Running(pending) if now >= pending.timeout_at => {
-                self.retry_or_replace(now, pending, actions);
+                self.on_silence(now, pending, actions);
             }
             Phase::Importing(pending) if now >= pending.timeout_at => {
                 self.continue_without_checkpoint(now, pending.stage_index, actions);
--- a/crates/delivery/src/generation/recover.rs
+++ b/crates/delivery/src/generation/recover.rs
@@ -1,5 +1,7 @@
 //! Recovery of a generation from faults.
 //!
+//! A stage that is only silent is kept until there is a replacement.
+//!
 //! The measures, in order: send the same step again, as only its answer may be lost; continue from
 //! the positions that the endpoint still holds; replace the stage and import its checkpoint;
 //! replace the stage and run the kept activations; replace the whole chain and run the prompt and
@@ -26,7 +28,10 @@
         start: u32,
         actions: &mut Vec<Action>,
     ) {
-        if matches!(self.phase, Phase::BackingOff { .. }) {
+        if matches!(
+            self.phase,
+            Phase::BackingOff { .. } | Phase::Replacing { .. }
+        ) {
             return;
         }
         if let Some(pending) = self.pending_step(endpoint, attempt, start) {
@@ -34,13 +39,35 @@
         }
     }
 
-    /// Sends the unanswered step again, or replaces the stage after `max_step_sends` sends.
-    pub(super) fn retry_or_replace(
+    /// Handles the timeout of a step: sends it again, or requests a replacement after `max_step_sends` sends. The
+    /// run is given up only once there is a replacement, as the stage may still answer.
+    pub(super) fn on_silence(
         &mut self,
         now: Duration,
         pending: PendingCall,
         actions: &mut Vec<Action>,
     ) {
+        self.stop_timing();
+        if pending.sends < self.cfg.max_step_sends || !self.has_replacement_left() {
+            self.resend(now, pending, actions);
+            return;
+        }
+        let stage_index = pending.stage_index;
+        let stage = &self.stages[stage_index];
+        let failed = stage.stage.endpoint.clone();
+        let (stage, layers) = match stage.can_rebuild() {
+            true => (Some(stage_index), stage.stage.layers),
+            false => (None, self.all_layers()),
+        };
+        self.phase = Phase::Replacing {
+            stage,
+            silent: Some(pending),
+        };
+        actions.push(Action::Replace { layers, failed });
+    }
+
+    /// Sends the lost step again, or replaces the stage after `max_step_sends` sends.
+    fn retry_or_replace(&mut self, now: Duration, pending: PendingCall, actions: &mut Vec<Action>) {
         if pending.sends < self.cfg.max_step_sends {
             self.resend(now, pending, actions);
         } else {
@@ -164,6 +191,7 @@
             let layers = stage.stage.layers;
             self.phase = Phase::Replacing {
                 stage: Some(stage_index),
+                silent: None,
             };
             actions.push(self.free(&failed, self.attempt));
             actions.push(Action::Replace { layers, failed });
@@ -174,7 +202,10 @@
 
     fn request_new_chain(&mut self, failed: EndpointId, actions: &mut Vec<Action>) {
         self.free_all(actions);
-        self.phase = Phase::Replacing { stage: None };
+        self.phase = Phase::Replacing {
+            stage: None,
+            silent: None,
+        };
         let layers = self.all_layers();
         actions.push(Action::Replace { layers, failed });
     }
@@ -185,7 +216,7 @@
         chain: &Chain,
         actions: &mut Vec<Action>,
     ) {
-        let Phase::Replacing { stage } = self.phase else {
+        let Phase::Replacing { stage, silent } = self.phase.clone() else {
             return;
         };
         let layers = stage.map_or(self.all_layers(), |stage_index| {
@@ -199,6 +230,16 @@
             );
             return;
         };
+        if silent.is_some() {
+            self.spend_replacement();
+            match stage {
+                Some(stage_index) => {
+                    let replaced = &self.stages[stage_index].stage.endpoint;
+                    actions.push(self.free(replaced, self.attempt));
+                }
+                None => self.free_all(actions),
+            }
+        }
         self.attempt += 1;
         match stage {
             Some(stage_index) => self.splice_stages(stage_index, &chain),
@@ -235,8 +276,15 @@
         self.stages.splice(stage_index..=stage_index, new_stages);
     }
 
-    pub(super) fn on_no_replacement(&mut self, actions: &mut Vec<Action>) {
-        let kind = match self.phase {
+    pub(super) fn on_no_replacement(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let kind = match self.phase.clone() {
+            Phase::Replacing {
+                silent: Some(pending),
+                ..
+            } => {
+                self.resend(now, pending, actions);
+                return;
+            }
             Phase::Waiting if self.contacted.is_empty() => ErrorKind::NoEndpoint,
             Phase::Waiting | Phase::Replacing { .. } => ErrorKind::EndpointFailed,
             _ => return,
@@ -348,11 +396,20 @@
         kept.sum::<usize>() as u64 * self.cfg.activation_bytes
     }
 
-    /// Uses one replacement; returns false if none is left.
-    fn spend_replacement(&mut self) -> bool {
+    /// Ends the timing of the current token: its duration says nothing of the next ones.
+    fn stop_timing(&mut self) {
         self.pass_started_at = None;
         self.tokens_since_recovery = 0;
-        let left = self.replacements < self.cfg.max_replacements;
+    }
+
+    fn has_replacement_left(&self) -> bool {
+        self.replacements < self.cfg.max_replacements
+    }
+
+    /// Uses one replacement; returns false if none is left.
+    fn spend_replacement(&mut self) -> bool {
+        self.stop_timing();
+        let left = self.has_replacement_left();
         self.replacements += u32::from(left);
         left
     }
--- a/crates/delivery/tests/generation_steps.rs
+++ b/crates/delivery/tests/generation_steps.rs
@@ -110,11 +110,72 @@
     assert_eq!(step, first.1, "the same step under the same id");
     let due = generation.next_wake().expect("a time");
     let replaced = handle(&mut generation, due, Event::Tick);
-    assert!(matches!(
-        replaced[..],
-        [Action::Free { .. }, Action::Replace { .. }]
-    ));
+    assert!(matches!(replaced[..], [Action::Replace { .. }]));
     assert!(due - began < ms(500), "{:?}", due - began);
+    let moved = handle(&mut generation, due, Event::Replacement(chain("e1")));
+    assert_eq!(freed(&moved), ["e0"]);
+    assert_eq!(sent_step(&moved).0, endpoint("e1"));
+}
+
+/// Passes ticks to a generation whose stage `e0` answers nothing until it requests a replacement, and returns that
+/// time and the actions.
+fn until_replacement(generation: &mut Generation) -> (Duration, Vec<Action>) {
+    for _ in 0..10 {
+        let due = generation.next_wake().expect("it runs");
+        let actions = handle(generation, due, Event::Tick);
+        assert_eq!(failure(&actions), None, "at {due:?}");
+        if actions.iter().any(|a| matches!(a, Action::Replace { .. })) {
+            return (due, actions);
+        }
+    }
+    panic!("no replacement is requested");
+}
+
+#[test]
+fn a_silent_stage_without_a_replacement_is_waited_for_and_its_late_answer_counts() {
+    let mut generation = Generation::new(spec(ms(60_000)));
+    let (_, actions) = run(&mut generation, 60, ms(4));
+    let silent = sent_step(&actions);
+    for _ in 0..3 {
+        let (now, actions) = until_replacement(&mut generation);
+        assert_eq!(freed(&actions), [""; 0], "the run may still answer");
+        let kept = handle(&mut generation, now, Event::NoReplacement);
+        assert_eq!((failure(&kept), freed(&kept)), (None, Vec::new()));
+    }
+    let now = generation.next_wake().expect("it runs") - ms(1);
+    let answered = handle(&mut generation, now, answer(silent));
+    assert!(matches!(answered[0], Action::Release { index: 60, .. }));
+}
+
+#[test]
+fn a_silent_stage_is_waited_for_once_all_replacements_are_used() {
+    let cfg = Config {
+        max_replacements: 0,
+        ..Config::default()
+    };
+    let mut generation = Generation::with_config(spec(ms(60_000)), cfg);
+    let actions = handle(&mut generation, ms(0), Event::Start(chain("e0")));
+    let silent = sent_step(&actions);
+    for _ in 0..6 {
+        let due = generation.next_wake().expect("it runs");
+        let actions = handle(&mut generation, due, Event::Tick);
+        assert_eq!((failure(&actions), freed(&actions)), (None, Vec::new()));
+    }
+    let now = generation.next_wake().expect("it runs") - ms(1);
+    let answered = handle(&mut generation, now, answer(silent));
+    assert!(matches!(answered[0], Action::Release { index: 0, .. }));
+}
+
+#[test]
+fn an_answer_that_overtakes_the_replacement_of_its_stage_counts() {
+    let mut generation = Generation::new(spec(ms(60_000)));
+    let (_, actions) = run(&mut generation, 2, ms(4));
+    let silent = sent_step(&actions);
+    let (now, _) = until_replacement(&mut generation);
+    let answered = handle(&mut generation, now, answer(silent));
+    assert!(matches!(answered[0], Action::Release { index: 2, .. }));
+    let late = handle(&mut generation, now, Event::Replacement(chain("e1")));
+    assert_eq!(late, []);
 }
 
 #[test]
@@ -273,3 +334,19 @@
     let (_, again) = sent_step(&handle(&mut generation, due, Event::Tick));
     assert_eq!((again.attempt, again.start), (step.attempt, 0));
 }
+
+#[test]
+fn a_silence_does_not_count_in_the_expected_time_of_the_remaining_tokens() {
+    let mut generation = Generation::new(spec(ms(1200)));
+    let (_, actions) = run(&mut generation, 60, ms(4));
+    let mut now = generation.next_wake().expect("it runs");
+    handle(&mut generation, now, Event::Tick);
+    now += ms(100);
+    let mut actions = handle(&mut generation, now, answer(sent_step(&actions)));
+    for _ in 0..39 {
+        assert_eq!(failure(&actions), None, "at {now:?}");
+        now += ms(4);
+        actions = handle(&mut generation, now, answer(sent_step(&actions)));
+    }
+    assert!(actions.contains(&Action::Finish));
+}
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -339,23 +339,29 @@
         let _ = self.steps_tx.send(StepReport { endpoint, end });
     }
 
-    fn replace(&mut self, layers: wire::Layers, lost: EndpointId) {
-        log::warn!(
-            "drive: {} lost layers {layers} at {lost}.",
-            self.generation.spec().request
-        );
-        self.host.metrics.stages_replaced.inc();
-        self.fail_steps_at(&lost);
-        self.avoid.push(lost);
+    fn replace(&mut self, layers: wire::Layers, failed: EndpointId) {
+        self.fail_steps_at(&failed);
+        self.avoid.push(failed);
         let now = self.host.now();
-        let allowed = self
-            .host
-            .retries
-            .try_retry(&self.call.envelope.workspace, now);
-        let chosen = allowed.then(|| super::find_chain(self.host, self.call, layers, &self.avoid));
+        let found = super::find_chain(self.host, self.call, layers, &self.avoid).ok();
+        // A stage without a replacement may be asked for again and again: that uses no retries.
+        let chosen = found.filter(|_| {
+            let workspace = &self.call.envelope.workspace;
+            self.host.retries.try_retry(workspace, now)
+        });
         let event = match chosen {
-            Some(Ok(chain)) => Event::Replacement(chain),
-            Some(Err(_)) | None => Event::NoReplacement,
+            Some(chain) => {
+                let lost = self.avoid.last().map_or("", EndpointId::as_str);
+                let request = &self.generation.spec().request;
+                log::warn!("drive: {request} lost layers {layers} at {lost}.");
+                self.host.metrics.stages_replaced.inc();
+                Event::Replacement(chain)
+            }
+            None => {
+                // A stage that is only silent is kept.
+                self.avoid.pop();
+                Event::NoReplacement
+            }
         };
         self.handle(event);
     }
