Fleet: an endpoint that is listed again under its id has not ended

What callers saw: every call and stream to an endpoint without a reported start ended at once (calls 503, streams closed with "a part of its chain has ended") after the endpoint's name had been taken for ended once, as another one was listed at its address, and was listed again at another address. It lasted until 256 further endpoints had gone.

Cause: the directory kept the id among those that have ended when it listed it again. Without a start time, both processes have the same id.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -225,6 +225,8 @@
         let id = endpoint.id.clone();
         self.changed_at.insert(id.clone(), self.list_version);
         self.incarnations.record_listed(&endpoint);
+        // Without a start time, a process that is listed under the name of one that has ended has the same id.
+        self.superseded.remove(&id);
         // Only engines can be probed without side effects.
         let needs_answer = relisted && endpoint.accelerator.is_some();
         self.endpoints.insert(id.clone(), Rc::new(endpoint));
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -299,3 +299,17 @@
     assert!(directory.get("e").is_none() && directory.is_active("f"));
     assert_eq!(directory.put(after, ms(700)), PutOutcome::Unchanged);
 }
+
+#[test]
+fn an_endpoint_that_is_listed_again_under_its_id_has_not_ended() {
+    let mut directory = Directory::default();
+    let moved = |endpoint: Endpoint, port| Endpoint {
+        addr: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
+        ..endpoint
+    };
+    directory.put(moved(service("x", "a"), 1), ms(0));
+    directory.put(moved(service("y", "a"), 1), ms(10));
+    assert!(directory.has_ended("x"));
+    directory.put(moved(service("x", "a"), 2), ms(20));
+    assert!(directory.is_active("x") && !directory.has_ended("x"));
+}
