Entry: SIGHUP does not end a host

Cause: the program had no handler for the signal, and its other handlers were installed after the host had begun to listen.

--- a/crates/entry/src/bin/dragonflyrill-entry.rs
+++ b/crates/entry/src/bin/dragonflyrill-entry.rs
@@ -14,7 +14,7 @@
     settings::{SettingError, Settings, Spans},
 };
 use dragonflyrill_telemetry::{logs, spans};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Routes callers' requests to chains of endpoints and plain services.
 #[derive(argh::FromArgs)]
@@ -78,19 +78,44 @@
 }
 
 async fn run(settings: Settings) -> anyhow::Result<()> {
+    // Installed first: without a handler, a signal ends the process.
+    let signals = Signals::install()?;
     let node = Node::start(settings).await?;
-    wait_for_shutdown(&node.host).await?;
+    wait_for_shutdown(&node.host, signals).await;
     node.stop();
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT, then drains; a second signal ends the drain.
-async fn wait_for_shutdown(host: &Host) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM can't be watched")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT can't be watched")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that a host handles.
+struct Signals {
+    reload: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn install() -> anyhow::Result<Self> {
+        Ok(Self {
+            reload: signal(SignalKind::hangup()).context("SIGHUP can't be watched")?,
+            terminate: signal(SignalKind::terminate()).context("SIGTERM can't be watched")?,
+            interrupt: signal(SignalKind::interrupt()).context("SIGINT can't be watched")?,
+        })
+    }
+}
+
+/// Waits for SIGTERM or SIGINT, then drains; a second signal ends the drain. SIGHUP has no effect.
+async fn wait_for_shutdown(host: &Host, signals: Signals) {
+    let Signals {
+        mut reload,
+        mut terminate,
+        mut interrupt,
+    } = signals;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => log::info!("entry: Settings are read only at startup."),
+        }
     }
     let left = tokio::select! {
         left = serve::drain(host) => left,
@@ -101,5 +126,4 @@
         0 => log::info!("drain: Done; nothing was cut off."),
         left => log::warn!("drain: Ended; {left} running requests are cut off."),
     }
-    Ok(())
 }
