Entry: a silent stage is freed only once its replacement has answered

What callers saw: a completion whose stage was silent for a second ended with 502 endpoint_failed if the endpoint that replaced the stage refused the step (no free slot, draining) and no further one was allowed, though the silent stage answered later.

Cause: the silent stage was freed when its replacement was chosen, before that had accepted anything.

Now the generation keeps the run until its replacement answers. If the silent stage answers first, its run continues and the replacement is freed; if the replacement fails and there is no other one, the step goes back to the silent stage. Attempt numbers that were used are never used again. Endpoints of the kept run that the new run needs end it.

--- a/crates/delivery/src/generation/mod.rs
+++ b/crates/delivery/src/generation/mod.rs
@@ -75,6 +75,23 @@
     timeout_at: Duration,
 }
 
+/// A run whose silent stage was replaced, while the replacement has not answered yet. Its endpoints still hold it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KeptRun {
+    stages: Vec<StageState>,
+    receipts: Vec<StageReceipt>,
+    attempt: u32,
+    pending: PendingCall,
+    /// Whether the whole chain was replaced, so that the other run continues none of its sessions.
+    whole_chain_replaced: bool,
+}
+
+impl KeptRun {
+    fn includes(&self, endpoint: &EndpointId) -> bool {
+        self.stages.iter().any(|s| s.stage.endpoint == *endpoint)
+    }
+}
+
 /// The layers of a receipt, and the end of the positions that it covers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct StageReceipt {
@@ -92,7 +109,11 @@
     cfg: Config,
     stages: Vec<StageState>,
     contacted: Vec<EndpointId>,
+    /// The attempt number of the current run.
     attempt: u32,
+    /// The highest attempt number that was used.
+    last_attempt: u32,
+    kept_run: Option<KeptRun>,
     phase: Phase,
     receipts: Vec<StageReceipt>,
     tokens: Vec<u64>,
@@ -121,6 +142,8 @@
             stages: Vec::new(),
             contacted: Vec::new(),
             attempt: 1,
+            last_attempt: 1,
+            kept_run: None,
             phase: Phase::Waiting,
             receipts: Vec::new(),
             tokens: Vec::new(),
@@ -225,8 +248,18 @@
         self.send_to_stage(now, 0, actions);
     }
 
+    /// Starts another attempt.
+    fn begin_attempt(&mut self) {
+        self.last_attempt += 1;
+        self.attempt = self.last_attempt;
+    }
+
     /// Sends the next import or step to a stage.
     fn send_to_stage(&mut self, now: Duration, stage_index: usize, actions: &mut Vec<Action>) {
+        let endpoint = &self.stages[stage_index].stage.endpoint;
+        if self.kept_run.as_ref().is_some_and(|k| k.includes(endpoint)) {
+            self.free_kept_run(actions);
+        }
         let pending = PendingCall {
             stage_index,
             sends: 0,
@@ -307,8 +340,15 @@
         result: wire::StepResult,
         actions: &mut Vec<Action>,
     ) {
-        let Some(pending) = self.pending_step(endpoint, result.attempt, result.start) else {
-            return;
+        let pending = match self.pending_step(endpoint, result.attempt, result.start) {
+            Some(pending) => pending,
+            None if self.is_answer_of_kept_run(endpoint, &result) => {
+                let Some(pending) = self.restore_kept_run(actions) else {
+                    return;
+                };
+                pending
+            }
+            None => return,
         };
         match result.outcome {
             wire::StepOutcome::Done {
@@ -337,7 +377,7 @@
             && receipt.endpoint == stage.stage.endpoint.as_str()
             && outputs.len() as u32 == stage.inputs.end() - start;
         if !receipt_matches || !same_incarnation {
-            self.request_replacement(stage_index, actions);
+            self.request_replacement(now, stage_index, actions);
             return;
         }
         stage.incarnation = Some(receipt.incarnation);
@@ -376,6 +416,7 @@
             return;
         }
         self.receipts.clear();
+        self.free_kept_run(actions);
         actions.push(Action::Release {
             index: self.tokens.len() as u32,
             token,
@@ -450,7 +491,7 @@
     /// recovered.
     fn free_all(&self, actions: &mut Vec<Action>) {
         for endpoint in &self.contacted {
-            actions.push(self.free(endpoint, self.attempt));
+            actions.push(self.free(endpoint, self.last_attempt));
         }
     }
 
--- a/crates/delivery/src/generation/resume.rs
+++ b/crates/delivery/src/generation/resume.rs
@@ -27,7 +27,8 @@
             prefix: resume.prefix,
         };
         let mut this = Self::with_config(spec, cfg);
-        this.attempt = resume.attempt + 1;
+        this.last_attempt = resume.attempt;
+        this.begin_attempt();
         this.tokens = resume.released;
         this.contacted = resume.used;
         let cached_positions =
@@ -83,7 +84,7 @@
             left: spec.deadline.saturating_sub(now),
             prefix: spec.prefix.clone(),
             released: self.tokens.clone(),
-            attempt: self.attempt,
+            attempt: self.last_attempt,
             stages,
             used: self.contacted.clone(),
         };
--- a/crates/entry/tests/silent_stages.rs
+++ b/crates/entry/tests/silent_stages.rs
@@ -95,3 +95,9 @@
     assert_complete(answer_through_silence(&mut fleet, Some(4)).await);
     assert_eq!(fleet.nodes[0].host.metrics.stages_replaced.get(), 1);
 }
+
+#[actix_rt::test]
+async fn an_answer_whose_silent_stage_is_replaced_by_one_that_refuses_is_completed() {
+    let mut fleet = Fleet::start(1).await;
+    assert_complete(answer_through_silence(&mut fleet, Some(0)).await);
+}
