--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -120,25 +120,7 @@
 
     /// Commits `declarations` as the next change of the catalogue.
     pub(crate) async fn apply(&self, declarations: &str) {
-        let source = declare::Source {
-            file: "test.ini",
-            text: declarations,
-        };
-        let puts = Vec::<Entry>::try_from(source).expect("valid declarations");
-        let table = Table::new(self.platform.addr, CALL_TIMEOUT);
-        let store = CatalogueStore::new(table, Retry::new(RetryPolicy::default(), 1));
-        let head = store.read_head().await.expect("the platform is up");
-        let proposal = Proposal {
-            base: head.revision,
-            change_id: ChangeId::try_from(format!("change-{}", head.revision.0 + 1).as_str())
-                .expect("a valid id"),
-            author: "test".into(),
-            now_ms: 0,
-            puts,
-            deletes: Vec::new(),
-        };
-        let commit = store.commit(&proposal).await.expect("the platform is up");
-        assert!(matches!(commit, CommitOutcome::Accepted(_)), "{commit:?}");
+        apply_to(self.platform.addr, declarations).await;
     }
 
     pub(crate) async fn add_host(&mut self, n: usize) {
@@ -219,6 +201,29 @@
     }
 }
 
+/// Commits `declarations` as the next change of the catalogue in the table at `platform`.
+pub(crate) async fn apply_to(platform: SocketAddr, declarations: &str) {
+    let source = declare::Source {
+        file: "test.ini",
+        text: declarations,
+    };
+    let puts = Vec::<Entry>::try_from(source).expect("valid declarations");
+    let table = Table::new(platform, CALL_TIMEOUT);
+    let store = CatalogueStore::new(table, Retry::new(RetryPolicy::default(), 1));
+    let head = store.read_head().await.expect("the platform is up");
+    let proposal = Proposal {
+        base: head.revision,
+        change_id: ChangeId::try_from(format!("change-{}", head.revision.0 + 1).as_str())
+            .expect("a valid id"),
+        author: "test".into(),
+        now_ms: 0,
+        puts,
+        deletes: Vec::new(),
+    };
+    let commit = store.commit(&proposal).await.expect("the platform is up");
+    assert!(matches!(commit, CommitOutcome::Accepted(_)), "{commit:?}");
+}
+
 fn all_have_guards(row: &Row, hosts: usize) -> bool {
     let map: serde_json::Value = serde_json::from_slice(&row.value).expect("JSON");
     let members = map["members"].as_array().expect("members");
--- a/crates/entry/tests/silent_stages.rs
+++ b/crates/entry/tests/silent_stages.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Fleet, LAYERS, MODEL, expected_text, until};
+use common::{CATALOGUE, Fleet, LAYERS, MODEL, apply_to, expected_text, until};
 use dragonflyrill_catalogue::WorkspaceName;
 use dragonflyrill_engines::wire;
 use dragonflyrill_standins::engine::{self, EngineConfig};
@@ -79,6 +79,23 @@
     assert_eq!(fleet.nodes[0].host.metrics.stages_replaced.get(), 0);
 }
 
+#[actix_rt::test]
+async fn an_answer_whose_chain_is_silent_while_the_catalogue_changes_is_completed() {
+    let mut fleet = Fleet::start(1).await;
+    let tokens = fleet.nodes[0].host.metrics.tokens.clone();
+    let catalogue = CATALOGUE.replace("in_flight = 1000", "in_flight = 100");
+    let registry = fleet.platform.addr;
+    let changes = async {
+        until("the answer has begun", || tokens.get() > 3).await;
+        actix_rt::time::sleep(SILENCE / 3).await;
+        apply_to(registry, &catalogue).await;
+    };
+    let answer = answer_through_silence(&mut fleet, None);
+    let (answer, ()) = futures_util::join!(answer, changes);
+    assert_complete(answer);
+    assert!(fleet.nodes[0].host.catalogue().revision().0 > 1);
+}
+
 #[actix_rt::test]
 async fn an_answer_whose_chain_is_silent_is_completed_without_a_retry_left_in_the_budget() {
     let mut fleet = Fleet::start(1).await;
