Gateway: a request that has begun to arrive is answered when idle connections close

What callers saw: a host that shuts down closes idle connections 2.9 s after SIGTERM. A request of which a part had been received then, or that had arrived and was not read yet, was dropped without any answer, so that its caller could not tell that it had not run. It is now read, and answered or refused as not run.

Cause: the signal to close ended the read of a request at any point.

--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -28,6 +28,8 @@
 const READ_CHUNK_BYTES: usize = 4 * 1024;
 /// The maximum number of bytes of further requests that are buffered while one is answered.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// How long an idle connection that is to be closed still waits for a request that has been sent.
+const CLOSING_DELAY: Duration = Duration::from_millis(20);
 /// How long received bytes are discarded after the last answer, so that closing the connection does not reset it
 /// before the caller has read the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -134,7 +136,8 @@
     Refused(StatusCode),
 }
 
-/// Serves a connection until it is closed. A `true` in `closing` closes it while it is idle.
+/// Serves a connection until it is closed. A `true` in `closing` closes it while it is idle; a request that has begun to
+/// arrive is read and answered.
 pub async fn serve<H: Handler>(
     mut io: TcpStream,
     handler: Rc<H>,
@@ -145,12 +148,10 @@
     let mut buf = BytesMut::new();
     loop {
         let limits = handler.limits();
-        let read = tokio::select! {
-            biased;
-            read = read_request(&mut io, &mut buf, &mut codec, &limits) => read,
-            () = until_closing(&mut closing) => return,
-        };
-        let received = match read {
+        if buf.is_empty() && !until_request(&mut io, &mut buf, &mut closing, &limits).await {
+            return;
+        }
+        let received = match read_request(&mut io, &mut buf, &mut codec, &limits).await {
             Ok(received) => received,
             Err(ReadFailure::Ended) => return,
             Err(ReadFailure::Refused(status)) => {
@@ -186,6 +187,22 @@
     }
 }
 
+/// Waits until a request begins to arrive; returns false if the connection has ended or is to be closed.
+async fn until_request(
+    io: &mut TcpStream,
+    buf: &mut BytesMut,
+    closing: &mut watch::Receiver<bool>,
+    limits: &CallerLimits,
+) -> bool {
+    tokio::select! {
+        biased;
+        filled = fill(io, buf, limits.idle_timeout) => return filled.is_ok(),
+        () = until_closing(closing) => {}
+    }
+    // A request may have arrived that was not read yet.
+    fill(io, buf, CLOSING_DELAY).await.is_ok()
+}
+
 /// Waits until idle connections are to be closed.
 async fn until_closing(closing: &mut watch::Receiver<bool>) {
     if closing.wait_for(|closing| *closing).await.is_err() {
@@ -193,15 +210,13 @@
     }
 }
 
+/// Reads a request of which something has been received.
 async fn read_request(
     io: &mut TcpStream,
     buf: &mut BytesMut,
     codec: &mut Codec,
     limits: &CallerLimits,
 ) -> Result<Received, ReadFailure> {
-    if buf.is_empty() {
-        fill(io, buf, limits.idle_timeout).await?;
-    }
     let until = Instant::now() + limits.head_timeout;
     let too_large = ReadFailure::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     let request = loop {
