Gateway: a run that a host relays is not given up because that host shuts down

What callers saw: a stream that had no event yet ended with 502 (may have run) 1.2 s after it was sent, when its host learned from a probe or another request that the relay had received SIGTERM, though the relay completes what it passes on and the engine ran the stream.

Cause: a relay that states that it is stopping was recorded like one that does not answer, so that its open connections counted as lost ("its connection carries nothing"). It is still not used for anything new.

Evidence: relayed_silence, "a_relayed_stream_without_an_event_yet_...": failed before with 502, passes; the plain calls in the same situation pass before and after. relayed_requests (20), relay_safeguards (4), streams (24) and forward (25) pass.

--- a/crates/gateway/src/paths/check.rs
+++ b/crates/gateway/src/paths/check.rs
@@ -214,6 +214,8 @@
 
     fn record_cut_path(&self, endpoint: SocketAddr, kind: CutKind, relay: SocketAddr) {
         let now = self.now();
+        // Its next process relays again.
+        self.paths.stopping.borrow_mut().remove(&relay);
         let mut known = self.paths.known.borrow_mut();
         if !known.record_cut(endpoint, kind, relay, now) {
             return;
@@ -242,7 +244,10 @@
     ) {
         log::info!(target: "paths", to:% = endpoint, relay:% = relay, result = result.word(); "A host does not relay.");
         match result {
-            RelayResult::Stopping => self.record_unanswered(relay),
+            RelayResult::Stopping => {
+                self.paths.stopping.borrow_mut().insert(relay);
+                self.record_unanswered(relay);
+            }
             // The endpoint itself accepts nothing.
             RelayResult::Unavailable | RelayResult::Reached => {}
             RelayResult::Refused | RelayResult::Unreachable | RelayResult::Unlisted => {
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -28,6 +28,7 @@
 
 use actix_http::ServiceConfig;
 use dragonflyrill_fleet::paths::{CutKind, Paths, Way};
+use rustc_hash::FxHashSet;
 
 use self::check::PathChecks;
 use crate::http::call::Client;
@@ -46,6 +47,8 @@
 /// What this host knows of its paths to endpoints.
 pub struct EndpointPaths {
     known: RefCell<Paths>,
+    /// Relays that are shutting down: they complete what they pass on.
+    stopping: RefCell<FxHashSet<SocketAddr>>,
     checks: PathChecks,
     /// Asks other hosts.
     client: Client,
@@ -56,6 +59,7 @@
     pub(crate) fn new(codec: ServiceConfig) -> Self {
         Self {
             known: RefCell::default(),
+            stopping: RefCell::default(),
             checks: PathChecks::default(),
             client: Client::new(codec),
         }
@@ -70,6 +74,7 @@
     pub(crate) fn is_lost(&self, endpoint: SocketAddr, via: Via) -> bool {
         let known = self.known.borrow();
         match via {
+            Via::Relay(relay) if self.stopping.borrow().contains(&relay) => false,
             Via::Direct => known.cut_kind(endpoint) == Some(CutKind::Silent),
             Via::Relay(relay) => match known.way(endpoint) {
                 Way::Direct => false,
