--- a/crates/gateway/tests/connection.rs
+++ b/crates/gateway/tests/connection.rs
@@ -105,3 +105,51 @@
     assert!(reused("Keep-Alive: max=5\r\n", secs(2.4)).await);
     assert!(!reused("Keep-Alive: timeout=soon\r\n", secs(2.6)).await);
 }
+
+/// Sends a request with a body to a server that reads nothing for `silence` and then answers, and reads the answer.
+async fn exchange_with_silent_server(body: usize, silence: Duration) -> Result<(), String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let mut connection = Connection::open(addr, &codec_config())
+        .await
+        .expect("a connection");
+    let (mut peer, _) = listener.accept().await.expect("a connection");
+    actix_rt::spawn(async move {
+        time::sleep(silence).await;
+        let mut buf = vec![0; 1 << 16];
+        let mut left = body;
+        while left > 0 {
+            match peer.read(&mut buf).await {
+                Ok(n) if n > 0 => left = left.saturating_sub(n),
+                _ => return,
+            }
+        }
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        peer.write_all(answer).await.expect("the answer is sent");
+        let _ = peer.read(&mut buf).await;
+    });
+    let mut head = RequestHead::default();
+    head.method = http::Method::POST;
+    head.uri = "/get/x".parse().expect("a path");
+    let sent = connection.send(head, Bytes::from(vec![0; body])).await;
+    sent.map_err(|(n, e)| format!("{body} bytes, {n} sent: {e}"))?;
+    let answer = connection.read_head().await;
+    answer.map_err(|e| format!("{body} bytes, all sent: {e}"))?;
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_server_that_reads_nothing_for_a_second_does_not_end_a_request() {
+    for body in [0, 50_000, 500_000, 4 << 20] {
+        let ended = exchange_with_silent_server(body, Duration::from_secs(1)).await;
+        assert_eq!(ended, Ok(()));
+    }
+}
+
+#[actix_rt::test]
+async fn a_server_that_reads_nothing_for_seconds_does_not_end_a_long_request() {
+    for body in [0, 50_000, 500_000, 4 << 20] {
+        let ended = exchange_with_silent_server(body, Duration::from_secs(4)).await;
+        assert_eq!(ended, Ok(()));
+    }
+}
