--- a/crates/delivery/src/generation/mod.rs
+++ b/crates/delivery/src/generation/mod.rs
@@ -52,7 +52,12 @@
         until: Duration,
     },
     /// A stage, or for `None` the whole chain, is waiting for its replacement.
-    Replacing { stage: Option<usize> },
+    Replacing {
+        stage: Option<usize>,
+        /// The step of a stage that is only silent. Nothing of its run has been freed: it continues if it answers
+        /// first or if there is no replacement.
+        silent: Option<PendingCall>,
+    },
     /// The generation has finished, failed, moved or been cancelled.
     Ended,
 }
@@ -70,6 +75,23 @@
     timeout_at: Duration,
 }
 
+/// A run whose silent stage was replaced, while the replacement has not answered yet. Its endpoints still hold it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KeptRun {
+    stages: Vec<StageState>,
+    receipts: Vec<StageReceipt>,
+    attempt: u32,
+    pending: PendingCall,
+    /// Whether the whole chain was replaced, so that the other run continues none of its sessions.
+    whole_chain_replaced: bool,
+}
+
+impl KeptRun {
+    fn includes(&self, endpoint: &EndpointId) -> bool {
+        self.stages.iter().any(|s| s.stage.endpoint == *endpoint)
+    }
+}
+
 /// The layers of a receipt, and the end of the positions that it covers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct StageReceipt {
@@ -87,7 +109,11 @@
     cfg: Config,
     stages: Vec<StageState>,
     contacted: Vec<EndpointId>,
+    /// The attempt number of the current run.
     attempt: u32,
+    /// The highest attempt number that was used.
+    last_attempt: u32,
+    kept_run: Option<KeptRun>,
     phase: Phase,
     receipts: Vec<StageReceipt>,
     tokens: Vec<u64>,
@@ -116,6 +142,8 @@
             stages: Vec::new(),
             contacted: Vec::new(),
             attempt: 1,
+            last_attempt: 1,
+            kept_run: None,
             phase: Phase::Waiting,
             receipts: Vec::new(),
             tokens: Vec::new(),
@@ -176,7 +204,7 @@
                 start,
             } => self.on_step_lost(now, &endpoint, attempt, start, actions),
             Event::Replacement(chain) => self.on_replacement(now, &chain, actions),
-            Event::NoReplacement => self.on_no_replacement(actions),
+            Event::NoReplacement => self.on_no_replacement(now, actions),
             Event::Exported {
                 endpoint,
                 checkpoint,
@@ -220,8 +248,18 @@
         self.send_to_stage(now, 0, actions);
     }
 
+    /// Starts another attempt.
+    fn begin_attempt(&mut self) {
+        self.last_attempt += 1;
+        self.attempt = self.last_attempt;
+    }
+
     /// Sends the next import or step to a stage.
     fn send_to_stage(&mut self, now: Duration, stage_index: usize, actions: &mut Vec<Action>) {
+        let endpoint = &self.stages[stage_index].stage.endpoint;
+        if self.kept_run.as_ref().is_some_and(|k| k.includes(endpoint)) {
+            self.free_kept_run(actions);
+        }
         let pending = PendingCall {
             stage_index,
             sends: 0,
@@ -278,7 +316,13 @@
 
     /// The pending step, if an answer from `endpoint` for `attempt` and `start` matches it.
     fn pending_step(&self, endpoint: &EndpointId, attempt: u32, start: u32) -> Option<PendingCall> {
-        let (Phase::Running(pending) | Phase::BackingOff { pending, .. }) = &self.phase else {
+        let (Phase::Running(pending)
+        | Phase::BackingOff { pending, .. }
+        | Phase::Replacing {
+            silent: Some(pending),
+            ..
+        }) = &self.phase
+        else {
             return None;
         };
         let stage = &self.stages[pending.stage_index];
@@ -296,8 +340,15 @@
         result: wire::StepResult,
         actions: &mut Vec<Action>,
     ) {
-        let Some(pending) = self.pending_step(endpoint, result.attempt, result.start) else {
-            return;
+        let pending = match self.pending_step(endpoint, result.attempt, result.start) {
+            Some(pending) => pending,
+            None if self.is_answer_of_kept_run(endpoint, &result) => {
+                let Some(pending) = self.restore_kept_run(actions) else {
+                    return;
+                };
+                pending
+            }
+            None => return,
         };
         match result.outcome {
             wire::StepOutcome::Done {
@@ -326,7 +377,7 @@
             && receipt.endpoint == stage.stage.endpoint.as_str()
             && outputs.len() as u32 == stage.inputs.end() - start;
         if !receipt_matches || !same_incarnation {
-            self.request_replacement(stage_index, actions);
+            self.request_replacement(now, stage_index, actions);
             return;
         }
         stage.incarnation = Some(receipt.incarnation);
@@ -365,6 +416,7 @@
             return;
         }
         self.receipts.clear();
+        self.free_kept_run(actions);
         actions.push(Action::Release {
             index: self.tokens.len() as u32,
             token,
@@ -414,7 +466,7 @@
         }
         match self.phase.clone() {
             Phase::Running(pending) if now >= pending.timeout_at => {
-                self.retry_or_replace(now, pending, actions);
+                self.on_silence(now, pending, actions);
             }
             Phase::Importing(pending) if now >= pending.timeout_at => {
                 self.continue_without_checkpoint(now, pending.stage_index, actions);
@@ -439,7 +491,7 @@
     /// recovered.
     fn free_all(&self, actions: &mut Vec<Action>) {
         for endpoint in &self.contacted {
-            actions.push(self.free(endpoint, self.attempt));
+            actions.push(self.free(endpoint, self.last_attempt));
         }
     }
 
--- a/crates/delivery/src/generation/recover.rs
+++ b/crates/delivery/src/generation/recover.rs
@@ -1,5 +1,8 @@
 //! Recovery of a generation from faults.
 //!
+//! A stage that is only silent is kept until there is a replacement that has answered, and continues if it answers
+//! first, or if the replacement fails and there is no other one.
+//!
 //! The measures, in order: send the same step again, as only its answer may be lost; continue from
 //! the positions that the endpoint still holds; replace the stage and import its checkpoint;
 //! replace the stage and run the kept activations; replace the whole chain and run the prompt and
@@ -11,7 +14,7 @@
 use dragonflyrill_engines::wire;
 
 use super::{
-    Action, FAILURE_RETRY_AFTER, Generation, PendingCall, Phase,
+    Action, FAILURE_RETRY_AFTER, Generation, KeptRun, PendingCall, Phase,
     stage::{Inputs, StageState},
 };
 use crate::{chain::Chain, error::ErrorKind};
@@ -26,7 +29,10 @@
         start: u32,
         actions: &mut Vec<Action>,
     ) {
-        if matches!(self.phase, Phase::BackingOff { .. }) {
+        if matches!(
+            self.phase,
+            Phase::BackingOff { .. } | Phase::Replacing { .. }
+        ) {
             return;
         }
         if let Some(pending) = self.pending_step(endpoint, attempt, start) {
@@ -34,17 +40,39 @@
         }
     }
 
-    /// Sends the unanswered step again, or replaces the stage after `max_step_sends` sends.
-    pub(super) fn retry_or_replace(
+    /// Handles the timeout of a step: sends it again, or requests a replacement after `max_step_sends` sends. The
+    /// run is given up only once there is a replacement, as the stage may still answer.
+    pub(super) fn on_silence(
         &mut self,
         now: Duration,
         pending: PendingCall,
         actions: &mut Vec<Action>,
     ) {
+        self.stop_timing();
+        if pending.sends < self.cfg.max_step_sends || !self.has_replacement_left() {
+            self.resend(now, pending, actions);
+            return;
+        }
+        let stage_index = pending.stage_index;
+        let stage = &self.stages[stage_index];
+        let failed = stage.stage.endpoint.clone();
+        let (stage, layers) = match stage.can_rebuild() {
+            true => (Some(stage_index), stage.stage.layers),
+            false => (None, self.all_layers()),
+        };
+        self.phase = Phase::Replacing {
+            stage,
+            silent: Some(pending),
+        };
+        actions.push(Action::Replace { layers, failed });
+    }
+
+    /// Sends the lost step again, or replaces the stage after `max_step_sends` sends.
+    fn retry_or_replace(&mut self, now: Duration, pending: PendingCall, actions: &mut Vec<Action>) {
         if pending.sends < self.cfg.max_step_sends {
             self.resend(now, pending, actions);
         } else {
-            self.request_replacement(pending.stage_index, actions);
+            self.request_replacement(now, pending.stage_index, actions);
         }
     }
 
@@ -79,7 +107,7 @@
             | wire::StepRefusal::Busy
             | wire::StepRefusal::Leaving
             | wire::StepRefusal::Cancelled => {
-                self.request_replacement(pending.stage_index, actions);
+                self.request_replacement(now, pending.stage_index, actions);
             }
         }
     }
@@ -101,18 +129,14 @@
         let kept = expected >= stage.inputs.from;
         let can_continue = expected < stage.cache_end && (kept || stage.can_rebuild());
         if !can_continue {
-            self.request_replacement(stage_index, actions);
+            self.request_replacement(now, stage_index, actions);
             return;
         }
         if !self.spend_replacement() {
-            self.fail(
-                ErrorKind::EndpointFailed,
-                Some(FAILURE_RETRY_AFTER),
-                actions,
-            );
+            self.continue_kept_run_or_fail(now, actions);
             return;
         }
-        self.attempt += 1;
+        self.begin_attempt();
         let stage = &mut self.stages[stage_index];
         if expected > 0 && kept {
             stage.cache_end = expected;
@@ -136,11 +160,11 @@
             return;
         }
         if pending.sends > self.cfg.max_step_sends {
-            self.request_replacement(pending.stage_index, actions);
+            self.request_replacement(now, pending.stage_index, actions);
             return;
         }
-        let endpoint = &self.stages[pending.stage_index].stage.endpoint;
-        actions.push(self.free(endpoint, self.attempt - 1));
+        let endpoint = self.stages[pending.stage_index].stage.endpoint.clone();
+        actions.push(self.free(&endpoint, self.attempt - 1));
         self.phase = Phase::BackingOff {
             until: now + self.cfg.free_retry_delay * pending.sends,
             pending,
@@ -149,13 +173,14 @@
 
     /// Requests other endpoints for a stage, or for the whole chain if the stage's KV cache can't
     /// be rebuilt.
-    pub(super) fn request_replacement(&mut self, stage_index: usize, actions: &mut Vec<Action>) {
+    pub(super) fn request_replacement(
+        &mut self,
+        now: Duration,
+        stage_index: usize,
+        actions: &mut Vec<Action>,
+    ) {
         if !self.spend_replacement() {
-            self.fail(
-                ErrorKind::EndpointFailed,
-                Some(FAILURE_RETRY_AFTER),
-                actions,
-            );
+            self.continue_kept_run_or_fail(now, actions);
             return;
         }
         let stage = &self.stages[stage_index];
@@ -164,6 +189,7 @@
             let layers = stage.stage.layers;
             self.phase = Phase::Replacing {
                 stage: Some(stage_index),
+                silent: None,
             };
             actions.push(self.free(&failed, self.attempt));
             actions.push(Action::Replace { layers, failed });
@@ -173,8 +199,14 @@
     }
 
     fn request_new_chain(&mut self, failed: EndpointId, actions: &mut Vec<Action>) {
-        self.free_all(actions);
-        self.phase = Phase::Replacing { stage: None };
+        match &self.kept_run {
+            Some(kept) => self.free_stages_except(kept, actions),
+            None => self.free_all(actions),
+        }
+        self.phase = Phase::Replacing {
+            stage: None,
+            silent: None,
+        };
         let layers = self.all_layers();
         actions.push(Action::Replace { layers, failed });
     }
@@ -185,7 +217,7 @@
         chain: &Chain,
         actions: &mut Vec<Action>,
     ) {
-        let Phase::Replacing { stage } = self.phase else {
+        let Phase::Replacing { stage, silent } = self.phase.clone() else {
             return;
         };
         let layers = stage.map_or(self.all_layers(), |stage_index| {
@@ -199,10 +231,19 @@
             );
             return;
         };
-        self.attempt += 1;
+        if let Some(pending) = silent {
+            self.spend_replacement();
+            self.keep_or_free(pending, stage, actions);
+        }
+        self.begin_attempt();
         match stage {
             Some(stage_index) => self.splice_stages(stage_index, &chain),
-            None => self.build_stages(&chain),
+            None => {
+                self.build_stages(&chain);
+                if let Some(kept) = &mut self.kept_run {
+                    kept.whole_chain_replaced = true;
+                }
+            }
         }
         self.send_to_stage(now, stage.unwrap_or(0), actions);
     }
@@ -235,15 +276,108 @@
         self.stages.splice(stage_index..=stage_index, new_stages);
     }
 
-    pub(super) fn on_no_replacement(&mut self, actions: &mut Vec<Action>) {
-        let kind = match self.phase {
+    pub(super) fn on_no_replacement(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let kind = match self.phase.clone() {
+            Phase::Replacing {
+                silent: Some(pending),
+                ..
+            } => {
+                self.resend(now, pending, actions);
+                return;
+            }
+            Phase::Replacing { silent: None, .. } => {
+                self.continue_kept_run_or_fail(now, actions);
+                return;
+            }
             Phase::Waiting if self.contacted.is_empty() => ErrorKind::NoEndpoint,
-            Phase::Waiting | Phase::Replacing { .. } => ErrorKind::EndpointFailed,
+            Phase::Waiting => ErrorKind::EndpointFailed,
             _ => return,
         };
         self.fail(kind, Some(FAILURE_RETRY_AFTER), actions);
     }
 
+    /// Keeps the run whose silent stage is replaced. If a run is kept already, the silent stage is freed instead.
+    fn keep_or_free(
+        &mut self,
+        pending: PendingCall,
+        replaced: Option<usize>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(kept) = &self.kept_run {
+            let stages = match replaced {
+                Some(stage_index) => &self.stages[stage_index..=stage_index],
+                None => &self.stages[..],
+            };
+            let others = stages.iter().map(|s| &s.stage.endpoint);
+            let others = others.filter(|endpoint| !kept.includes(endpoint));
+            actions.extend(others.map(|endpoint| self.free(endpoint, self.attempt)));
+            return;
+        }
+        self.kept_run = Some(KeptRun {
+            stages: self.stages.clone(),
+            receipts: self.receipts.clone(),
+            attempt: self.attempt,
+            pending,
+            whole_chain_replaced: replaced.is_none(),
+        });
+    }
+
+    /// Frees the sessions that only the kept run uses, as the run that replaces it has answered or needs one of its endpoints.
+    pub(super) fn free_kept_run(&mut self, actions: &mut Vec<Action>) {
+        let Some(kept) = self.kept_run.take() else {
+            return;
+        };
+        let continued = |s: &StageState| {
+            let endpoint = &s.stage.endpoint;
+            let mut current = self.stages.iter();
+            !kept.whole_chain_replaced && current.any(|c| c.stage.endpoint == *endpoint)
+        };
+        let unused = kept.stages.iter().filter(|s| !continued(s));
+        actions.extend(unused.map(|s| self.free(&s.stage.endpoint, kept.attempt)));
+    }
+
+    fn free_stages_except(&self, kept: &KeptRun, actions: &mut Vec<Action>) {
+        let endpoints = self.stages.iter().map(|s| &s.stage.endpoint);
+        let others = endpoints.filter(|endpoint| !kept.includes(endpoint));
+        actions.extend(others.map(|endpoint| self.free(endpoint, self.attempt)));
+    }
+
+    /// Whether the silent stage of the kept run has answered after all.
+    pub(super) fn is_answer_of_kept_run(
+        &self,
+        endpoint: &EndpointId,
+        result: &wire::StepResult,
+    ) -> bool {
+        self.kept_run.as_ref().is_some_and(|kept| {
+            let stage = &kept.stages[kept.pending.stage_index];
+            matches!(result.outcome, wire::StepOutcome::Done { .. })
+                && result.attempt == kept.attempt
+                && result.start == stage.cache_end
+                && stage.stage.endpoint == *endpoint
+        })
+    }
+
+    /// Continues with the kept run, and returns its pending step.
+    pub(super) fn restore_kept_run(&mut self, actions: &mut Vec<Action>) -> Option<PendingCall> {
+        let kept = self.kept_run.take()?;
+        self.free_stages_except(&kept, actions);
+        self.stages = kept.stages;
+        self.receipts = kept.receipts;
+        self.attempt = kept.attempt;
+        Some(kept.pending)
+    }
+
+    fn continue_kept_run_or_fail(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        match self.restore_kept_run(actions) {
+            Some(pending) => self.resend(now, pending, actions),
+            None => self.fail(
+                ErrorKind::EndpointFailed,
+                Some(FAILURE_RETRY_AFTER),
+                actions,
+            ),
+        }
+    }
+
     /// Requests checkpoints of all stages if they are due.
     pub(super) fn request_checkpoints(&self, actions: &mut Vec<Action>) {
         let every = self.cfg.export_every_tokens;
@@ -318,7 +452,7 @@
             self.request_new_chain(failed, actions);
             return;
         }
-        self.attempt += 1;
+        self.begin_attempt();
         self.send_to_stage(now, stage_index, actions);
     }
 
@@ -348,11 +482,20 @@
         kept.sum::<usize>() as u64 * self.cfg.activation_bytes
     }
 
-    /// Uses one replacement; returns false if none is left.
-    fn spend_replacement(&mut self) -> bool {
+    /// Ends the timing of the current token: its duration says nothing of the next ones.
+    fn stop_timing(&mut self) {
         self.pass_started_at = None;
         self.tokens_since_recovery = 0;
-        let left = self.replacements < self.cfg.max_replacements;
+    }
+
+    fn has_replacement_left(&self) -> bool {
+        self.replacements < self.cfg.max_replacements
+    }
+
+    /// Uses one replacement; returns false if none is left.
+    fn spend_replacement(&mut self) -> bool {
+        self.stop_timing();
+        let left = self.has_replacement_left();
         self.replacements += u32::from(left);
         left
     }
