--- a/crates/fleet/src/adaptive_timeout.rs
+++ b/crates/fleet/src/adaptive_timeout.rs
@@ -7,8 +7,8 @@
 //! silence, and a run that may be lost is kept until another one has answered: what goes on first
 //! continues the answer.
 //!
-//! Silence alone never ends a run. If a stage is known to have terminated, and nothing could replace
-//! the run for as long as callers wait for the first event, the run ends.
+//! Silence alone never ends a run. A run of which nothing has come ends if a stage is known to have
+//! terminated and callers usually have left by then.
 
 use std::time::Duration;
 
@@ -32,8 +32,9 @@
 const CALLER_TIMEOUT_TARGETS: f64 = 4.0;
 /// How many times the longest inter-event gap on time a gap may last before another run is started.
 const TIMEOUT_GAPS: f64 = 3.5;
-/// The time between two attempts to start another run: chains and retries become free meanwhile.
-const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
+/// The time between two attempts to dispatch a request beside a silent dispatch: chains, endpoints and
+/// retries become free meanwhile.
+pub const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// The estimated memory fill up to which a chain has room for a run that replaces another one.
 /// A fuller chain may refuse it or make it wait.
 const MAX_NEXT_RUN_FILL: f64 = 1.0;
@@ -91,12 +92,15 @@
 /// The run that could replace a stalled one now.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct NextRun {
-    /// Whether any of the current run was sent. If not, abandoning it loses nothing and takes no retry.
+    /// Whether any of the current run was sent. If not, ending it loses nothing and takes no retry.
     pub sent: bool,
     /// Whether the request may be dispatched again beside the current run.
     pub dispatch_allowed: bool,
     /// Whether the retry budget allows a retry.
     pub retry_left: bool,
+    /// Whether only the connection of the current run is lost, so that it is no more likely to answer
+    /// than one that is refused.
+    pub path_lost: bool,
     /// The estimated memory fill of the best other chain; `None` if there is none that accepts work.
     pub memory_fill: Option<f64>,
 }
@@ -107,7 +111,7 @@
     pub fn may_replace_current(&self) -> bool {
         let has_room = self
             .memory_fill
-            .is_some_and(|fill| fill <= MAX_NEXT_RUN_FILL);
+            .is_some_and(|fill| self.path_lost || fill <= MAX_NEXT_RUN_FILL);
         !self.sent || (self.dispatch_allowed && self.retry_left && has_room)
     }
 }
--- a/crates/fleet/tests/adaptive_timeout.rs
+++ b/crates/fleet/tests/adaptive_timeout.rs
@@ -186,6 +186,7 @@
     sent: true,
     dispatch_allowed: true,
     retry_left: true,
+    path_lost: false,
     memory_fill: Some(0.5),
 };
 
@@ -217,6 +218,22 @@
     }
 }
 
+/// Guards against streams that wait on a cut connection while the chains are estimated to be full.
+#[test]
+fn a_run_on_a_lost_path_is_replaced_even_on_a_full_chain() {
+    let full = NextRun {
+        path_lost: true,
+        memory_fill: Some(1.4),
+        ..NEXT_RUN
+    };
+    assert!(full.may_replace_current());
+    let none = NextRun {
+        memory_fill: None,
+        ..full
+    };
+    assert!(!none.may_replace_current());
+}
+
 /// A run of which nothing was sent takes no retry from the budget, whatever follows it.
 #[test]
 fn a_run_that_was_not_sent_is_abandoned_even_if_no_other_is_possible() {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -6,7 +6,9 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dragonflyrill_fleet::{budget::RetryReason, endpoints::Endpoint};
+use dragonflyrill_fleet::{
+    adaptive_timeout::REPLACEMENT_INTERVAL, budget::RetryReason, endpoints::Endpoint,
+};
 use futures_util::future::{self, FutureExt, LocalBoxFuture};
 use tokio::{sync::watch, time};
 
@@ -14,6 +16,7 @@
     AdmittedRequest, ForwardError, RunProgress,
     attempts::Attempts,
     refusal::Refusal,
+    replacement::Replacement,
     send::{self, Answer, Deadlines, DispatchError, DispatchState, Target},
     termination,
 };
@@ -30,8 +33,6 @@
 /// The fraction of the time left that an attempt may take before another one is made beside it, or before the server
 /// error that another one was answered with is relayed.
 const NON_FINAL_TIME_FRACTION: f64 = 0.5;
-/// The time between two attempts to replace a silent one: endpoints and retries become free meanwhile.
-const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The fraction of its latency target after which the path of a call without an answer is checked.
 const PATH_CHECK_TARGETS: f64 = 0.5;
@@ -102,7 +103,7 @@
     /// Completes when they have been silent for so long that another one is to be made beside them.
     stalled: LocalBoxFuture<'a, ()>,
     /// The attempt that is to be made beside them once a retry is acquired.
-    replacement: Option<Replacement<'a>>,
+    replacement: Option<Replacement<'a, Rc<Endpoint>>>,
     /// The number of attempts that were started.
     started: u32,
     /// The endpoints to which it was dispatched.
@@ -125,18 +126,12 @@
     result: LocalBoxFuture<'a, Result<CompleteAnswer, DispatchError>>,
 }
 
-/// An attempt that replaces a silent one once a retry is acquired.
-struct Replacement<'a> {
-    endpoint: Rc<Endpoint>,
-    acquired: LocalBoxFuture<'a, bool>,
-}
-
 /// What the attempts of a call come to next.
 enum Step {
     /// The attempt at this index has ended.
     Ended(usize, Box<Result<CompleteAnswer, DispatchError>>),
-    /// A retry for the replacement was acquired or denied.
-    Retry(bool),
+    /// The retry for an attempt at this endpoint beside them was acquired, or for `None` denied.
+    Replacement(Option<Rc<Endpoint>>),
     /// The attempts are silent.
     Stalled,
     /// There is an answer with a server error, and no better one has come in time.
@@ -160,12 +155,8 @@
                         return Ok(complete);
                     }
                 }
-                Step::Retry(acquired) => {
-                    let replacement = self.replacement.take();
-                    if let (true, Some(replacement)) = (acquired, replacement) {
-                        self.start(replacement.endpoint);
-                    }
-                }
+                Step::Replacement(Some(endpoint)) => self.start(endpoint),
+                Step::Replacement(None) => {}
                 Step::Stalled => self.add_attempt(),
                 Step::Settled => break,
             }
@@ -232,15 +223,9 @@
     /// Waits until an attempt has ended, all have been silent for too long, or the retry for a replacement is
     /// acquired or denied.
     async fn next_step(&mut self) -> Step {
-        let replacement = self.replacement.as_mut();
-        let retry = async {
-            match replacement {
-                Some(replacement) => replacement.acquired.as_mut().await,
-                None => future::pending().await,
-            }
-        };
+        let replacement = Replacement::decided(&mut self.replacement);
         if self.open.is_empty() {
-            return Step::Retry(retry.await);
+            return Step::Replacement(replacement.await);
         }
         let failure = self.failure.as_ref();
         let settles_at = failure.map_or(self.admitted.due, |(_, settles_at)| *settles_at);
@@ -250,7 +235,7 @@
             (result, index, _) = future::select_all(results) => {
                 Step::Ended(index, Box::new(result))
             }
-            acquired = retry => Step::Retry(acquired),
+            endpoint = replacement => Step::Replacement(endpoint),
             () = time::sleep_until(settles_at), if failure.is_some() => Step::Settled,
             () = &mut self.stalled => Step::Stalled,
         }
@@ -293,11 +278,7 @@
         let Some(endpoint) = pick(gateway, admitted, &self.tried, &mut self.attempts) else {
             return;
         };
-        let acquired = async move { admitted.acquire_retry(gateway, RetryReason::Loss).await };
-        self.replacement = Some(Replacement {
-            endpoint,
-            acquired: acquired.boxed_local(),
-        });
+        self.replacement = Some(Replacement::new(gateway, admitted, endpoint));
     }
 
     /// Records once that the endpoints of the open attempts are silent, so that other calls avoid them.
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod probe;
 mod refusal;
+mod replacement;
 mod request_log;
 mod run_monitor;
 mod send;
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -29,9 +29,8 @@
 /// What the silence of a run calls for.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Stall {
-    /// Another run is to be started beside it, if possible. `first` states whether this is the first time during this
-    /// silence.
-    Doubtful { doubt: Doubt, first: bool },
+    /// Another run is to be started beside it, if possible.
+    Doubtful(Doubt),
     /// The run has to end, for the given reason.
     Ended(&'static str),
 }
@@ -81,8 +80,8 @@
             }
             match self.timing.next_step(self.silence()) {
                 Step::Replace(doubt) => {
-                    let first = self.replacement_at.replace(Instant::now()).is_none();
-                    return Stall::Doubtful { doubt, first };
+                    self.replacement_at = Some(Instant::now());
+                    return Stall::Doubtful(doubt);
                 }
                 Step::GiveUp => return Stall::Ended("no answer in time"),
                 Step::Probe => {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -12,14 +12,10 @@
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
-    adaptive_timeout::{Doubt, NextRun},
-    admission::Verdict,
-    budget::RetryReason,
-    catalogue::Engine,
-    chains::Chain,
+    adaptive_timeout::Doubt, admission::Verdict, catalogue::Engine, chains::Chain,
     probing::Suspicion,
 };
-use futures_util::future::{self, FutureExt, LocalBoxFuture};
+use futures_util::future::{self, FutureExt};
 use http::StatusCode;
 use tokio::time::{self, Instant};
 
@@ -28,6 +24,7 @@
     attempts::{Attempts, Lack},
     call, probe,
     refusal::Refusal,
+    replacement::Replacement,
     request_log::Decision,
     run_monitor::Stall,
     send::DispatchError,
@@ -119,7 +116,7 @@
     /// The runs that may still yield events, in the order of their start. All but the newest are silent.
     runs: Vec<Run<'a>>,
     /// The run that is to be started beside them once a retry is acquired.
-    replacement: Option<Replacement<'a>>,
+    replacement: Option<Replacement<'a, PlannedRun>>,
     /// The number of runs that were started.
     started_runs: u32,
     /// The keys of the chains to which it was dispatched.
@@ -130,18 +127,12 @@
     lacked: Lack,
 }
 
-/// A run that replaces a silent one once a retry is acquired.
-struct Replacement<'a> {
-    planned: PlannedRun,
-    acquired: LocalBoxFuture<'a, bool>,
-}
-
 /// What the runs of a stream come to next.
 enum Step {
     /// The run at this index yielded something.
     Output(usize, RunOutput),
-    /// A retry for the replacement was acquired or denied.
-    Retry(bool),
+    /// The retry for this run beside them was acquired, or for `None` denied.
+    Replacement(Option<PlannedRun>),
     /// The newest run is silent.
     Stalled(Stall),
 }
@@ -166,23 +157,15 @@
                         return Ok(status);
                     }
                 }
-                Step::Retry(acquired) => self.end_replacement(acquired, out.started()),
+                Step::Replacement(Some(planned)) => self.start_run(planned, out.started()),
+                Step::Replacement(None) => self.lacked = Lack::Retry,
                 Step::Stalled(Stall::Ended(why)) => {
                     let newest = self.runs.len() - 1;
                     let error = self.runs[newest].cancelled(why);
                     self.end_run(newest, error, out.started()).await;
                 }
-                Step::Stalled(Stall::Doubtful { doubt, first }) => {
-                    let started = out.started();
-                    let decision = self.replace_newest(&engine, doubt, started).await;
-                    if let Some(next_run) = decision
-                        && first
-                        && next_run.dispatch_allowed
-                    {
-                        self.admitted
-                            .request_log
-                            .record(Decision::Kept { doubt, next_run });
-                    }
+                Step::Stalled(Stall::Doubtful(doubt)) => {
+                    self.replace_newest(&engine, doubt, out.started()).await;
                 }
             }
         }
@@ -213,25 +196,19 @@
         Some(planned)
     }
 
-    /// Waits until a run yields something, the newest one has been silent for too long, or the retry for a replacement
+    /// Waits until a run yields something, the newest one has been silent for too long, or the retry for its replacement
     /// is acquired or denied.
     async fn next_step(&mut self) -> Step {
-        let replacement = self.replacement.as_mut();
-        let retry = async {
-            match replacement {
-                Some(replacement) => replacement.acquired.as_mut().await,
-                None => future::pending().await,
-            }
-        };
+        let replacement = Replacement::decided(&mut self.replacement);
         let Some((newest, older)) = self.runs.split_last_mut() else {
-            return Step::Retry(retry.await);
+            return Step::Replacement(replacement.await);
         };
         let index = older.len();
         tokio::select! {
             biased;
             output = newest.exchange.next() => Step::Output(index, output),
             (from, output) = first_output(older) => Step::Output(from, output),
-            acquired = retry => Step::Retry(acquired),
+            planned = replacement => Step::Replacement(planned),
             stall = newest.monitor.until_stalled() => Step::Stalled(stall),
         }
     }
@@ -261,51 +238,37 @@
         ));
     }
 
-    /// Starts to replace the newest run, which stays open if anything of it was sent. Returns what was lacking if there
-    /// is no replacement.
-    async fn replace_newest(
-        &mut self,
-        engine: &Engine,
-        doubt: Doubt,
-        answer_begun: bool,
-    ) -> Option<NextRun> {
+    /// Starts to replace the newest run, which stays open if anything of it was sent. Without a replacement it is waited
+    /// for.
+    async fn replace_newest(&mut self, engine: &Engine, doubt: Doubt, answer_begun: bool) {
         if self.replacement.is_some() {
-            return None;
+            return;
         }
         let newest = self.runs.len() - 1;
-        if self.runs[newest].monitor.has_lost_path() {
+        let path_lost = self.runs[newest].monitor.has_lost_path();
+        if path_lost {
             // Only the connection is lost: the chain can be reached over another one.
             let lost = self.runs[newest].chain.key;
             self.tried_chains.retain(|key| *key != lost);
         }
-        let (next_run, planned) = self.plan_replacement(engine);
+        let (next_run, planned) = self.plan_replacement(engine, path_lost);
         if !next_run.sent {
             let error = self.runs[newest].cancelled("no answer in time");
             self.end_run(newest, error, answer_begun).await;
-            return None;
+            return;
         }
         let Some(planned) = planned else {
-            return Some(next_run);
+            let first = !std::mem::replace(&mut self.runs[newest].waited_for, true);
+            if first && next_run.dispatch_allowed {
+                let kept = Decision::Kept { doubt, next_run };
+                self.admitted.request_log.record(kept);
+            }
+            return;
         };
         if doubt == Doubt::Suspect {
             self.record_suspected_terminations(newest).await;
         }
-        let (gateway, admitted) = (self.gateway, self.admitted);
-        let acquired = async move { admitted.acquire_retry(gateway, RetryReason::Loss).await };
-        self.replacement = Some(Replacement {
-            planned,
-            acquired: acquired.boxed_local(),
-        });
-        None
-    }
-
-    /// Starts the replacement if its retry was acquired.
-    fn end_replacement(&mut self, acquired: bool, answer_begun: bool) {
-        let replacement = self.replacement.take();
-        match (acquired, replacement) {
-            (true, Some(Replacement { planned, .. })) => self.start_run(planned, answer_begun),
-            _ => self.lacked = Lack::Retry,
-        }
+        self.replacement = Some(Replacement::new(self.gateway, self.admitted, planned));
     }
 
     /// The maximum number of runs, including those of which nothing is sent.
--- a/crates/gateway/src/forward/stream/plan.rs
+++ b/crates/gateway/src/forward/stream/plan.rs
@@ -127,8 +127,13 @@
         self.admitted.may_dispatch_beside(&self.attempts, open)
     }
 
-    /// Plans the run that is to replace the newest one, and evaluates whether it may.
-    pub(super) fn plan_replacement(&mut self, engine: &Engine) -> (NextRun, Option<PlannedRun>) {
+    /// Plans the run that is to replace the newest one, and evaluates whether it may. `path_lost` states whether only the
+    /// connection of the newest run is lost.
+    pub(super) fn plan_replacement(
+        &mut self,
+        engine: &Engine,
+        path_lost: bool,
+    ) -> (NextRun, Option<PlannedRun>) {
         let gateway = self.gateway;
         // A probe of quarantined parts of a prompt runs once.
         let dispatch_allowed = self.may_start_another(0)
@@ -141,12 +146,14 @@
             false => None,
         };
         let now = gateway.now();
-        let accepts_work = |run: &PlannedRun| !gateway.loads.borrow().is_full(&run.chain, now);
+        let accepts_work =
+            |run: &PlannedRun| path_lost || !gateway.loads.borrow().is_full(&run.chain, now);
         let planned = planned.filter(accepts_work);
         let next_run = NextRun {
             sent: self.runs.last().is_some_and(Run::sent),
             dispatch_allowed,
             retry_left,
+            path_lost,
             memory_fill: planned.as_ref().map(|run| run.estimate.memory_fill),
         };
         let replacement = planned.filter(|_| next_run.may_replace_current());
--- a/crates/gateway/src/forward/stream/run.rs
+++ b/crates/gateway/src/forward/stream/run.rs
@@ -33,6 +33,8 @@
     pub(super) chain: Rc<Chain>,
     /// How far its answer has got.
     pub(super) progress: RunProgress,
+    /// Whether it is waited for although it may be lost, as it had no replacement.
+    pub(super) waited_for: bool,
     /// Whether it was recorded that it may be lost with an endpoint.
     pub(super) terminations_suspected: bool,
     /// The estimated memory fill of the fullest stage when it was planned.
@@ -79,6 +81,7 @@
             _work: admitted.count_work(gateway, &demand),
             chain,
             progress: RunProgress::Beginning,
+            waited_for: false,
             terminations_suspected: false,
             memory_fill: estimate.memory_fill,
         }
