Termination checks: what a closed port has shown is forgotten once the endpoint answers

A silent run that has a replacement ends once a stage is known to have terminated, for which a refused connection counts. The result was kept for as long as the incarnation is listed. If all paths to an endpoint refused for a moment, its later runs would have ended early whenever they were silent, before their replacement had answered. Now it counts only while the endpoint answers no probe, and is forgotten when it answers one or completes a request.

--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -264,6 +264,7 @@
                 if unresponsive {
                     log::info!(target: "fleet", endpoint = &*endpoint.id; "Endpoint answers again.");
                     directory.record_success(&endpoint.id);
+                    gateway.termination_checks.forget(&endpoint.id);
                 }
                 if directory.slowdown_factor(&endpoint.id, now) <= 1.0 {
                     return;
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -152,7 +152,9 @@
     fn has_terminated_stage(&self) -> bool {
         let checks = &self.gateway.termination_checks;
         let directory = self.gateway.directory.borrow();
-        let port_is_closed = |id: &str| directory.is_active(id) && checks.has_terminated(id);
+        let port_is_closed = |id: &str| {
+            directory.is_active(id) && directory.is_unresponsive(id) && checks.has_terminated(id)
+        };
         let mut stages = self.chain.stages.iter();
         stages.any(|p| directory.has_ended(&p.id) || port_is_closed(&p.id))
     }
--- a/crates/gateway/src/forward/termination.rs
+++ b/crates/gateway/src/forward/termination.rs
@@ -42,6 +42,11 @@
             .is_some_and(|check| check.peek() == Some(&true))
     }
 
+    /// Forgets what a check has shown of an endpoint that has answered since: all paths to it may have refused connections.
+    pub(crate) fn forget(&self, id: &str) {
+        self.0.borrow_mut().remove(id);
+    }
+
     fn check(&self, gateway: &Rc<Gateway>, id: &Rc<str>, addr: SocketAddr) -> TerminationCheck {
         let mut checks = self.0.borrow_mut();
         // A negative result may change, so it is not kept. A termination is final.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -373,6 +373,7 @@
             self.metrics.avoidances_ended.inc();
         }
         directory.record_success(id);
+        self.termination_checks.forget(id);
     }
 
     /// Counts a request for a service.
