--- /dev/null
+++ b/review/standins/src/endpoints.rs
@@ -0,0 +1,146 @@
+//! Stand-ins of plain servers, and the entries that servers write in the store.
+
+use std::{
+    io::{self, BufReader},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http::{self, Request},
+    record::Record,
+    store::Store,
+};
+
+/// The interval at which a server writes its entry.
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// The pause before a server repeats a write of its entry that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A request that a server ran.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub attempt: String,
+    pub server: String,
+    pub at: Instant,
+}
+
+/// All requests that servers ran.
+#[derive(Default)]
+pub struct Ledger(Mutex<Vec<Run>>);
+
+impl Ledger {
+    fn add(&self, run: Run) {
+        self.0.lock().unwrap().push(run);
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.0.lock().unwrap().clone()
+    }
+}
+
+/// How a server is listed.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    pub id: String,
+    pub service: String,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub slots: u32,
+    /// The Unix millisecond of its start.
+    pub born: Option<u64>,
+}
+
+impl Listed {
+    /// The entry after `beats` heartbeats.
+    pub fn entry(&self, beats: u64) -> String {
+        let Self {
+            service,
+            addr,
+            zone,
+            slots,
+            ..
+        } = self;
+        let born = self
+            .born
+            .map_or(String::new(), |born| format!(r#","born":{born}"#));
+        format!(
+            r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","coldRemainingMs":0,"sequence":{beats}{born}}}"#
+        )
+    }
+
+    /// Writes the entry of the server at each heartbeat, from now on. A write that fails is repeated until it succeeds.
+    pub fn keep_listed(self, store: Arc<Store>) {
+        thread::spawn(move || {
+            for beats in 1.. {
+                let entry = self.entry(beats);
+                while store.write("servers", &self.id, Some(&entry)).is_none() {
+                    thread::sleep(RETRY_PAUSE);
+                }
+                thread::sleep(HEARTBEAT);
+            }
+        });
+    }
+}
+
+/// The stand-in of a plain server: it runs each request for the same time and answers with a body that names the request.
+pub struct PlainServer {
+    pub listed: Listed,
+    pub work: Duration,
+    pub ledger: Arc<Ledger>,
+    pub record: Arc<Record>,
+}
+
+impl PlainServer {
+    pub fn start(self) -> io::Result<()> {
+        let listener = TcpListener::bind(self.listed.addr)?;
+        let server = Arc::new(self);
+        thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                let server = server.clone();
+                thread::spawn(move || server.serve(io));
+            }
+        });
+        Ok(())
+    }
+
+    fn serve(&self, mut io: TcpStream) {
+        let _ = io.set_nodelay(true);
+        let Ok(copy) = io.try_clone() else { return };
+        let mut reader = BufReader::new(copy);
+        while let Ok(req) = http::read_request(&mut reader) {
+            if self.answer(&req, &mut io).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, req: &Request, io: &mut TcpStream) -> io::Result<()> {
+        let id = &*self.listed.id;
+        if req.path() == "/health" {
+            return http::write_answer(io, 200, &[("Instance-Id", id)], b"");
+        }
+        if req
+            .header("expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
+            return http::write_answer(io, 421, &[("Instance-Id", id)], b"");
+        }
+        let attempt = req.header("attempt-id").unwrap_or_default().to_owned();
+        let tenant = req.header("tenant").unwrap_or("-");
+        self.ledger.add(Run {
+            attempt: attempt.clone(),
+            server: id.to_owned(),
+            at: Instant::now(),
+        });
+        self.record
+            .add(&format!("run {attempt} at {id}, tenant {tenant}"));
+        thread::sleep(self.work);
+        let seal = format!("{id}.{attempt}");
+        let headers = [("Attempt-Id", &*attempt), ("Response-Seal", &*seal)];
+        http::write_answer(io, 200, &headers, format!("answer to {attempt}").as_bytes())
+    }
+}
