--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../run-case.sh" stale-list review/3
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -154,7 +154,7 @@
         addr: loopback(service.subnet, 1 + n as u8, port),
         zone: ZONES[n % ZONES.len()].to_owned(),
         slots: service.slots,
-        born: None,
+        draining: Arc::default(),
     };
     (0..service.servers).map(listed).collect()
 }
--- a/review/standins/src/endpoints.rs
+++ b/review/standins/src/endpoints.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, BufReader},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -18,7 +21,7 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 
 /// The pause before a server repeats a write of its entry that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// A request that a server ran.
 #[derive(Debug, Clone)]
@@ -50,8 +53,8 @@
     pub addr: SocketAddr,
     pub zone: String,
     pub slots: u32,
-    /// The Unix millisecond of its start.
-    pub born: Option<u64>,
+    /// Whether its entry says that it is draining.
+    pub draining: Arc<AtomicBool>,
 }
 
 impl Listed {
@@ -64,14 +67,26 @@
             slots,
             ..
         } = self;
-        let born = self
-            .born
-            .map_or(String::new(), |born| format!(r#","born":{born}"#));
+        let state = match self.draining.load(Ordering::SeqCst) {
+            true => "draining",
+            false => "ready",
+        };
         format!(
-            r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","coldRemainingMs":0,"sequence":{beats}{born}}}"#
+            r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","coldRemainingMs":0,"sequence":{beats}}}"#
         )
     }
 
+    /// Reports that the server drains. Returns the time of the store's acknowledgement and the version of the row.
+    pub fn drain(&self, store: &Store) -> (Instant, u64) {
+        self.draining.store(true, Ordering::SeqCst);
+        loop {
+            if let Some(ver) = store.write("servers", &self.id, Some(&self.entry(0))) {
+                return (Instant::now(), ver);
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
     /// Writes the entry of the server at each heartbeat, from now on. A write that fails is repeated until it succeeds.
     pub fn keep_listed(self, store: Arc<Store>) {
         thread::spawn(move || {
--- a/review/standins/src/scenarios/foreign_entries.rs
+++ b/review/standins/src/scenarios/foreign_entries.rs
@@ -51,6 +51,7 @@
     Listed {
         id: format!("tide-{}", server.id),
         service: FOREIGN_SERVICE.to_owned(),
+        draining: Arc::default(),
         ..server.clone()
     }
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -8,7 +8,7 @@
     io::{self, BufReader},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Condvar, Mutex, MutexGuard,
     },
     thread,
@@ -84,6 +84,8 @@
     connections: Mutex<Vec<TcpStream>>,
     /// Cleared while the store is away.
     up: AtomicBool,
+    /// Incremented when all open connections fall silent for good.
+    silenced: AtomicU64,
 }
 
 /// What a restoration did.
@@ -108,6 +110,7 @@
             changed: Condvar::new(),
             connections: Mutex::default(),
             up: AtomicBool::new(false),
+            silenced: AtomicU64::new(0),
         });
         store.listen()?;
         Ok(store)
@@ -130,6 +133,11 @@
         self.up.load(Ordering::SeqCst)
     }
 
+    /// Lets all open connections fall silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.silenced.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Goes away: connections end, and new ones are refused.
     pub fn go_away(&self) {
         let state = self.state();
@@ -189,11 +197,17 @@
         let _ = io.set_nodelay(true);
         let Ok(copy) = io.try_clone() else { return };
         let mut reader = BufReader::new(copy);
+        let opened = self.silenced.load(Ordering::SeqCst);
         while let Ok(req) = http::read_request(&mut reader) {
             thread::sleep(ANSWER_TIME);
             let Some((status, body)) = self.answer(&req) else {
                 return;
             };
+            if self.silenced.load(Ordering::SeqCst) != opened {
+                // The connection stays open until the peer closes it.
+                while http::read_request(&mut reader).is_ok() {}
+                return;
+            }
             let era = self.state().era.to_string();
             let headers = [("Content-Type", "application/json"), ("Store-Era", &*era)];
             if http::write_answer(&mut io, status, &headers, body.as_bytes()).is_err() {
