--- a/review/standins/src/callers.rs
+++ b/review/standins/src/callers.rs
@@ -24,7 +24,6 @@
 pub struct Sent {
     pub key: &'static str,
     pub host: String,
-    pub service: &'static str,
     pub at: Instant,
     /// The status of its answer, if there was one.
     pub status: Option<u16>,
@@ -90,7 +89,6 @@
             let sent = Sent {
                 key,
                 host: host.name.clone(),
-                service,
                 at: Instant::now(),
                 status: None,
             };
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -155,6 +155,7 @@
         zone: ZONES[n % ZONES.len()].to_owned(),
         slots: service.slots,
         draining: Arc::default(),
+        left: Arc::default(),
     };
     (0..service.servers).map(listed).collect()
 }
--- a/review/standins/src/endpoints.rs
+++ b/review/standins/src/endpoints.rs
@@ -55,6 +55,8 @@
     pub slots: u32,
     /// Whether its entry says that it is draining.
     pub draining: Arc<AtomicBool>,
+    /// Whether it has left: it writes no entry any more, though it may go on serving.
+    pub left: Arc<AtomicBool>,
 }
 
 impl Listed {
@@ -76,6 +78,21 @@
         )
     }
 
+    fn has_left(&self) -> bool {
+        self.left.load(Ordering::SeqCst)
+    }
+
+    /// Removes the entry of the server, which leaves. Returns the time of the store's acknowledgement and its version.
+    pub fn leave(&self, store: &Store) -> (Instant, u64) {
+        self.left.store(true, Ordering::SeqCst);
+        loop {
+            if let Some(ver) = store.write("servers", &self.id, None) {
+                return (Instant::now(), ver);
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
     /// Reports that the server drains. Returns the time of the store's acknowledgement and the version of the row.
     pub fn drain(&self, store: &Store) -> (Instant, u64) {
         self.draining.store(true, Ordering::SeqCst);
@@ -92,7 +109,7 @@
         thread::spawn(move || {
             for beats in 1.. {
                 let entry = self.entry(beats);
-                while store.write("servers", &self.id, Some(&entry)).is_none() {
+                while !self.has_left() && store.write("servers", &self.id, Some(&entry)).is_none() {
                     thread::sleep(RETRY_PAUSE);
                 }
                 thread::sleep(HEARTBEAT);
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -41,7 +41,6 @@
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
 }
 
 impl Answer {
@@ -103,7 +102,7 @@
 }
 
 /// Reads one chunk of a chunked body; empty at its end.
-pub fn read_chunk(reader: &mut impl BufRead) -> io::Result<Vec<u8>> {
+fn read_chunk(reader: &mut impl BufRead) -> io::Result<Vec<u8>> {
     let size = read_line(reader)?;
     let size = usize::from_str_radix(size.trim(), 16).map_err(|_| closed())?;
     let mut chunk = vec![0; size];
@@ -180,12 +179,6 @@
     reader: BufReader<TcpStream>,
 }
 
-/// The head of an answer whose body has not been read.
-pub struct AnswerHead {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-}
-
 impl Connection {
     pub fn open(addr: SocketAddr, read_timeout: Duration) -> io::Result<Self> {
         let io = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
@@ -195,8 +188,7 @@
         Ok(Self { io, reader })
     }
 
-    /// Sends a request without reading its answer.
-    pub fn send(
+    fn send(
         &mut self,
         method: &str,
         target: &str,
@@ -216,29 +208,6 @@
         self.io.write_all(&out)
     }
 
-    pub fn read_head(&mut self) -> io::Result<AnswerHead> {
-        let line = read_line(&mut self.reader)?;
-        let status = line.split(' ').nth(1).and_then(|s| s.parse().ok());
-        Ok(AnswerHead {
-            status: status.ok_or_else(closed)?,
-            headers: read_headers(&mut self.reader)?,
-        })
-    }
-
-    /// Reads the next chunk of a chunked body; empty at its end.
-    pub fn read_chunk(&mut self) -> io::Result<Vec<u8>> {
-        read_chunk(&mut self.reader)
-    }
-
-    pub fn read_rest(&mut self, head: AnswerHead) -> io::Result<Answer> {
-        let body = read_body(&mut self.reader, &head.headers, true)?;
-        Ok(Answer {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
-    }
-
     /// Sends a request and reads the complete answer.
     pub fn call(
         &mut self,
@@ -248,7 +217,13 @@
         body: &[u8],
     ) -> io::Result<Answer> {
         self.send(method, target, headers, body)?;
-        let head = self.read_head()?;
-        self.read_rest(head)
+        let line = read_line(&mut self.reader)?;
+        let status = line.split(' ').nth(1).and_then(|s| s.parse().ok());
+        let headers = read_headers(&mut self.reader)?;
+        read_body(&mut self.reader, &headers, true)?;
+        Ok(Answer {
+            status: status.ok_or_else(closed)?,
+            headers,
+        })
     }
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -46,6 +46,7 @@
     record.announce(&format!("case {case}, trouble: {trouble}"));
     match case {
         "store-restored" => scenarios::store_restored::run(record, trouble),
+        "left-server" => scenarios::left_server::run(record, trouble),
         "stale-list" => scenarios::stale_list::run(record, trouble),
         "foreign-entries" => scenarios::foreign_entries::run(record, trouble),
         _ => Err(io::Error::other(format!("unknown case {case:?}"))),
--- a/review/standins/src/scenarios/foreign_entries.rs
+++ b/review/standins/src/scenarios/foreign_entries.rs
@@ -52,6 +52,7 @@
         id: format!("tide-{}", server.id),
         service: FOREIGN_SERVICE.to_owned(),
         draining: Arc::default(),
+        left: Arc::default(),
         ..server.clone()
     }
 }
--- a/review/standins/src/scenarios/mod.rs
+++ b/review/standins/src/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! The cases that are run as scripts.
 
 pub mod foreign_entries;
+pub mod left_server;
 pub mod stale_list;
 pub mod store_restored;
 
--- a/review/standins/src/scenarios/stale_list.rs
+++ b/review/standins/src/scenarios/stale_list.rs
@@ -77,7 +77,7 @@
         let restored = deployment.store.come_back_from_copy(copy_at)?;
         let age = copy_at.elapsed().as_secs_f64();
         record.announce(&format!(
-            "the store is back from a copy {age:.1} s old: {restored:?}"
+            "the store is back from a copy {age:.1} s old: {restored}"
         ));
         thread::sleep(KILL_AFTER);
         record.announce(&format!("{} is killed", killed.name));
--- a/review/standins/src/scenarios/store_restored.rs
+++ b/review/standins/src/scenarios/store_restored.rs
@@ -76,7 +76,7 @@
         if trouble {
             let restored = deployment.store.come_back_from_copy(copy_at)?;
             record.announce(&format!(
-                "the store is back from a copy {:.1} s old: {restored:?}",
+                "the store is back from a copy {:.1} s old: {restored}",
                 copy_at.elapsed().as_secs_f64()
             ));
         }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -5,10 +5,11 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     io::{self, BufReader},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
         Arc, Condvar, Mutex, MutexGuard,
     },
     thread,
@@ -84,12 +85,10 @@
     connections: Mutex<Vec<TcpStream>>,
     /// Cleared while the store is away.
     up: AtomicBool,
-    /// Incremented when all open connections fall silent for good.
-    silenced: AtomicU64,
 }
 
 /// What a restoration did.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct Restored {
     /// The last version before it.
     pub before: u64,
@@ -97,6 +96,12 @@
     pub copy: u64,
 }
 
+impl fmt::Display for Restored {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "version {} became {}", self.before, self.copy)
+    }
+}
+
 impl Store {
     pub fn start(addr: SocketAddr) -> io::Result<Arc<Self>> {
         let store = Arc::new(Self {
@@ -110,7 +115,6 @@
             changed: Condvar::new(),
             connections: Mutex::default(),
             up: AtomicBool::new(false),
-            silenced: AtomicU64::new(0),
         });
         store.listen()?;
         Ok(store)
@@ -133,11 +137,6 @@
         self.up.load(Ordering::SeqCst)
     }
 
-    /// Lets all open connections fall silent for good; new ones work.
-    pub fn silence_connections(&self) {
-        self.silenced.fetch_add(1, Ordering::SeqCst);
-    }
-
     /// Goes away: connections end, and new ones are refused.
     pub fn go_away(&self) {
         let state = self.state();
@@ -197,17 +196,11 @@
         let _ = io.set_nodelay(true);
         let Ok(copy) = io.try_clone() else { return };
         let mut reader = BufReader::new(copy);
-        let opened = self.silenced.load(Ordering::SeqCst);
         while let Ok(req) = http::read_request(&mut reader) {
             thread::sleep(ANSWER_TIME);
             let Some((status, body)) = self.answer(&req) else {
                 return;
             };
-            if self.silenced.load(Ordering::SeqCst) != opened {
-                // The connection stays open until the peer closes it.
-                while http::read_request(&mut reader).is_ok() {}
-                return;
-            }
             let era = self.state().era.to_string();
             let headers = [("Content-Type", "application/json"), ("Store-Era", &*era)];
             if http::write_answer(&mut io, status, &headers, body.as_bytes()).is_err() {
