--- a/review/standins/src/callers.rs
+++ b/review/standins/src/callers.rs
@@ -12,7 +12,12 @@
     time::{Duration, Instant},
 };
 
-use crate::{deployment::DOMAIN, hosts::Host, http::Connection, record::Record};
+use crate::{
+    deployment::{DOMAIN, SERVICES},
+    hosts::Host,
+    http::Connection,
+    record::Record,
+};
 
 /// The pause of a client between two requests.
 const CALL_PAUSE: Duration = Duration::from_millis(100);
@@ -45,7 +50,6 @@
 /// All clients, and what they sent.
 pub struct Callers {
     record: Arc<Record>,
-    services: &'static [&'static str],
     pub sent: Mutex<HashMap<String, Sent>>,
     next: AtomicU64,
     pub stop: AtomicBool,
@@ -53,10 +57,9 @@
 
 impl Callers {
     /// Clients that call the route of each service in turn.
-    pub fn new(record: Arc<Record>, services: &'static [&'static str]) -> Self {
+    pub fn new(record: Arc<Record>) -> Self {
         Self {
             record,
-            services,
             sent: Mutex::default(),
             next: AtomicU64::new(0),
             stop: AtomicBool::new(false),
@@ -85,7 +88,7 @@
         while !self.stop.load(Ordering::SeqCst) {
             let n = self.next.fetch_add(1, Ordering::SeqCst);
             let attempt = format!("{n:016x}");
-            let service = self.services[n as usize % self.services.len()];
+            let service = SERVICES[n as usize % SERVICES.len()].name;
             let sent = Sent {
                 key,
                 host: host.name.clone(),
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -34,19 +34,37 @@
     pub subnet: u8,
 }
 
+/// The services of the deployment. Their servers are plain ones: no case needs engines.
+pub const SERVICES: [Service; 2] = [
+    Service {
+        name: "drill-lm",
+        servers: 33,
+        slots: 192,
+        work: Duration::from_millis(20),
+        subnet: 64,
+    },
+    Service {
+        name: "quay-app",
+        servers: 3,
+        slots: 6,
+        work: Duration::from_millis(15),
+        subnet: 65,
+    },
+];
+
 /// A key, and the tenant that holds it.
 pub type Key = (&'static str, &'static str);
 
 /// The text of a configuration with one idempotent route for each service, `/SERVICE/`.
-pub fn configuration(version: u64, services: &[Service], keys: &[Key]) -> String {
+pub fn configuration(version: u64, keys: &[Key]) -> String {
     let route = |service: &Service| {
         let name = service.name;
         format!(
             r#"{{"name":"r-{name}","host":"{DOMAIN}","prefix":"/{name}/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":100,"priority":2,"service":"{name}","maxAttempts":2,"allowAnonymous":false}}"#
         )
     };
-    let routes: Vec<String> = services.iter().map(route).collect();
-    let listed: Vec<String> = services
+    let routes: Vec<String> = SERVICES.iter().map(route).collect();
+    let listed: Vec<String> = SERVICES
         .iter()
         .map(|s| format!(r#"{{"name":"{}","healthCheck":"/health","maxConnections":110,"protocol":"h1","tls":false}}"#, s.name))
         .collect();
@@ -66,7 +84,6 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Setup<'a> {
     pub name: &'a str,
-    pub services: &'a [Service],
     pub keys: &'a [Key],
 }
 
@@ -87,12 +104,8 @@
         let dir = TempDir::create(setup.name)?;
         let port = free_port()?;
         let store = Store::start(loopback(200, 1, port))?;
-        store.write(
-            "op",
-            "config",
-            Some(&configuration(7, setup.services, setup.keys)),
-        );
-        let servers = setup.services.iter().flat_map(|s| listed_servers(s, port));
+        store.write("op", "config", Some(&configuration(7, setup.keys)));
+        let servers = SERVICES.iter().flat_map(|s| listed_servers(s, port));
         let hosts = all_hosts(&dir, port);
         let processes: io::Result<Vec<Process>> = hosts.iter().map(Host::start).collect();
         Ok(Self {
@@ -107,10 +120,10 @@
     }
 
     /// Starts the servers one after the other, so that their heartbeats are spread.
-    pub fn start_servers(&self, services: &[Service]) -> io::Result<()> {
+    pub fn start_servers(&self) -> io::Result<()> {
         let pause = HEARTBEAT / self.servers.len() as u32;
         for listed in &self.servers {
-            let service = services.iter().find(|s| s.name == listed.service);
+            let service = SERVICES.iter().find(|s| s.name == listed.service);
             let server = PlainServer {
                 listed: listed.clone(),
                 work: service.map_or(Duration::ZERO, |s| s.work),
--- a/review/standins/src/endpoints.rs
+++ b/review/standins/src/endpoints.rs
@@ -21,7 +21,7 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 
 /// The pause before a server repeats a write of its entry that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// A request that a server ran.
 #[derive(Debug, Clone)]
--- a/review/standins/src/scenarios/foreign_entries.rs
+++ b/review/standins/src/scenarios/foreign_entries.rs
@@ -11,28 +11,12 @@
 use super::Outcome;
 use crate::{
     callers::Callers,
-    deployment::{configuration, Deployment, Key, Service, Setup},
+    deployment::{configuration, Deployment, Key, Setup},
     endpoints::Listed,
     hosts,
     record::Record,
 };
 
-const SERVICES: [Service; 2] = [
-    Service {
-        name: "drill-lm",
-        servers: 33,
-        slots: 192,
-        work: Duration::from_millis(20),
-        subnet: 64,
-    },
-    Service {
-        name: "quay-app",
-        servers: 3,
-        slots: 6,
-        work: Duration::from_millis(15),
-        subnet: 65,
-    },
-];
 const KEY: Key = ("harbour", "kept-key-5b1f");
 /// A service that no configuration names.
 const FOREIGN_SERVICE: &str = "tide-gauge";
@@ -60,7 +44,6 @@
 pub fn run(record: Arc<Record>, trouble: bool) -> io::Result<Outcome> {
     let setup = Setup {
         name: "foreign-entries",
-        services: &SERVICES,
         keys: &[KEY],
     };
     let mut deployment = Deployment::start_hosts(&setup, record.clone())?;
@@ -77,15 +60,15 @@
         ));
     }
     thread::sleep(Duration::from_secs(2));
-    deployment.start_servers(&SERVICES)?;
+    deployment.start_servers()?;
     deployment.wait_until_ready()?;
     thread::sleep(Duration::from_secs(3));
 
-    let callers = Arc::new(Callers::new(record.clone(), &["drill-lm", "quay-app"]));
+    let callers = Arc::new(Callers::new(record.clone()));
     let threads = callers.call_all(&deployment.hosts, &[KEY.1]);
     let began_at = Instant::now();
     thread::sleep(BEFORE);
-    let next = configuration(12, &SERVICES, &[KEY]);
+    let next = configuration(12, &[KEY]);
     let (fault_at, ver) = deployment.configure(&next);
     record.announce(&format!("a configuration is acknowledged at version {ver}"));
     if trouble {
--- a/review/standins/src/scenarios/left_server.rs
+++ b/review/standins/src/scenarios/left_server.rs
@@ -11,26 +11,10 @@
 use super::Outcome;
 use crate::{
     callers::Callers,
-    deployment::{Deployment, Key, Service, Setup},
+    deployment::{Deployment, Key, Setup},
     record::Record,
 };
 
-const SERVICES: [Service; 2] = [
-    Service {
-        name: "drill-lm",
-        servers: 33,
-        slots: 192,
-        work: Duration::from_millis(20),
-        subnet: 64,
-    },
-    Service {
-        name: "quay-app",
-        servers: 3,
-        slots: 6,
-        work: Duration::from_millis(15),
-        subnet: 65,
-    },
-];
 const KEYS: [Key; 2] = [("harbour", "kept-key-5b1f"), ("broker", "kept-key-90ac")];
 
 /// `drainMs` of the small deployments.
@@ -52,13 +36,12 @@
 pub fn run(record: Arc<Record>, trouble: bool) -> io::Result<Outcome> {
     let setup = Setup {
         name: "left-server",
-        services: &SERVICES,
         keys: &KEYS,
     };
     let deployment = Deployment::start_hosts(&setup, record.clone())?;
-    deployment.start_servers(&SERVICES)?;
+    deployment.start_servers()?;
     deployment.wait_until_ready()?;
-    let callers = Arc::new(Callers::new(record.clone(), &["drill-lm", "quay-app"]));
+    let callers = Arc::new(Callers::new(record.clone()));
     let threads = callers.call_all(&deployment.hosts, &[KEYS[0].1, KEYS[1].1]);
     thread::sleep(BEFORE);
     let copy_at = Instant::now();
--- a/review/standins/src/scenarios/store_restored.rs
+++ b/review/standins/src/scenarios/store_restored.rs
@@ -11,26 +11,10 @@
 use super::Outcome;
 use crate::{
     callers::Callers,
-    deployment::{configuration, Deployment, Key, Service, Setup},
+    deployment::{configuration, Deployment, Key, Setup},
     record::Record,
 };
 
-const SERVICES: [Service; 2] = [
-    Service {
-        name: "drill-lm",
-        servers: 33,
-        slots: 192,
-        work: Duration::from_millis(20),
-        subnet: 64,
-    },
-    Service {
-        name: "quay-app",
-        servers: 3,
-        slots: 6,
-        work: Duration::from_millis(15),
-        subnet: 65,
-    },
-];
 const KEPT: Key = ("harbour", "kept-key-5b1f");
 const REVOKED: Key = ("broker", "revoked-key-90ac");
 
@@ -46,13 +30,12 @@
 pub fn run(record: Arc<Record>, trouble: bool) -> io::Result<Outcome> {
     let setup = Setup {
         name: "store-restored",
-        services: &SERVICES,
         keys: &[KEPT, REVOKED],
     };
     let mut deployment = Deployment::start_hosts(&setup, record.clone())?;
-    deployment.start_servers(&SERVICES)?;
+    deployment.start_servers()?;
     deployment.wait_until_ready()?;
-    let callers = Arc::new(Callers::new(record.clone(), &["drill-lm", "quay-app"]));
+    let callers = Arc::new(Callers::new(record.clone()));
     let threads = callers.call_all(&deployment.hosts, &[KEPT.1, REVOKED.1]);
     thread::sleep(BEFORE);
     let copy_at = Instant::now();
@@ -62,7 +45,7 @@
         record.announce("the store goes away");
         deployment.store.go_away();
     }
-    let revoked = configuration(12, &SERVICES, &[KEPT]);
+    let revoked = configuration(12, &[KEPT]);
     let (acknowledged_at, ver) = thread::scope(|scope| {
         // The operator takes the key away while the store is away, and repeats the write until it is acknowledged.
         let operator = scope.spawn(|| {
