Store: positions belong to a timeline; a restored store is read in full

Cause: the store gives versions out again after a restoration. The readers continued the feed after the version that they knew from before (379, the restored store began at 348). The write of the operator became 349, the heartbeats of the servers passed 379 before the first read, and that read returned only what is above 379. The answer counted as a freshness proof. Nothing read the header by which the store states a restoration.

Change: a position is a timeline and a version (fleet::timeline), ordered by timeline first. The adapter reads the timeline from every answer. An answer that does not continue from the position of its read is dropped and the read made in full; an outdated answer is not applied. Of the same class: - the lease is not held until its row was read and written again, as its version may be that of another holder's row; - claims of shares are not compared, drafted or reported across timelines; - rows and reads of several pages that mix timelines are dropped; - a write during which the store was restored has an unknown outcome; - hosts write their rows again, gathered by data centre, since the copy may lack them; - endpoints that the copy lacks get the time of lapsed entries. New metric store_restorations_total, and a log line with both timelines.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -8,6 +8,7 @@
     incarnations::{Incarnations, StartTime, Verdict},
     layers::LayerRange,
     stated_availability::{RequestedBackoff, StatedAvailability},
+    timeline::StoreRevision,
 };
 
 /// One incarnation of an endpoint, as listed by the platform.
@@ -120,7 +121,7 @@
     list_version: u64,
     /// Store revisions up to which the list was known, in ascending order, each with the version of
     /// the list at that time.
-    revisions: VecDeque<(u64, u64)>,
+    revisions: VecDeque<(StoreRevision, u64)>,
     /// Version of the list at the last change of each endpoint.
     changed_at: FxHashMap<Rc<str>, u64>,
     /// The endpoints removed last, each with the version of the list at its removal.
@@ -268,7 +269,7 @@
     }
 
     /// Records that all changes of the store up to `revision` are now known.
-    pub fn record_revision(&mut self, revision: u64) {
+    pub fn record_revision(&mut self, revision: StoreRevision) {
         if self
             .revisions
             .back()
@@ -282,15 +283,16 @@
         }
     }
 
-    /// Returns the version of the list at a store revision or the last known one before it; `None`
+    /// Returns the version of the list at a store revision or the last known one before it in the same timeline; `None`
     /// if that is too long ago.
-    pub fn version_at_revision(&self, revision: u64) -> Option<u64> {
+    pub fn version_at_revision(&self, revision: StoreRevision) -> Option<u64> {
         let before = self
             .revisions
             .iter()
             .rev()
             .find(|(known, _)| *known <= revision);
-        before.map(|(_, version)| *version)
+        let same_timeline = before.filter(|(known, _)| known.timeline == revision.timeline);
+        same_timeline.map(|(_, version)| *version)
     }
 
     /// Returns the changes of the list since `version`, or the complete list if that version is
--- a/crates/fleet/src/leader_lease.rs
+++ b/crates/fleet/src/leader_lease.rs
@@ -113,6 +113,13 @@
         Some(renewed_at + self.term.mul_f64(HELD_RATIO))
     }
 
+    /// Records that the store was restored from a copy: the version of the row may name another row by now. This host
+    /// does not act on the lease until it has read the row and written it again.
+    pub fn record_restoration(&mut self) {
+        self.renewed_at = None;
+        self.write_unconfirmed = true;
+    }
+
     /// The step that is due now.
     pub fn step(&self, now: Duration) -> Step {
         if self.shutting_down {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -64,5 +64,6 @@
 pub mod share;
 pub mod stated_availability;
 pub mod store_access;
+pub mod timeline;
 pub mod token_bucket;
 pub mod write_batch;
--- a/crates/fleet/src/outage.rs
+++ b/crates/fleet/src/outage.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Records that the store was restored from a copy, in which entries that were written since are missing.
+    pub fn record_restoration(&mut self, now: Duration) {
+        self.recovered_at = Some(now);
+    }
+
     /// Returns when the store last recovered from an outage in which entries can have lapsed.
     pub fn recovered_at(&self) -> Option<Duration> {
         self.recovered_at
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -141,6 +141,8 @@
 pub struct Share {
     settle_time: Duration,
     latest: Option<ReceivedSnapshot>,
+    /// Whether the store was restored since that snapshot.
+    restored: bool,
     /// The version at which the share was claimed; `None` before that and after the claim has expired.
     since: Option<u64>,
     /// When this host stops relying on the claim that the store is known to contain.
@@ -158,6 +160,7 @@
         Self {
             settle_time,
             latest: None,
+            restored: false,
             since: None,
             until: None,
             counted_to: None,
@@ -190,18 +193,31 @@
     /// one is known.
     pub fn merge_snapshot(&mut self, snapshot: ClaimsSnapshot, sent_at: Duration, now: Duration) {
         let known = self.latest.map(|s| (s.snapshot.version, s.snapshot.clock));
-        if known.is_some_and(|known| known > (snapshot.version, snapshot.clock)) {
+        let restored = std::mem::take(&mut self.restored);
+        if !restored && known.is_some_and(|known| known > (snapshot.version, snapshot.clock)) {
             return;
         }
         self.latest = Some(ReceivedSnapshot { snapshot, sent_at });
         self.update_holding(now);
     }
 
+    /// Records that the store was restored from a copy. Versions of the newest snapshot can't be compared with those of
+    /// later ones, so no row is drafted from it and the next snapshot replaces it.
+    pub fn record_restoration(&mut self) {
+        self.restored = true;
+        self.counted_to = None;
+    }
+
     /// The newest snapshot.
     pub fn snapshot(&self) -> Option<&ClaimsSnapshot> {
         self.latest.as_ref().map(|s| &s.snapshot)
     }
 
+    /// The newest snapshot, unless the store was restored since.
+    pub fn current_snapshot(&self) -> Option<&ClaimsSnapshot> {
+        self.snapshot().filter(|_| !self.restored)
+    }
+
     /// Upper bound of the time since the newest snapshot was requested.
     pub fn snapshot_age(&self, now: Duration) -> Option<Duration> {
         Some(now.saturating_sub(self.latest?.sent_at))
@@ -210,7 +226,7 @@
     /// The claim to write into the host's row now; `None` before the first snapshot.
     pub fn draft(&mut self, now: Duration) -> Option<ClaimDraft> {
         self.expire(now, LATE_WRITE_MARGIN);
-        let ReceivedSnapshot { snapshot, sent_at } = self.latest?;
+        let ReceivedSnapshot { snapshot, sent_at } = self.latest.filter(|_| !self.restored)?;
         let claim = Claim {
             since: self.since,
             counted_to: snapshot.version,
--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -126,10 +126,16 @@
             .merge_snapshot(snapshot, sent_at, now);
     }
 
-    /// The claims as they are reported to other hosts; `None` until they are known.
+    /// Records that the store was restored from a copy.
+    pub fn record_restoration(&self) {
+        self.share.borrow_mut().record_restoration();
+    }
+
+    /// The claims as they are reported to other hosts; `None` until they are known, and after a restoration of the store
+    /// until the rows were read again.
     pub fn report(&self, now: Duration) -> Option<ClaimsView> {
         let share = self.share.borrow();
-        let (snapshot, age) = (share.snapshot()?, share.snapshot_age(now)?);
+        let (snapshot, age) = (share.current_snapshot()?, share.snapshot_age(now)?);
         Some(ClaimsView {
             version: snapshot.version,
             clock_ms: millis(snapshot.clock),
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use super::{Backoff, StoreCall};
+use super::{Backoff, StoreCall, continues};
 use crate::{
     gateway::{Gateway, StoreRead},
     ports::{CatalogueUpdate, StoreRevision},
@@ -44,10 +44,17 @@
             .run(&gateway, wait + READ_MARGIN, read)
             .await;
         match read {
+            Ok(update) if !continues(&gateway, revision, update.revision) => {
+                log::info!(target: "catalogue", after:? = revision, answer:? = update.revision; "The answer does not continue from the last one; the catalogue is read in full.");
+                // An outdated answer to a read in full must not be requested again at once.
+                if revision.take().is_none() {
+                    backoff.pause(&gateway).await;
+                }
+            }
             Ok(update) => {
                 backoff.reset(&gateway);
                 gateway.record_store_answer(StoreRead::Catalogue, gateway.now());
-                revision = Some(apply_update(&gateway, update, sent_at, revision));
+                revision = Some(apply_update(&gateway, update, sent_at));
             }
             Err(PlatformError::HistoryTrimmed) => {
                 log::info!(target: "catalogue", "The store's history is truncated; the catalogue is read in full.");
@@ -80,17 +87,12 @@
 }
 
 /// Applies the result of a read; returns the revision from which the next read continues.
-fn apply_update(
-    gateway: &Gateway,
-    update: CatalogueUpdate,
-    sent_at: Duration,
-    known: Option<StoreRevision>,
-) -> StoreRevision {
+fn apply_update(gateway: &Gateway, update: CatalogueUpdate, sent_at: Duration) -> StoreRevision {
     if let Some(new) = update.catalogue {
         gateway.adopt_catalogue(new);
     }
     if gateway.catalogue.borrow().is_some() {
         gateway.record_proof(sent_at);
     }
-    update.revision.max(known.unwrap_or(0))
+    update.revision
 }
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -5,7 +5,7 @@
 use dragonflyrill_store::PlatformError;
 use tokio::time;
 
-use super::{Backoff, ReadLimit, StoreCall};
+use super::{Backoff, ReadLimit, StoreCall, continues};
 use crate::{
     gateway::{Gateway, StoreRead},
     ports::{EndpointUpdate, StoreRevision},
@@ -53,7 +53,7 @@
                 backoff.pause(&follower.gateway).await;
             }
         }
-        follower.forget_lapsed();
+        follower.gateway.expire_entries();
         time::sleep_until(started_at + interval).await;
     }
 }
@@ -72,6 +72,14 @@
         let read = StoreCall::List.run(&self.gateway, limit, read).await;
         self.read_limit.record(&read);
         match read {
+            Ok(update) if !continues(&self.gateway, self.revision, update.revision) => {
+                log::info!(target: "fleet", after:? = self.revision, answer:? = update.revision; "The answer does not continue from the last one; the list of endpoints is read in full.");
+                let was_complete = self.revision.take().is_none();
+                match was_complete {
+                    true => Ok(()),
+                    false => Box::pin(self.read()).await,
+                }
+            }
             Ok(update) => {
                 self.gateway.record_list_as_of(sent_at);
                 self.apply_update(update);
@@ -89,8 +97,8 @@
     }
 
     fn apply_update(&mut self, update: EndpointUpdate) {
-        let now = self.gateway.now();
         self.revision = Some(update.revision);
+        let now = self.gateway.now();
         self.gateway.record_store_answer(StoreRead::List, now);
         let known = self.gateway.list_revision.get();
         self.gateway.list_revision.set(known.max(update.revision));
@@ -110,21 +118,8 @@
                 .remove(&endpoint.id);
             self.gateway.list_endpoint(endpoint);
         }
-        // Entries lapse while the store is unavailable, whether or not a read of the list failed meanwhile. The grace
-        // time starts when the store is available again, not when this host reads the list again: an entry that is
-        // removed after the grace time belongs to an endpoint that has ended.
-        let recovered_at = self.gateway.outage.borrow().recovered_at();
-        let until = recovered_at
-            .map(|at| at + LAPSED_ENTRY_GRACE)
-            .filter(|t| *t > now);
         for id in removed {
-            match until {
-                Some(until) => {
-                    let mut doubted = self.gateway.lapsed_endpoints.borrow_mut();
-                    doubted.entry(id).or_insert(until);
-                }
-                None => self.gateway.remove_endpoint(&id),
-            }
+            remove_unless_lapsed(&self.gateway, &id);
         }
         self.gateway
             .directory
@@ -138,13 +133,22 @@
         let listed = names.iter().filter_map(|name| directory.by_name(name));
         listed.map(|e| e.id.clone()).collect()
     }
+}
 
-    /// Forgets endpoints whose entries have lapsed and have not reappeared in time.
-    fn forget_lapsed(&self) {
-        let now = self.gateway.now();
-        let mut doubted = self.gateway.lapsed_endpoints.borrow_mut();
-        for (id, _) in doubted.extract_if(|_, until| *until <= now) {
-            self.gateway.remove_endpoint(&id);
+/// Removes an endpoint whose entry is missing, unless the entry may have lapsed: then the endpoint is kept for a while.
+///
+/// Entries lapse while the store is unavailable, whether or not a read of the list failed meanwhile, and those written
+/// last are missing in a store that was restored from a copy. The grace time starts when the store is available again,
+/// not when this host reads the list again: an entry that is removed after the grace time belongs to an endpoint that has
+/// ended.
+fn remove_unless_lapsed(gateway: &Gateway, id: &Rc<str>) {
+    let recovered_at = gateway.outage.borrow().recovered_at();
+    let until = recovered_at.map(|at| at + LAPSED_ENTRY_GRACE);
+    match until.filter(|t| *t > gateway.now()) {
+        Some(until) if gateway.directory.borrow().get(id).is_some() => {
+            let mut lapsed = gateway.lapsed_endpoints.borrow_mut();
+            lapsed.entry(id.clone()).or_insert(until);
         }
+        _ => gateway.remove_endpoint(id),
     }
 }
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -12,6 +12,7 @@
     row_writes::{
         self, JoinWrite, ProofVersions, RefusedWrites, SpreadWrite, WRITE_PAUSE_PER_HOST,
     },
+    timeline::Timeline,
 };
 use dragonflyrill_protocol::exchange::{FleetHost, HostRow, RowWriteResponse};
 use dragonflyrill_store::PlatformError;
@@ -67,10 +68,14 @@
     let sent_at = gateway.now();
     let read = gateway.platform.store.rows();
     let read = StoreCall::Rows.run(gateway, CALL_TIMEOUT, read).await?;
+    if Some(read.revision.timeline) < gateway.timeline() {
+        let why = "the rows are from before a restoration of the store".to_owned();
+        return Err(PlatformError::Unavailable(why));
+    }
     let hosts = parse_host_rows(&read);
     let own_name = &gateway.settings.host;
     let own = hosts.iter().find(|(_, row)| row.host.host == *own_name);
-    let as_of = (read.version, read.clock);
+    let as_of = (read.revision.version, read.clock);
     if gateway.bounds.row_version().is_none() {
         limit_rows::merge(gateway, &hosts, read.clock);
     }
@@ -140,6 +145,8 @@
     divisor: Option<u32>,
     /// Whether the store was unavailable at the last check.
     store_unavailable: bool,
+    /// The timeline of the store at the last check.
+    timeline: Option<Timeline>,
     /// The endpoints whose limits the row contains.
     limited_endpoints: Vec<String>,
     /// The earliest time of the next write that is caused by changed limits.
@@ -167,6 +174,7 @@
         shutdown_recorded: false,
         divisor: None,
         store_unavailable: false,
+        timeline: None,
         limited_endpoints: Vec::new(),
         limits_at: Duration::ZERO,
         suspects_revision: PersistRevision::default(),
@@ -319,6 +327,19 @@
             _ => {}
         }
         self.store_unavailable = store_unavailable;
+        let timeline = self.gateway.timeline();
+        if self.timeline.is_some() && self.timeline != timeline {
+            self.rewrite_soon();
+        }
+        self.timeline = timeline;
+    }
+
+    /// Has the row written again, as a restored store may lack its last content. Routine writes of all hosts of a data
+    /// centre take one call.
+    fn rewrite_soon(&mut self) {
+        let now = self.gateway.now();
+        let spread = self.join_spread().mul_f64(rand::rng().random());
+        self.heartbeat_at = Some(self.heartbeat_at.map_or(now, |at| at.min(now + spread)));
     }
 
     /// The time over which all hosts spread writes that each of them may owe in a burst.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -16,7 +16,7 @@
 use rand::Rng;
 use tokio::time;
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, ports::StoreRevision};
 
 /// The pause after the first failed call to the store.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -83,6 +83,13 @@
     }
 }
 
+/// Whether the answer to a read of the changes after `after`, or to a read in full if that is `None`, can be applied. If
+/// the store was restored from a copy, the answer may lack changes or may be outdated, and the next read is one in full.
+fn continues(gateway: &Gateway, after: Option<StoreRevision>, answer: StoreRevision) -> bool {
+    let latest = gateway.timeline().unwrap_or_default();
+    answer.timeline >= latest && after.is_none_or(|after| after.is_continued_by(answer))
+}
+
 /// The purpose of a call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreCall {
@@ -109,6 +116,13 @@
         }
     }
 
+    fn is_write(self) -> bool {
+        match self {
+            Self::Write | Self::Lease => true,
+            Self::Catalogue | Self::List | Self::Rows => false,
+        }
+    }
+
     /// Runs the call with the time limit `limit`, and records its outcome and duration. A write that exceeds the limit
     /// fails with [`PlatformError::Unknown`], a read with [`PlatformError::Unavailable`].
     async fn run<T>(
@@ -119,16 +133,29 @@
     ) -> Result<T, PlatformError> {
         let started_at = time::Instant::now();
         let sent_at = gateway.now();
+        let timeline = gateway.timeline();
         let result = match time::timeout(limit, call).await {
             Ok(result) => result,
             Err(_) => {
                 let why = "no answer in time".to_owned();
-                Err(match self {
-                    Self::Write | Self::Lease => PlatformError::Unknown(why),
-                    Self::Catalogue | Self::List | Self::Rows => PlatformError::Unavailable(why),
+                Err(match self.is_write() {
+                    true => PlatformError::Unknown(why),
+                    false => PlatformError::Unavailable(why),
                 })
             }
         };
+        if let Some(stated) = gateway.platform.store.timeline() {
+            gateway.observe_timeline(stated, "store");
+        }
+        let restored = timeline.is_some() && timeline != gateway.timeline();
+        let result = match result {
+            // The condition of the write, or what it has written, belongs to the timeline before.
+            Ok(_) if restored && self.is_write() => {
+                let why = "the store was restored during the write".to_owned();
+                Err(PlatformError::Unknown(why))
+            }
+            result => result,
+        };
         let metrics = &gateway.metrics;
         let outcome = StoreCallOutcome::of(&result);
         let labels = [self.label(), outcome.label()];
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -3,7 +3,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dragonflyrill_fleet::leader_lease::{LeaderLease, LeaseRecord, NO_HOLDER, Step, WriteOutcome};
+use dragonflyrill_fleet::{
+    leader_lease::{LeaderLease, LeaseRecord, NO_HOLDER, Step, WriteOutcome},
+    timeline::Timeline,
+};
 use dragonflyrill_protocol::exchange::{FleetHost, HostRow, LeaseRow};
 use dragonflyrill_store::PlatformError;
 use futures_util::future;
@@ -50,6 +53,8 @@
     read_at: Option<Duration>,
     discovery: Discovery,
     lease_state: Rc<LeaseState>,
+    /// The timeline of the store that the state of the lease belongs to.
+    timeline: Option<Timeline>,
 }
 
 /// How far a host that has just started has discovered the other hosts. If all hosts start at once, their first reads of
@@ -88,6 +93,7 @@
         read_at: None,
         discovery: Discovery::NoRows,
         lease_state,
+        timeline: None,
     };
     let mut backoff = Backoff::default();
     loop {
@@ -111,6 +117,7 @@
 impl Roster {
     async fn round(&mut self) -> Result<(), PlatformError> {
         let now = self.gateway.now();
+        self.check_timeline();
         self.merge_reported_lease(now);
         let held = self.lease.held(now);
         if self.gateway.is_shutting_down() {
@@ -132,6 +139,7 @@
             Step::Wait if self.rows_due(now) => self.read().await?,
             Step::Wait => {}
         }
+        self.check_timeline();
         self.publish_lease();
         let now = self.gateway.now();
         if held != self.lease.held(now) {
@@ -141,6 +149,15 @@
         Ok(())
     }
 
+    /// Discards the state of the lease if the store was restored.
+    fn check_timeline(&mut self) {
+        let timeline = self.gateway.timeline();
+        if self.timeline.is_some() && self.timeline != timeline {
+            self.lease.record_restoration();
+        }
+        self.timeline = timeline;
+    }
+
     /// Publishes the state of the lease to the task that places layers.
     fn publish_lease(&self) {
         self.lease_state
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 mod reading;
 mod returns;
 mod suspects;
+mod timeline;
 
 use std::{
     cell::{Cell, RefCell},
@@ -34,6 +35,7 @@
     rank_demand::RankDemand,
     share,
     store_access::StoreAccess,
+    timeline::LatestTimeline,
 };
 use dragonflyrill_protocol::exchange::FleetHost;
 use rand::Rng;
@@ -119,6 +121,8 @@
     ignored_entries: RefCell<FxHashMap<Rc<str>, IgnoredEntry>>,
     /// The store revision up to which the list of endpoints is known.
     pub list_revision: Cell<StoreRevision>,
+    /// The latest timeline of the store.
+    timeline: Cell<LatestTimeline>,
     /// The newest known catalogue.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
     /// The document that the catalogue was decoded from.
@@ -194,7 +198,8 @@
             list_as_of: Cell::default(),
             lapsed_endpoints: RefCell::default(),
             ignored_entries: RefCell::default(),
-            list_revision: Cell::new(0),
+            list_revision: Cell::default(),
+            timeline: Cell::default(),
             catalogue: RefCell::default(),
             catalogue_document: RefCell::default(),
             freshness: Cell::new(freshness),
--- /dev/null
+++ b/crates/gateway/src/gateway/timeline.rs
@@ -0,0 +1,45 @@
+//! Restorations of the store from a copy, which void all positions that this host knows.
+
+use dragonflyrill_fleet::timeline::{Observation, Timeline};
+
+use super::Gateway;
+
+impl Gateway {
+    /// The latest timeline of the store that this host has heard of; `None` before the first answer.
+    pub fn timeline(&self) -> Option<Timeline> {
+        self.timeline.get().latest()
+    }
+
+    /// Records a timeline that the store or another host has stated.
+    pub fn observe_timeline(&self, stated: Timeline, source: &str) -> Observation {
+        let mut latest = self.timeline.get();
+        let observation = latest.observe(stated);
+        self.timeline.set(latest);
+        if let Observation::Restored { before } = observation {
+            log::warn!(target: "store", timeline = stated.0, before = before.0, source = source; "The store was restored from a copy. Positions in its earlier changes are discarded.");
+            self.metrics.store_restorations.inc();
+            self.record_restoration();
+        }
+        observation
+    }
+
+    fn record_restoration(&self) {
+        let now = self.now();
+        self.outage.borrow_mut().record_restoration(now);
+        self.bounds.record_restoration();
+        self.peers.set_lease(None);
+    }
+
+    /// Forgets endpoints whose entries have lapsed and have not reappeared in time.
+    pub fn expire_entries(&self) {
+        let now = self.now();
+        let lapsed = &self.lapsed_endpoints;
+        let expired: Vec<_> = lapsed
+            .borrow_mut()
+            .extract_if(|_, until| *until <= now)
+            .collect();
+        for (id, _) in expired {
+            self.remove_endpoint(&id);
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,8 @@
     pub store_seconds: HistogramVec,
     /// Endpoints that ended because another incarnation replaced them.
     pub endpoint_restarts: IntCounter,
+    /// Restorations of the store from a copy, as this host has heard of them.
+    pub store_restorations: IntCounter,
     /// Entries that describe no usable endpoint, by fault.
     pub entries_ignored: IntCounterVec,
     /// Endpoints, by state.
@@ -197,6 +199,10 @@
                 "From reading a stream's request to its first event",
             ),
             store_seconds: histograms("store_seconds", "Calls to the store", &["call"]),
+            store_restorations: counter(
+                "store_restorations_total",
+                "Restorations of the store from a copy.",
+            ),
             endpoint_restarts: counter(
                 "endpoint_restarts_total",
                 "Endpoints that ended because another start took their place",
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -30,6 +30,7 @@
 use crate::{
     control::{catalogue, host_row},
     gateway::{Gateway, StoreRead},
+    ports::StoreRevision,
 };
 
 /// Interval between two polls. Changes are in force on all hosts within a few intervals.
@@ -279,7 +280,7 @@
             (None, Some(_)) => {
                 gateway.metrics.lists_not_told.inc();
                 if self.list_received {
-                    log::info!(target: "peers", host = &*host.host, known_to = gateway.list_revision.get(); "The list of endpoints is not told.");
+                    log::info!(target: "peers", host = &*host.host, known_to:? = gateway.list_revision.get(); "The list of endpoints is not told.");
                 }
             }
             (_, None) => {}
@@ -359,7 +360,7 @@
             list_revision: gateway
                 .endpoints_known
                 .get()
-                .then(|| gateway.list_revision.get()),
+                .then(|| gateway.list_revision.get().version),
             fleet: gateway.peers.fleet_hash.get(),
             read_age_us: self.read_age_us(),
             loads: to_wire(loads),
@@ -469,11 +470,14 @@
 /// list.
 pub fn apply_list(gateway: &Rc<Gateway>, list: EndpointListUpdate) {
     // The other host's list may be older than what this host already knew when it sent its call.
-    if list.store_revision < gateway.list_revision.get() {
-        log::info!(target: "peers", told = list.store_revision, known = gateway.list_revision.get(); "An older list of endpoints is ignored.");
+    let known = gateway.list_revision.get();
+    if list.store_revision < known.version {
+        log::info!(target: "peers", told = list.store_revision, known:? = known; "An older list of endpoints is ignored.");
         return;
     }
-    gateway.list_revision.set(list.store_revision);
+    gateway
+        .list_revision
+        .set(StoreRevision::new(known.timeline, list.store_revision));
     let gone: Vec<Rc<str>> = if list.complete {
         let directory = gateway.directory.borrow();
         let doubted = list.lapsed.iter().filter_map(|id| directory.get(id));
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -31,7 +31,7 @@
     PeerReport, avoided_from_wire, avoided_to_wire, from_wire, limits, row_writes, suspects,
     to_wire,
 };
-use crate::{gateway::Gateway, paths};
+use crate::{gateway::Gateway, paths, ports::StoreRevision};
 
 /// Maximum number of endpoints in a list that is sent in full. Such a list has 15 KB, and a link of
 /// 20 Mbit/s sends it to 60 hosts in 0.4 s. Hosts read longer lists from the store, each over its
@@ -247,7 +247,10 @@
     let directory = gateway.directory.borrow();
     let known = match mark.origin == origin {
         true => Some(mark.version),
-        false => known_to.and_then(|at| directory.version_at_revision(at)),
+        false => known_to.and_then(|at| {
+            let timeline = gateway.timeline()?;
+            directory.version_at_revision(StoreRevision::new(timeline, at))
+        }),
     };
     let changes = directory.changes_since(known);
     if changes.complete && changes.changed.len() > MAX_FULL_LIST_ENDPOINTS {
@@ -263,7 +266,7 @@
             origin,
             version: changes.version,
         },
-        store_revision: gateway.list_revision.get(),
+        store_revision: gateway.list_revision.get().version,
         complete: changes.complete,
         changed: listed.map(|e| to_listed(e)).collect(),
         lapsed: doubted.keys().map(ToString::to_string).collect(),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -7,7 +7,7 @@
 use dragonflyrill_fleet::{
     catalogue::Catalogue, endpoint_limits::RequestRate, endpoints::Endpoint,
     fingerprint::Fingerprint, incarnations::StartTime, layers::LayerRange,
-    stated_availability::RequestedBackoff,
+    stated_availability::RequestedBackoff, timeline::Timeline,
 };
 use dragonflyrill_store::PlatformError;
 use futures_util::future::LocalBoxFuture;
@@ -137,8 +137,7 @@
     fn is_readiness_path(&self, path: &str) -> bool;
 }
 
-/// A position in the store's sequence of changes.
-pub type StoreRevision = u64;
+pub use dragonflyrill_fleet::timeline::StoreRevision;
 
 /// A catalogue, and the document that it was parsed from, which is passed to other hosts.
 #[derive(Clone)]
@@ -231,8 +230,8 @@
 pub struct HostRows {
     /// The rows, ordered by key.
     pub rows: Vec<Row>,
-    /// The store's version at that moment: rows that are written later have a higher one.
-    pub version: u64,
+    /// The store's revision at that moment: rows that are written later in its timeline have a higher version.
+    pub revision: StoreRevision,
     /// The store's clock at that moment. It is monotonic and independent of the clocks of the hosts.
     pub clock: Duration,
 }
@@ -268,16 +267,19 @@
 
 /// The platform's store.
 pub trait Store {
+    /// The latest timeline that an answer of the store has stated; `None` before the first answer.
+    fn timeline(&self) -> Option<Timeline>;
     /// Parses a catalogue's document that was received from another host.
     fn parse_catalogue(&self, document: Bytes) -> Result<ReadCatalogue, PlatformError>;
-    /// Reads the catalogue if `after` is `None`; else waits at most `wait` for a change after that revision.
+    /// Reads the catalogue if `after` is `None`; else waits at most `wait` for a change after that revision. The caller
+    /// has to check that the answer continues from that revision ([`StoreRevision::is_continued_by`]).
     fn catalogue(
         &self,
         after: Option<StoreRevision>,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<CatalogueUpdate, PlatformError>>;
     /// Reads the complete list of endpoints if `after` is `None`; else waits at most `wait` for changes after that
-    /// revision.
+    /// revision, as [`Self::catalogue`] does.
     fn endpoints(
         &self,
         after: Option<StoreRevision>,
