Peers: lists and proofs of different timelines are not compared

Cause: hosts compared lists of endpoints by versions of the store. A host that knew version 460 ignored the list of the restarted host, whose version was lower; once that had passed 460, the restarted host answered with the changes after 460, which left out the drain at version 400. The answers still counted as a fresh list.

Change: hosts state the latest timeline that they know and that of their list with each poll and answer, in the list of loads, which hosts of earlier releases pass on. A list is ordered by timeline and version. Freshness proofs, claims and the lease's row are taken only from hosts of the same timeline. A host that hears a later timeline from another host treats its own positions as void at once. A host of an earlier release states none; once the store was restored, its data are not followed. A host that starts after a restoration learns from polls that others know a newer catalogue than the copy has, gets it from them and gives no proof before.

--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -91,7 +91,7 @@
     if let Some(new) = update.catalogue {
         gateway.adopt_catalogue(new);
     }
-    if gateway.catalogue.borrow().is_some() {
+    if gateway.catalogue.borrow().is_some() && !gateway.peers.has_newer_catalogue(gateway) {
         gateway.record_proof(sent_at);
     }
     update.revision
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -141,7 +141,7 @@
 /// last are missing in a store that was restored from a copy. The grace time starts when the store is available again,
 /// not when this host reads the list again: an entry that is removed after the grace time belongs to an endpoint that has
 /// ended.
-fn remove_unless_lapsed(gateway: &Gateway, id: &Rc<str>) {
+pub(crate) fn remove_unless_lapsed(gateway: &Gateway, id: &Rc<str>) {
     let recovered_at = gateway.outage.borrow().recovered_at();
     let until = recovered_at.map(|at| at + LAPSED_ENTRY_GRACE);
     match until.filter(|t| *t > gateway.now()) {
--- a/crates/gateway/src/gateway/timeline.rs
+++ b/crates/gateway/src/gateway/timeline.rs
@@ -1,6 +1,6 @@
 //! Restorations of the store from a copy, which void all positions that this host knows.
 
-use dragonflyrill_fleet::timeline::{Observation, Timeline};
+use dragonflyrill_fleet::timeline::{LatestTimeline, Observation, Timeline};
 
 use super::Gateway;
 
@@ -10,6 +10,11 @@
         self.timeline.get().latest()
     }
 
+    /// What this host knows of the timelines of the store.
+    pub fn known_timelines(&self) -> LatestTimeline {
+        self.timeline.get()
+    }
+
     /// Records a timeline that the store or another host has stated.
     pub fn observe_timeline(&self, stated: Timeline, source: &str) -> Observation {
         let mut latest = self.timeline.get();
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -25,12 +25,12 @@
     MAX_POLLED_HOSTS, PeerReport, avoided_from_wire, avoided_to_wire, documents, from_wire, limits,
     serve::own_data_centre_loads,
     suspects::{self, PeerSyncs},
+    timelines::{self, StatedTimelines},
     to_wire,
 };
 use crate::{
-    control::{catalogue, host_row},
+    control::{catalogue, endpoints, host_row},
     gateway::{Gateway, StoreRead},
-    ports::StoreRevision,
 };
 
 /// Interval between two polls. Changes are in force on all hosts within a few intervals.
@@ -83,6 +83,7 @@
         follower.gateway.expire_limits();
         follower.gateway.expire_availability();
         follower.gateway.expire_paths();
+        follower.gateway.expire_entries();
         follower.poll().await;
         let interval = match follower.gateway.store_answer_age() {
             None => STARTUP_POLL_INTERVAL,
@@ -114,6 +115,7 @@
         if report.is_none() {
             self.polled_host = None;
         }
+        self.fetch_newer_catalogue().await;
         self.apply_role(report);
         if first.is_none() {
             self.exchange_loads(&near).await;
@@ -235,6 +237,14 @@
         let sent_at = gateway.now();
         offer.limits = limits::offer(&gateway, borrows);
         let news = self.call(host, offer).await?;
+        let stated = StatedTimelines::find(&news.loads, &host.host);
+        if stated.is_none()
+            && news.store_answer_age_us.is_some()
+            && gateway.known_timelines().of_message(None).is_none()
+        {
+            log::info!(target: "peers", host = &*host.host; "A host that states no timeline is not followed, as the store was restored.");
+            return None;
+        }
         if borrows {
             limits::add_borrowed_permits(&gateway, &news.limits, sent_at);
         }
@@ -263,7 +273,7 @@
         if host.host < gateway.settings.host {
             apply_loads(&gateway, from_wire(&news.loads));
         }
-        self.apply_update(news, sent_at, proof_age);
+        self.apply_update(news, stated, sent_at, proof_age);
         Some(report)
     }
 
@@ -288,10 +298,18 @@
         self.list_received = news.list.is_some();
     }
 
-    fn apply_update(&mut self, news: PollResponse, sent_at: Duration, proof_age: Option<Duration>) {
+    fn apply_update(
+        &mut self,
+        news: PollResponse,
+        stated: Option<StatedTimelines>,
+        sent_at: Duration,
+        proof_age: Option<Duration>,
+    ) {
         let gateway = &self.gateway;
         let peers = &gateway.peers;
         let now = gateway.now();
+        let timelines = gateway.known_timelines();
+        let is_latest = timelines.of_message(stated.map(|s| s.latest)).is_some();
         if let Some((_, document)) = news.catalogue
             && let Err(e) = adopt_document(gateway, document)
         {
@@ -301,19 +319,21 @@
         // The other host answered after this one had sent its call, so the proof is at least this
         // recent.
         let proven_at = proof_age.and_then(|age| sent_at.checked_sub(age));
+        // A proof holds for the timeline of the store in which it was given.
+        let proven_at = proven_at.filter(|_| is_latest);
         if let Some(at) = proven_at.filter(|_| gateway.catalogue.borrow().is_some()) {
             gateway.record_proof(at);
         }
         if let Some(list) = news.list {
-            apply_list(gateway, list);
+            apply_list(gateway, list, stated);
         }
         if let Some(fleet) = news.fleet {
             gateway.set_fleet(fleet);
         }
-        if let Some(claims) = news.claims {
+        if let Some(claims) = news.claims.filter(|_| is_latest) {
             gateway.bounds.merge_report(&claims, sent_at, now);
         }
-        if news.lease.is_some() {
+        if news.lease.is_some() && is_latest {
             peers.set_lease(news.lease);
         }
         let avoided = avoided_from_wire(&news.avoided);
@@ -347,8 +367,29 @@
         apply_loads(&gateway, others);
     }
 
+    /// Gets the catalogue from a host that knows a newer one than this host.
+    async fn fetch_newer_catalogue(&mut self) {
+        let gateway = self.gateway.clone();
+        let Some(host) = gateway.peers.host_with_newer_catalogue(&gateway) else {
+            return;
+        };
+        let mut loads = gateway.loads.borrow().own().clone();
+        super::add_reports(&gateway, &mut loads);
+        let mut offer = self.offer(&loads, true);
+        offer.list = None;
+        let news = self.call(&host, offer).await;
+        if let Some((_, document)) = news.and_then(|news| news.catalogue)
+            && let Err(e) = adopt_document(&gateway, document)
+        {
+            log::warn!(target: "peers", why:% = e; "A catalogue from a host can't be used.");
+        }
+    }
+
     fn offer(&self, loads: &LoadMap, near: bool) -> PollRequest {
         let gateway = &self.gateway;
+        let mut loads = to_wire(loads);
+        let own_timelines = StatedTimelines::own(gateway);
+        loads.extend(own_timelines.map(|t| t.to_entry(&gateway.settings.host)));
         PollRequest {
             from: host_row::own_host(gateway),
             // Data centres exchange neither catalogues nor lists nor avoided endpoints.
@@ -363,7 +404,7 @@
                 .then(|| gateway.list_revision.get().version),
             fleet: gateway.peers.fleet_hash.get(),
             read_age_us: self.read_age_us(),
-            loads: to_wire(loads),
+            loads,
             avoided: match near {
                 true => avoided_to_wire(&gateway.directory.borrow().avoided(gateway.now())),
                 false => Vec::new(),
@@ -395,6 +436,9 @@
         let result = time::timeout(CALL_TIMEOUT, self.exchange(host.addr, offer)).await;
         if let Ok(Some(mut news)) = result {
             limits::merge(&self.gateway, &news.limits, sent_at);
+            if let Some(stated) = StatedTimelines::find(&news.loads, &host.host) {
+                self.gateway.observe_timeline(stated.latest, &host.host);
+            }
             let suspects = std::mem::take(&mut news.suspects.changed);
             let mark = news.suspects.position;
             self.suspect_syncs
@@ -468,16 +512,19 @@
 
 /// Applies another host's list of endpoints, unless this host knows a later store revision of the
 /// list.
-pub fn apply_list(gateway: &Rc<Gateway>, list: EndpointListUpdate) {
-    // The other host's list may be older than what this host already knew when it sent its call.
+pub fn apply_list(
+    gateway: &Rc<Gateway>,
+    list: EndpointListUpdate,
+    stated: Option<StatedTimelines>,
+) {
     let known = gateway.list_revision.get();
-    if list.store_revision < known.version {
-        log::info!(target: "peers", told = list.store_revision, known:? = known; "An older list of endpoints is ignored.");
+    let told = timelines::list_revision(gateway.known_timelines(), stated, list.store_revision);
+    // The other host's list may be older than what this host already knew when it sent its call.
+    let Some(told) = told.filter(|told| *told >= known) else {
+        log::info!(target: "peers", told:? = told, known:? = known; "An older list of endpoints is ignored.");
         return;
-    }
-    gateway
-        .list_revision
-        .set(StoreRevision::new(known.timeline, list.store_revision));
+    };
+    gateway.list_revision.set(told);
     let gone: Vec<Rc<str>> = if list.complete {
         let directory = gateway.directory.borrow();
         let doubted = list.lapsed.iter().filter_map(|id| directory.get(id));
@@ -495,8 +542,14 @@
     let (replaced, gone): (Vec<_>, Vec<_>) = gone
         .into_iter()
         .partition(|id| is_replaced(gateway, id, &changed));
-    gone.iter().for_each(|id| gateway.remove_endpoint(id));
+    // The other host keeps endpoints whose entries may have lapsed. After a restoration of the store it may not know
+    // them, if it has started since.
+    gone.iter().for_each(|id| match list.complete {
+        true => endpoints::remove_unless_lapsed(gateway, id),
+        false => gateway.remove_endpoint(id),
+    });
     for endpoint in changed {
+        gateway.lapsed_endpoints.borrow_mut().remove(&endpoint.id);
         gateway.list_endpoint(endpoint);
     }
     replaced.iter().for_each(|id| gateway.remove_endpoint(id));
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod row_writes;
 pub mod serve;
 mod suspects;
+pub mod timelines;
 
 use std::{
     cell::{Cell, Ref, RefCell},
@@ -93,6 +94,15 @@
     /// Whether the other hosts are known as far as possible. If not, this host has only just
     /// started.
     fleet_known: Cell<bool>,
+    /// The host that last polled this one with a newer catalogue than this one knows.
+    newer_catalogue: RefCell<Option<NewerCatalogue>>,
+}
+
+/// A catalogue that another host knows and this one may not.
+struct NewerCatalogue {
+    version: u64,
+    known_by: FleetHost,
+    told_at: Duration,
 }
 
 impl Default for Peers {
@@ -113,6 +123,7 @@
             row_writes: row_writes::RowWrites::default(),
             poll_requested: Notify::default(),
             fleet_known: Cell::default(),
+            newer_catalogue: RefCell::default(),
         }
     }
 }
@@ -248,6 +259,33 @@
         self.reported_suspects_version.get()
     }
 
+    /// Records that a host knows this version of the catalogue. A host that has just started may read an older one from
+    /// a store that was restored from a copy.
+    fn record_known_catalogue(&self, gateway: &Gateway, version: u64, known_by: &FleetHost) {
+        if version > gateway.catalogue_version() {
+            *self.newer_catalogue.borrow_mut() = Some(NewerCatalogue {
+                version,
+                known_by: known_by.clone(),
+                told_at: gateway.now(),
+            });
+        }
+    }
+
+    /// The host that knows a newer catalogue than this one, if it has told so recently.
+    fn host_with_newer_catalogue(&self, gateway: &Gateway) -> Option<FleetHost> {
+        let newer = self.newer_catalogue.borrow();
+        let newer = newer.as_ref().filter(|newer| {
+            newer.version > gateway.catalogue_version()
+                && newer.told_at + PEER_REPORT_TTL > gateway.now()
+        });
+        newer.map(|newer| newer.known_by.clone())
+    }
+
+    /// Whether another host knows a newer catalogue than this one.
+    pub(crate) fn has_newer_catalogue(&self, gateway: &Gateway) -> bool {
+        self.host_with_newer_catalogue(gateway).is_some()
+    }
+
     /// Makes the next poll at once.
     pub fn poll_now(&self) {
         self.poll_requested.notify_one();
@@ -348,7 +386,8 @@
         };
         (Rc::from(l.endpoint.as_str()), load)
     };
-    loads.iter().map(one).collect()
+    let loads = loads.iter().filter(|l| !timelines::is_entry(l));
+    loads.map(one).collect()
 }
 
 fn avoided_to_wire(avoided: &[AvoidedEndpoint]) -> Vec<exchange::Avoided> {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -29,6 +29,7 @@
 
 use super::{
     PeerReport, avoided_from_wire, avoided_to_wire, from_wire, limits, row_writes, suspects,
+    timelines::{self, StatedTimelines},
     to_wire,
 };
 use crate::{gateway::Gateway, paths, ports::StoreRevision};
@@ -116,6 +117,14 @@
         read_at: read_age.and_then(|age| now.checked_sub(age)),
         received_at: now,
     };
+    let stated = StatedTimelines::find(&offer.loads, from);
+    if let Some(stated) = stated {
+        gateway.observe_timeline(stated.latest, from);
+    }
+    // Hosts of other data centres request no catalogue.
+    if same_data_centre && offer.catalogue != u64::MAX {
+        peers.record_known_catalogue(gateway, offer.catalogue, &offer.from);
+    }
     peers.record_report(report, from_wire(&offer.loads));
     suspects::merge(gateway, &offer.suspects);
     let limits = limits::answer(gateway, &offer.from, &offer.limits);
@@ -148,6 +157,12 @@
     // The freshness proof of this host's catalogue doesn't apply to the older one that the polling
     // host keeps until it gets the document.
     let age = gateway.freshness.get().proof_age(now).filter(|_| !deferred);
+    let mut loads = to_wire(&loads);
+    let own_timelines = StatedTimelines::own(gateway);
+    loads.extend(own_timelines.map(|t| t.to_entry(&gateway.settings.host)));
+    let list_known = offer
+        .list_revision
+        .and_then(|version| timelines::list_revision(gateway.known_timelines(), stated, version));
     PollResponse {
         proof_age_us: age.map(|a| a.as_micros() as u64),
         store_answer_age_us: gateway.store_answer_age().map(|a| a.as_micros() as u64),
@@ -160,11 +175,11 @@
         catalogue,
         list: offer
             .list
-            .and_then(|mark| list_update(gateway, mark, offer.list_revision)),
+            .and_then(|mark| list_update(gateway, mark, list_known)),
         fleet: (offer.fleet != peers.fleet_hash.get()).then(|| peers.fleet()),
         lease: peers.lease(),
         claims: gateway.bounds.report(now),
-        loads: to_wire(&loads),
+        loads,
         avoided: match same_data_centre {
             true => avoided_to_wire(&avoided_except(gateway, from)),
             false => Vec::new(),
@@ -238,7 +253,7 @@
 fn list_update(
     gateway: &Gateway,
     mark: ListPosition,
-    known_to: Option<u64>,
+    known_to: Option<StoreRevision>,
 ) -> Option<EndpointListUpdate> {
     if !gateway.endpoints_known.get() {
         return None;
@@ -247,10 +262,7 @@
     let directory = gateway.directory.borrow();
     let known = match mark.origin == origin {
         true => Some(mark.version),
-        false => known_to.and_then(|at| {
-            let timeline = gateway.timeline()?;
-            directory.version_at_revision(StoreRevision::new(timeline, at))
-        }),
+        false => known_to.and_then(|at| directory.version_at_revision(at)),
     };
     let changes = directory.changes_since(known);
     if changes.complete && changes.changed.len() > MAX_FULL_LIST_ENDPOINTS {
