Endpoints: one that was removed stays removed when the store is restored

Cause: the copy still has the entry. The full read listed it, and a plain endpoint that is listed again is used at once. An entry of the copy looked like one that its server has written again.

Change: an endpoint that was removed before a restoration is listed again only once it has written its entry in the new timeline, which the host that follows the feed sees, or if the entry is still there after four heartbeat intervals: entries of endpoints that have left are gone after three. That also bounds how long hosts wait that learn of the entry from a host that has started since.

--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -101,6 +101,10 @@
     /// The endpoint was removed and is listed again. Either it was cut off, or it has ended and its
     /// last entry was delayed. It counts as unresponsive until it responds.
     Relisted,
+    /// The endpoint was removed before the store was restored, so the entry may come from the copy. The endpoint is not
+    /// listed until it has written its entry again, or its entry has stayed for longer than that of an endpoint that
+    /// has left.
+    Withheld,
     /// The entry is ignored, because it describes an incarnation that has ended.
     Outdated,
     /// The entry lacks the start time that the endpoint always reports, so another process wrote
@@ -133,6 +137,13 @@
     stated: StatedAvailability,
     /// Changes up to this version can no longer be listed individually.
     forgotten_version: u64,
+    /// The endpoints that were removed before the last restoration of the store and are not known to have written their
+    /// entries since. Each of them is also among the removed ones of `incarnations`.
+    removed_before_restoration: FxHashSet<Rc<str>>,
+    /// Entries of such endpoints, by id.
+    withheld: FxHashMap<Rc<str>, Endpoint>,
+    /// When entries that still exist are no longer withheld.
+    withheld_until: Duration,
 }
 
 /// Number of endpoints in each state.
@@ -211,6 +222,10 @@
                 return PutOutcome::Foreign;
             }
         };
+        if self.removed_before_restoration.contains(&endpoint.id) && now < self.withheld_until {
+            self.withheld.insert(endpoint.id.clone(), endpoint);
+            return PutOutcome::Withheld;
+        }
         let known = self.endpoints.get(&endpoint.id);
         endpoint.draining |= known.is_some_and(|old| old.draining);
         endpoint.draining |= self.stated.is_draining(&endpoint.id);
@@ -250,6 +265,7 @@
 
     /// Removes an endpoint that is no longer listed.
     pub fn remove(&mut self, id: &str) -> Option<Rc<Endpoint>> {
+        self.withheld.remove(id);
         let removed_endpoint = self.endpoints.remove(id)?;
         self.observations.remove(id);
         self.changed_at.remove(id);
@@ -263,11 +279,41 @@
         {
             self.forgotten_version = version;
             self.superseded.remove(&endpoint.id);
+            self.removed_before_restoration.remove(&endpoint.id);
             self.incarnations.forget(&endpoint);
         }
         Some(removed_endpoint)
     }
 
+    /// Records that the store was restored from a copy. The copy may list endpoints that have been removed since; an
+    /// entry of an endpoint that has left disappears again within `max_lapse`.
+    pub fn record_restoration(&mut self, max_lapse: Duration, now: Duration) {
+        self.removed_before_restoration = self.incarnations.removed().cloned().collect();
+        self.withheld_until = now + max_lapse;
+    }
+
+    /// Records that an endpoint has written its entry since the store was restored: the entry is not that of the copy.
+    pub fn record_entry_written(&mut self, id: &str) {
+        self.removed_before_restoration.remove(id);
+        self.withheld.remove(id);
+    }
+
+    /// Takes the withheld entries once they have existed for longer than those of endpoints that have left.
+    pub fn take_withheld(&mut self, now: Duration) -> Vec<Endpoint> {
+        if now < self.withheld_until {
+            return Vec::new();
+        }
+        self.removed_before_restoration.clear();
+        let taken = std::mem::take(&mut self.withheld);
+        taken.into_values().collect()
+    }
+
+    /// The id of the incarnation whose entry is withheld under a name.
+    pub fn withheld_by_name(&self, name: &str) -> Option<&Rc<str>> {
+        let entry = self.withheld.values().find(|e| &*e.name == name);
+        entry.map(|e| &e.id)
+    }
+
     /// Records that all changes of the store up to `revision` are now known.
     pub fn record_revision(&mut self, revision: StoreRevision) {
         if self
@@ -322,10 +368,11 @@
         }
     }
 
-    /// Returns the ids of all endpoints except those with the given names.
+    /// Returns the ids of all endpoints, and of those whose entries are withheld, except those with the given names.
     pub fn ids_except<'a>(&self, excluded: impl Iterator<Item = &'a str>) -> Vec<Rc<str>> {
         let excluded: FxHashSet<&str> = excluded.collect();
-        let others = self.iter().filter(|e| !excluded.contains(&*e.name));
+        let all = self.iter().map(|e| &**e).chain(self.withheld.values());
+        let others = all.filter(|e| !excluded.contains(&*e.name));
         others.map(|e| e.id.clone()).collect()
     }
 
--- a/crates/fleet/src/incarnations.rs
+++ b/crates/fleet/src/incarnations.rs
@@ -115,6 +115,11 @@
         self.by_address.get(&addr).map(|(id, _)| id)
     }
 
+    /// Returns the ids that were listed and no longer are.
+    pub(crate) fn removed(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.removed.iter()
+    }
+
     /// Records an entry that was accepted.
     pub(crate) fn record_listed(&mut self, endpoint: &Endpoint) {
         let Endpoint {
--- a/crates/fleet/tests/timeline.rs
+++ b/crates/fleet/tests/timeline.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dragonflyrill_fleet::{
-    endpoints::Directory,
+    endpoints::{Directory, Endpoint, PutOutcome},
     leader_lease::{LeaderLease, LeaseRecord, Step, WriteOutcome},
     share::{ClaimRow, ClaimsSnapshot, Share},
     timeline::{LatestTimeline, Observation, StoreRevision, Timeline},
@@ -58,6 +58,52 @@
     assert_eq!(directory.version_at_revision(at(2, 2)), None);
 }
 
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        name: id.into(),
+        started_at: None,
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 9).into(),
+        data_centre: "z1".into(),
+        slots: 1,
+        draining: false,
+        accelerator: None,
+        layers: None,
+    }
+}
+
+#[test]
+fn an_endpoint_that_was_removed_before_a_restoration_is_withheld_until_its_entry_is_confirmed() {
+    let mut directory = Directory::default();
+    directory.put(endpoint("a"), secs(0));
+    directory.remove("a");
+    directory.record_restoration(secs(5), secs(10));
+    assert_eq!(directory.put(endpoint("a"), secs(11)), PutOutcome::Withheld);
+    assert!(directory.get("a").is_none() && directory.take_withheld(secs(14)).is_empty());
+    // The entry that is removed again is not listed later.
+    let listed_again = directory.ids_except(std::iter::empty());
+    assert_eq!(listed_again, ["a".into()]);
+    directory.remove("a");
+    assert!(directory.take_withheld(secs(15)).is_empty());
+    directory.record_restoration(secs(5), secs(20));
+    assert_eq!(directory.put(endpoint("a"), secs(21)), PutOutcome::Withheld);
+    directory.record_entry_written("a");
+    assert_eq!(directory.put(endpoint("a"), secs(21)), PutOutcome::Listed);
+}
+
+#[test]
+fn an_entry_that_outlasts_those_of_endpoints_that_have_left_is_listed() {
+    let mut directory = Directory::default();
+    directory.put(endpoint("a"), secs(0));
+    directory.remove("a");
+    directory.record_restoration(secs(5), secs(10));
+    assert_eq!(directory.put(endpoint("a"), secs(11)), PutOutcome::Withheld);
+    let released = directory.take_withheld(secs(15));
+    assert_eq!(released, [endpoint("a")]);
+    assert_eq!(directory.put(endpoint("a"), secs(15)), PutOutcome::Listed);
+}
+
 #[test]
 fn a_lease_is_not_held_after_a_restoration_until_its_row_was_read_and_written() {
     let mut lease = LeaderLease::new("a".to_owned(), TERM, secs(5));
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -112,6 +112,10 @@
             self.gateway.endpoints_known.set(true);
         }
         for endpoint in update.changed {
+            if !update.complete {
+                let mut directory = self.gateway.directory.borrow_mut();
+                directory.record_entry_written(&endpoint.id);
+            }
             self.gateway
                 .lapsed_endpoints
                 .borrow_mut()
@@ -131,7 +135,11 @@
     fn ids_of(&self, names: &[Rc<str>]) -> Vec<Rc<str>> {
         let directory = self.gateway.directory.borrow();
         let listed = names.iter().filter_map(|name| directory.by_name(name));
-        listed.map(|e| e.id.clone()).collect()
+        let listed = listed.map(|e| e.id.clone());
+        let withheld = names
+            .iter()
+            .filter_map(|name| directory.withheld_by_name(name));
+        listed.chain(withheld.cloned()).collect()
     }
 }
 
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -38,6 +38,10 @@
                 log::info!(target: "fleet", endpoint = &*id; "An entry of an endpoint that has ended is ignored.");
                 return;
             }
+            PutOutcome::Withheld => {
+                log::info!(target: "fleet", endpoint = &*id; "An entry of an endpoint that was removed before the store was restored is not used yet.");
+                return;
+            }
             PutOutcome::Foreign => {
                 drop(directory);
                 self.ignore_entry(UnusableEntry {
--- a/crates/gateway/src/gateway/timeline.rs
+++ b/crates/gateway/src/gateway/timeline.rs
@@ -1,9 +1,15 @@
 //! Restorations of the store from a copy, which void all positions that this host knows.
 
+use std::rc::Rc;
+
 use dragonflyrill_fleet::timeline::{LatestTimeline, Observation, Timeline};
 
 use super::Gateway;
 
+/// The number of heartbeat intervals after which the entry of an endpoint that has left is gone from a restored store:
+/// entries are removed after three intervals without a heartbeat, and one more allows for delays.
+const MAX_LAPSE_HEARTBEATS: u32 = 4;
+
 impl Gateway {
     /// The latest timeline of the store that this host has heard of; `None` before the first answer.
     pub fn timeline(&self) -> Option<Timeline> {
@@ -31,12 +37,17 @@
     fn record_restoration(&self) {
         let now = self.now();
         self.outage.borrow_mut().record_restoration(now);
+        let max_lapse = self.settings.endpoint_heartbeat * MAX_LAPSE_HEARTBEATS;
+        let mut directory = self.directory.borrow_mut();
+        directory.record_restoration(max_lapse, now);
+        drop(directory);
         self.bounds.record_restoration();
         self.peers.set_lease(None);
     }
 
-    /// Forgets endpoints whose entries have lapsed and have not reappeared in time.
-    pub fn expire_entries(&self) {
+    /// Forgets endpoints whose entries have lapsed and have not reappeared in time, and lists those whose withheld
+    /// entries have not lapsed.
+    pub fn expire_entries(self: &Rc<Self>) {
         let now = self.now();
         let lapsed = &self.lapsed_endpoints;
         let expired: Vec<_> = lapsed
@@ -46,5 +57,9 @@
         for (id, _) in expired {
             self.remove_endpoint(&id);
         }
+        let released = self.directory.borrow_mut().take_withheld(now);
+        for endpoint in released {
+            self.list_endpoint(endpoint);
+        }
     }
 }
