HTTP: an answer that never ends no longer hangs its host

Cause: Connection::fill waits with TcpStream::readable, which completes at once while there are bytes and takes nothing of the task's budget. A loop that only receives (read_head over informational answers, read_chunk while the codec consumes an extension, a trailer or digits) never returned to the executor. On a host with one thread no timer fired: not that of the exchange, not those of others, and readiness was not answered. A size that nothing counted made it endless, as the codec consumes such bytes.

The endpoint is avoided as after any failed answer, and the connection reset.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     gateway::Gateway,
-    http::callers::Responder,
+    http::{body_memory::BodyReservation, callers::Responder},
     paths::{PathState, Via},
 };
 
@@ -43,6 +43,8 @@
 struct CompleteAnswer {
     answer: Answer,
     body: Bytes,
+    /// The memory of the body.
+    reservation: BodyReservation,
 }
 
 /// Forwards a call and relays its answer.
@@ -66,6 +68,7 @@
     let headers = std::mem::take(&mut head.headers);
     out.send_complete(head.status, headers, complete.body)
         .await?;
+    drop(complete.reservation);
     admitted.request_log.finish_answered(head.status);
     Ok(())
 }
@@ -390,9 +393,16 @@
     };
     let exchange = async {
         let mut answer = send::send(gateway, admitted, &target, deadlines).await?;
-        let body = answer.connection.read_body(MAX_ANSWER_BYTES);
+        let mut reservation = gateway.body_memory.reserve();
+        let body = answer
+            .connection
+            .read_body_into(&mut reservation, MAX_ANSWER_BYTES);
         match time::timeout_at(admitted.due, body).await {
-            Ok(Ok(body)) => Ok(CompleteAnswer { answer, body }),
+            Ok(Ok(body)) => Ok(CompleteAnswer {
+                answer,
+                body,
+                reservation,
+            }),
             Ok(Err(e)) => Err(DispatchError::BrokeOff(e.to_string())),
             Err(_) => Err(DispatchError::MayHaveRun(
                 "the answer took too long".to_owned(),
--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -8,6 +8,9 @@
 /// The name of the field that holds the id of an event, at the start of its line.
 const ID_FIELD: &[u8] = b"id:";
 
+/// The maximum size of an event that is not complete: a server in trouble may send one that never ends.
+const MAX_PARTIAL_EVENT_BYTES: usize = 256 * 1024;
+
 /// Splits a stream into complete events and drops those that the caller already has.
 ///
 /// Buffers only the beginning of an event that is not complete yet.
@@ -27,6 +30,8 @@
     Empty,
     /// Events are missing before the one that was received.
     Missing,
+    /// An event is too long to be buffered.
+    TooLong,
 }
 
 impl EventSplitter {
@@ -64,15 +69,20 @@
                         .extend_from_slice(&piece[at + EVENT_END.len()..]);
                     piece.slice(..at + EVENT_END.len())
                 }
-                None => {
-                    self.partial.extend_from_slice(&piece);
-                    return EventBatch::Empty;
-                }
+                None => return self.buffer(&piece),
             },
             false => {
-                self.partial.extend_from_slice(&piece);
-                match memmem::rfind(&self.partial, EVENT_END) {
-                    Some(at) => self.partial.split_to(at + EVENT_END.len()).freeze(),
+                let before = self.partial.len();
+                if self.buffer(&piece) == EventBatch::TooLong {
+                    return EventBatch::TooLong;
+                }
+                // The end of an event may begin in the part that was searched before.
+                let unsearched = before.saturating_sub(EVENT_END.len() - 1);
+                match memmem::rfind(&self.partial[unsearched..], EVENT_END) {
+                    Some(at) => {
+                        let end = unsearched + at + EVENT_END.len();
+                        self.partial.split_to(end).freeze()
+                    }
                     None => return EventBatch::Empty,
                 }
             }
@@ -80,6 +90,15 @@
         self.drop_delivered(complete)
     }
 
+    /// Buffers a piece that may not complete the partial event.
+    fn buffer(&mut self, piece: &[u8]) -> EventBatch {
+        if self.partial.len() + piece.len() > MAX_PARTIAL_EVENT_BYTES {
+            return EventBatch::TooLong;
+        }
+        self.partial.extend_from_slice(piece);
+        EventBatch::Empty
+    }
+
     /// Checks that no event is missing after the last one, and drops those that the caller already has.
     /// If the first event has no id, all are returned unchecked.
     fn drop_delivered(&mut self, mut complete: Bytes) -> EventBatch {
--- a/crates/gateway/src/forward/stream/run.rs
+++ b/crates/gateway/src/forward/stream/run.rs
@@ -184,6 +184,10 @@
                     match self.events.push(piece) {
                         EventBatch::Empty => {}
                         EventBatch::Events(events) => return RunOutput::Events(events),
+                        EventBatch::TooLong => {
+                            let why = "an event of the stream is too long".to_owned();
+                            return self.fail(DispatchError::BrokeOff(why));
+                        }
                         EventBatch::Missing => {
                             let why = "events are missing in the stream".to_owned();
                             return self.fail(DispatchError::MayHaveRun(why));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -51,7 +51,9 @@
 use crate::{
     bounds::SharedBounds,
     forward::{Prober, RequestLogBudget, TerminationChecks},
-    http::{connection::Connection, network::Network, pool::IdleConnections},
+    http::{
+        body_memory::BodyMemory, connection::Connection, network::Network, pool::IdleConnections,
+    },
     metrics::Metrics,
     paths::EndpointPaths,
     peers::Peers,
@@ -177,6 +179,8 @@
     pub limits: RefCell<EndpointLimits>,
     /// The paths to endpoints.
     pub paths: EndpointPaths,
+    /// The memory of long answers to plain calls.
+    pub body_memory: BodyMemory,
 }
 
 impl Gateway {
@@ -229,6 +233,7 @@
             termination_checks: TerminationChecks::default(),
             limits: RefCell::default(),
             paths: EndpointPaths::new(codec.clone()),
+            body_memory: BodyMemory::default(),
             codec,
         })
     }
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -15,8 +15,8 @@
     request_head,
 };
 
-/// The maximum size of an answer's body.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The maximum size of an answer's body, unless a call states another one.
+pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a call has no answer.
 #[derive(Debug, thiserror::Error)]
@@ -43,6 +43,8 @@
     pub body: Bytes,
     /// The server is to refuse the call if an object of this name exists (`If-None-Match: *`).
     pub if_absent: bool,
+    /// The maximum size of the answer's body.
+    pub max_answer_bytes: usize,
 }
 
 impl Call {
@@ -53,6 +55,7 @@
             uri,
             body: Bytes::new(),
             if_absent: false,
+            max_answer_bytes: MAX_ANSWER_BYTES,
         }
     }
 
@@ -63,6 +66,7 @@
             uri,
             body,
             if_absent: false,
+            max_answer_bytes: MAX_ANSWER_BYTES,
         }
     }
 
@@ -197,6 +201,7 @@
 
     async fn exchange(&self, path: CallPath, call: Call) -> Result<Answer, CallError> {
         let addr = path.connect_to();
+        let max_answer_bytes = call.max_answer_bytes;
         let mut connection = match self.idle.take(addr) {
             Some(connection) => connection,
             None => {
@@ -218,7 +223,7 @@
         let mut head = connection.read_head().await.map_err(unknown)?;
         let headers = std::mem::take(&mut head.headers);
         let body = connection
-            .read_body(MAX_ANSWER_BYTES)
+            .read_body(max_answer_bytes)
             .await
             .map_err(unknown)?;
         if connection.reusable() {
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -18,6 +18,7 @@
         tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
+    task,
     time::{self, Instant},
 };
 use tokio_util::codec::{Decoder, Encoder};
@@ -304,6 +305,8 @@
         if buf.len() > MAX_READ_AHEAD_BYTES {
             std::future::pending::<()>().await;
         }
+        // `readable` does not yield to other tasks while there are bytes.
+        task::coop::consume_budget().await;
         if io.readable().await.is_err() {
             return;
         }
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -10,10 +10,13 @@
 };
 use bytes::{Bytes, BytesMut};
 use http::{Method, StatusCode};
-use tokio::{io::Interest, net::TcpStream, time};
+use tokio::{io::Interest, net::TcpStream, task, time};
 use tokio_util::codec::{Decoder, Encoder};
 
-use super::network::{Network, SystemNetwork};
+use super::{
+    body_memory::{BodyMemory, BodyReservation},
+    network::{Network, SystemNetwork},
+};
 
 /// How long sent bytes may remain unacknowledged by the peer before the connection fails.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -21,8 +24,9 @@
 const KEEP_ALIVE: &str = "keep-alive";
 /// The minimum free capacity of the buffer before each read.
 const READ_CHUNK_BYTES: usize = 8 * 1024;
-/// The maximum number of received bytes that the codec has not decoded. The codec decodes the body in smaller pieces.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// The maximum size of the heads of an answer, including informational ones, and of what a body may contain between two
+/// pieces: a server in trouble may send such bytes without end.
+const MAX_UNDECODED_BYTES: usize = 128 * 1024;
 
 /// Why an answer could not be read to its end.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +40,9 @@
     /// The received bytes are not a valid answer.
     #[error("not an answer: {0}")]
     Malformed(String),
+    /// Other long answers take all memory that such answers may take.
+    #[error("no memory left for a long answer")]
+    NoMemory,
 }
 
 /// How the end of an answer's body is determined.
@@ -66,6 +73,9 @@
     keep_alive: bool,
     /// How long the server keeps the connection open while it is idle, if it states that.
     idle_timeout: Option<Duration>,
+    /// The number of bytes that were received since the last head or piece of a body, which are those in the buffer and
+    /// those that the codec has consumed.
+    undecoded: usize,
     config: ServiceConfig,
 }
 
@@ -100,6 +110,7 @@
             head_only: false,
             keep_alive: true,
             idle_timeout: None,
+            undecoded: 0,
             config: config.clone(),
         })
     }
@@ -158,6 +169,7 @@
         }
         self.codec = Codec::Head(codec);
         self.in_progress = true;
+        self.undecoded = 0;
         self.fully_sent = false;
         self.head_only = head_only;
         let mut sent = 0;
@@ -173,7 +185,10 @@
             } else if ready.is_readable() {
                 match self.io.try_read_buf(&mut self.buf) {
                     Ok(0) => return Err((sent, io::ErrorKind::ConnectionReset.into())),
-                    Ok(_) => return Ok(()),
+                    Ok(n) => {
+                        self.undecoded = n;
+                        return Ok(());
+                    }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(e) => return Err((sent, e)),
                 }
@@ -206,6 +221,7 @@
             if head.status.is_informational() {
                 continue;
             }
+            self.undecoded = self.buf.len();
             self.begin_body(&head);
             return Ok(head);
         }
@@ -255,8 +271,12 @@
                     // Called even if the buffer is empty: the codec reports the end of the body in a separate call.
                     let piece = codec.decode(&mut self.buf);
                     match piece.map_err(|e| AnswerError::Malformed(e.to_string()))? {
-                        Some(Some(bytes)) => return Ok(Some(bytes)),
+                        Some(Some(bytes)) => {
+                            self.undecoded = self.buf.len();
+                            return Ok(Some(bytes));
+                        }
                         Some(None) => {
+                            self.undecoded = self.buf.len();
                             self.end_body();
                             self.codec = self.new_codec();
                             return Ok(None);
@@ -269,6 +289,7 @@
                 }
                 (Body::UntilClose, _) => {
                     if !self.buf.is_empty() {
+                        self.undecoded = 0;
                         return Ok(Some(self.buf.split().freeze()));
                     }
                     if self.fill().await? == 0 {
@@ -283,28 +304,53 @@
 
     /// Reads the complete body. Fails if it is longer than `max_bytes`.
     pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, AnswerError> {
+        let mut reservation = BodyMemory::default().reserve();
+        self.read_body_into(&mut reservation, max_bytes).await
+    }
+
+    /// Reads the complete body into memory that is reserved for it. Fails if it is longer than `max_bytes` or if there is
+    /// no memory for it.
+    pub async fn read_body_into(
+        &mut self,
+        reservation: &mut BodyReservation,
+        max_bytes: usize,
+    ) -> Result<Bytes, AnswerError> {
         let mut whole = BytesMut::new();
         while let Some(piece) = self.read_chunk().await? {
-            if whole.len() + piece.len() > max_bytes {
+            let len = whole.len() + piece.len();
+            if len > max_bytes {
                 return Err(AnswerError::Malformed(format!(
                     "body over {max_bytes} bytes"
                 )));
             }
+            if !reservation.grow_to(len) {
+                return Err(AnswerError::NoMemory);
+            }
             whole.extend_from_slice(&piece);
         }
         Ok(whole.freeze())
     }
 
-    async fn fill(&mut self) -> io::Result<usize> {
+    /// Receives bytes; 0 at the end of the connection.
+    async fn fill(&mut self) -> Result<usize, AnswerError> {
+        if self.undecoded > MAX_UNDECODED_BYTES {
+            return Err(AnswerError::Malformed(format!(
+                "over {MAX_UNDECODED_BYTES} bytes without a head or a piece of the body"
+            )));
+        }
         loop {
+            // `readable` completes at once while there are bytes: without this, a server that sends without a pause
+            // keeps the thread, and no timer of any task fires.
+            task::coop::consume_budget().await;
             self.io.readable().await?;
-            if self.buf.len() > MAX_BUFFERED_BYTES {
-                return Err(io::ErrorKind::InvalidData.into());
-            }
             self.buf.reserve(READ_CHUNK_BYTES);
             match self.io.try_read_buf(&mut self.buf) {
+                Ok(n) => {
+                    self.undecoded += n;
+                    return Ok(n);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                other => return other,
+                Err(e) => return Err(e.into()),
             }
         }
     }
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -4,6 +4,7 @@
 //! any byte of a request was sent, whether a peer sent more than its answer, whether an answer without a length is
 //! complete or was truncated, and when a caller closes its connection.
 
+pub mod body_memory;
 pub mod call;
 pub mod callers;
 pub mod connection;
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -76,11 +76,11 @@
         self.by_addr.borrow_mut().remove(&addr);
     }
 
-    /// Closes the connections that have been idle for too long.
+    /// Closes the connections that have been idle for too long or whose peers have sent something or closed them.
     pub fn sweep(&self) {
         let mut by_addr = self.by_addr.borrow_mut();
         by_addr.retain(|_, kept| {
-            kept.retain(IdleConnection::is_usable);
+            kept.retain_mut(|idle| idle.is_usable() && idle.connection.reusable());
             !kept.is_empty()
         });
     }
