--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -393,6 +393,8 @@
             bounds.draft(names, now),
             bounds.store_clock(now),
         ) else {
+            // The rows were not read yet, or not since the store was restored.
+            self.heartbeat_at = Some(now + CHECK_INTERVAL);
             return Ok(WriteResult::Answered);
         };
         let (revision, records) = gateway.quarantines_to_persist();
