Peers: only the first list after a restoration keeps endpoints that it lacks

A complete list of another host that lacks an endpoint keeps it for the time of lapsed entries only where the list is the first one of a new timeline. Otherwise the other host has told which entries may have lapsed, and what it does not list is gone: keeping it after each outage of the store would send requests to endpoints that have left.

--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -542,9 +542,10 @@
     let (replaced, gone): (Vec<_>, Vec<_>) = gone
         .into_iter()
         .partition(|id| is_replaced(gateway, id, &changed));
-    // The other host keeps endpoints whose entries may have lapsed. After a restoration of the store it may not know
-    // them, if it has started since.
-    gone.iter().for_each(|id| match list.complete {
+    // The other host keeps endpoints whose entries may have lapsed. It does not know those that a restored store lacks, if
+    // it has started since.
+    let after_restoration = list.complete && told.timeline > known.timeline;
+    gone.iter().for_each(|id| match after_restoration {
         true => endpoints::remove_unless_lapsed(gateway, id),
         false => gateway.remove_endpoint(id),
     });
