Lease: a row that a restored store gives the same version counts as changed

A host that waits for the lease measures how long its row has been unchanged. After a restoration the holder's renewal may get the version that the row had before; the waiting host took it for unchanged and would have acquired the lease while its holder acted on it. Found by reading the change again; not seen in a run of hosts.

A restoration now forgets since when the row is unchanged. The new test fails without it (Write { expected: 7 } in place of Wait) and passes with it.

--- a/crates/fleet/src/leader_lease.rs
+++ b/crates/fleet/src/leader_lease.rs
@@ -114,9 +114,11 @@
     }
 
     /// Records that the store was restored from a copy: the version of the row may name another row by now. This host
-    /// does not act on the lease until it has read the row and written it again.
+    /// does not act on the lease until it has read the row and written it again. The next row that is read counts as
+    /// changed, even if it has the same version: its holder may have renewed it meanwhile.
     pub fn record_restoration(&mut self) {
         self.renewed_at = None;
+        self.changed_at = None;
         self.write_unconfirmed = true;
     }
 
--- a/crates/fleet/tests/timeline.rs
+++ b/crates/fleet/tests/timeline.rs
@@ -129,6 +129,21 @@
     assert_eq!(lease.step(secs(3)), Step::Write { expected: 5 });
 }
 
+#[test]
+fn a_lease_whose_row_has_the_same_version_after_a_restoration_is_not_taken_from_its_holder() {
+    let mut lease = LeaderLease::new("b".to_owned(), TERM, secs(5));
+    let renewed = || LeaseRecord {
+        holder: "a".to_owned(),
+        version: 7,
+    };
+    lease.record_read(secs(0), Some(renewed()));
+    // The store was restored, and the holder has written its row again, which got the version 7 once more.
+    lease.record_restoration();
+    lease.record_read(secs(9), Some(renewed()));
+    assert_eq!(lease.step(secs(11)), Step::Wait);
+    assert_eq!(lease.step(secs(14)), Step::Read);
+}
+
 #[test]
 fn claims_of_before_a_restoration_are_neither_drafted_nor_reported_nor_kept() {
     let snapshot =
