--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -11,6 +11,7 @@
 
 use dragonflyrill_adapter::store::Table;
 use dragonflyrill_catalogue::{Catalogue, DataCentre, Entry, entry::LimitEntry};
+use dragonflyrill_clock::Clock;
 use dragonflyrill_delivery::NotRunKind;
 use dragonflyrill_limits as limits;
 use dragonflyrill_protocol::{HostRef, Message, rights};
@@ -19,7 +20,6 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
-    clock::Clock,
     control::{ControlSender, actor::Event},
     host::PeerInfo,
     requests::Refusal,
@@ -324,7 +324,7 @@
             let next = next.clamp(now + MIN_SLEEP, now + MAX_SLEEP);
             self.timer_deadline.set(next);
             tokio::select! {
-                () = actix_rt::time::sleep(next.saturating_sub(now)) => {
+                () = self.clock.sleep_until(next) => {
                     self.with_limiter(|limiter, now, actions| limiter.tick(now, actions));
                 }
                 () = self.timer_changed.notified() => {}
--- a/crates/entry/src/bin/dragonflyrill-entry.rs
+++ b/crates/entry/src/bin/dragonflyrill-entry.rs
@@ -1,5 +1,7 @@
 //! The program of an entry host.
 
+#![deny(clippy::disallowed_methods)]
+
 use std::{
     io,
     path::{Path, PathBuf},
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use dragonflyrill_clock::Clock;
 use dragonflyrill_membership::{
     members::{self, Members},
     spread::{self, Spread},
@@ -13,7 +14,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    clock::Clock,
     control::{
         ControlUpdate, Identity,
         engines::{self, Engines},
@@ -141,7 +141,7 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                () = actix_rt::time::sleep(wait) => {}
+                () = self.clock.sleep(wait) => {}
             }
             self.tick();
             self.flush();
--- a/crates/entry/src/control/hosts.rs
+++ b/crates/entry/src/control/hosts.rs
@@ -5,6 +5,7 @@
 
 use dragonflyrill_adapter::store::{EndpointList, Table};
 use dragonflyrill_catalogue::{DataCentre, EndpointId, TargetName, name::NameError};
+use dragonflyrill_clock::awake;
 use dragonflyrill_engines::wire;
 use dragonflyrill_fleet::endpoints::Endpoint;
 use dragonflyrill_membership::members::ListedPeer;
@@ -70,7 +71,7 @@
                     let _ = tx.send(Event::ListingFailed);
                 }
             }
-            actix_rt::time::sleep(poll_interval).await;
+            awake::sleep(poll_interval).await;
         }
     }
 
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -13,13 +13,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dragonflyrill_catalogue::{Catalogue, DataCentre, EndpointId};
+use dragonflyrill_clock::Clock;
 use dragonflyrill_engines::wire;
 use dragonflyrill_membership::spread;
 use dragonflyrill_protocol::{HostRef, rights};
 use dragonflyrill_routing as routing;
 use tokio::sync::mpsc;
 
-use crate::{clock::Clock, control::peers::Inbound, host::PeerInfo};
+use crate::{control::peers::Inbound, host::PeerInfo};
 
 /// An update from the control arbiter to the request arbiter.
 #[derive(Debug)]
@@ -100,7 +101,7 @@
     let engines = engines::Engines::new(config.me.clone(), tx.clone());
     let orders = orders::start(
         orders::Config::new(&config.me, config.platform),
-        config.clock,
+        config.clock.clone(),
     );
     let shutting_down = hosts::ShutdownFlag::default();
     let host_lists =
--- a/crates/entry/src/control/orders.rs
+++ b/crates/entry/src/control/orders.rs
@@ -19,6 +19,7 @@
     Catalogue, DataCentre, EndpointId, Entry,
     entry::{GroupEntry, ModelEntry},
 };
+use dragonflyrill_clock::Clock;
 use dragonflyrill_engines::wire::EngineState;
 use dragonflyrill_orders::{group, lease};
 use dragonflyrill_protocol::{HostId, HostRef};
@@ -26,7 +27,7 @@
 use dragonflyrill_store::{error::PlatformError, table::TxnOutcome};
 use tokio::sync::mpsc;
 
-use crate::{clock::Clock, control::Identity, host::PeerInfo};
+use crate::{control::Identity, host::PeerInfo};
 
 /// The term of a lease: it expires this long after it was last renewed.
 const LEASE_TERM: Duration = Duration::from_secs(9);
--- a/crates/entry/src/control/orders/calls.rs
+++ b/crates/entry/src/control/orders/calls.rs
@@ -4,6 +4,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use dragonflyrill_adapter::store::Table;
+use dragonflyrill_clock::{Clock, awake};
 use dragonflyrill_engines::{
     CallError, EngineClient,
     wire::{EngineState, Order},
@@ -16,7 +17,6 @@
 use tokio::sync::mpsc;
 
 use super::{CallRef, Config, Event};
-use crate::clock::Clock;
 
 /// The status with which an engine refuses an order with an old fencing number.
 const STALE_FENCE_STATUS: u16 = 409;
@@ -72,7 +72,7 @@
     /// first.
     pub(super) fn read_state(&self, of: CallRef, addr: SocketAddr, with_sessions: bool) {
         let engine = EngineClient::new(self.http.clone(), addr);
-        let (clock, call_timeout, tx) = (self.clock, self.call_timeout, self.tx.clone());
+        let (clock, call_timeout, tx) = (self.clock.clone(), self.call_timeout, self.tx.clone());
         let deadline = clock.now() + call_timeout;
         actix_rt::spawn(async move {
             if with_sessions {
@@ -97,7 +97,7 @@
     /// Starts to send an order to an engine, if this host still holds the lease.
     pub(super) fn send_order(&self, of: CallRef, addr: SocketAddr, order: Order) {
         let engine = EngineClient::new(self.http.clone(), addr);
-        let (clock, leases, tx) = (self.clock, self.leases.clone(), self.tx.clone());
+        let (clock, leases, tx) = (self.clock.clone(), self.leases.clone(), self.tx.clone());
         let deadline = clock.now() + self.call_timeout;
         actix_rt::spawn(async move {
             let now = clock.now();
@@ -135,7 +135,7 @@
     call: impl Future<Output = Result<T, CallError>>,
 ) -> Result<T, CallError> {
     let timed_out = || CallError::Lost("no answer in time".to_owned());
-    let result = actix_rt::time::timeout(timeout, call).await;
+    let result = awake::timeout(timeout, call).await;
     result.unwrap_or_else(|_| Err(timed_out()))
 }
 
--- a/crates/entry/src/control/orders/driver.rs
+++ b/crates/entry/src/control/orders/driver.rs
@@ -9,6 +9,7 @@
 };
 
 use dragonflyrill_catalogue::{EndpointId, entry};
+use dragonflyrill_clock::Clock;
 use dragonflyrill_orders::{
     group::{self, CallId, Group, GroupSpec, RawGroup, RawRange, SpecError},
     lease::{self, LeaseName, Leases},
@@ -17,7 +18,6 @@
 use tokio::sync::mpsc;
 
 use super::{CallRef, Config, Event, ListedEndpoint, calls::Calls};
-use crate::clock::Clock;
 
 /// How many hosts request a lease: one holds it, the other watches its row.
 const LEASE_CANDIDATES: usize = 2;
@@ -51,7 +51,7 @@
     /// Creates a task without groups, endpoints and peers.
     pub(super) fn new(cfg: Config, clock: Clock, tx: mpsc::WeakUnboundedSender<Event>) -> Self {
         let leases = Rc::new(RefCell::new(Leases::new(cfg.lease.clone())));
-        let calls = Calls::new(&cfg, clock, leases.clone(), tx);
+        let calls = Calls::new(&cfg, clock.clone(), leases.clone(), tx);
         Self {
             cfg,
             clock,
@@ -73,7 +73,7 @@
                 count = rx.recv_many(&mut events, MAX_EVENTS_PER_TICK) => if count == 0 {
                     return;
                 },
-                () = actix_rt::time::sleep(wait) => {}
+                () = self.clock.sleep(wait) => {}
             }
             for event in events.drain(..) {
                 self.handle(event);
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -6,6 +6,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_protocol::{
     Envelope, HostId, HostRef, Listing, MAX_FRAME, Message, Peer, PeerClient,
     found::{Claim, Claimed, Found, Query},
@@ -241,14 +242,14 @@
 
 fn deadline(limit: Duration) -> context::Context {
     let mut cx = context::current();
-    cx.deadline = std::time::Instant::now() + limit;
+    cx.deadline = (awake::Instant::now() + limit).into_std();
     cx
 }
 
 async fn connect(addr: SocketAddr) -> Option<PeerClient> {
     let mut connecting = tcp::connect(addr, Bincode::default);
     connecting.config_mut().max_frame_length(MAX_FRAME);
-    match actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await {
+    match awake::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(transport)) => Some(PeerClient::new(client::Config::default(), transport).spawn()),
         Ok(Err(e)) => {
             log::debug!("peers: A connection to {addr} failed: {e}.");
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -162,7 +162,7 @@
             Some(event) = self.kv_rx.recv() => Some(event),
             () = gate.changed() => None,
             () = self.slot.wait_for_abandonment() => Some(Event::Cancel),
-            () = actix_rt::time::sleep(sleep) => Some(Event::Tick),
+            () = self.host.clock.sleep(sleep) => Some(Event::Tick),
         }
     }
 
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -121,7 +121,7 @@
         .set(host.requests.borrow().running() as i64);
     let (host, slot) = (host.clone(), slot.clone());
     actix_rt::spawn(async move {
-        actix_rt::time::sleep(keep).await;
+        host.clock.sleep(keep).await;
         host.requests.borrow_mut().forget(&slot.key);
     });
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -13,6 +13,7 @@
     Catalogue, DataCentre, EndpointId, Entry, EntryKey, TargetName,
     entry::{LimitEntry, LimitKey, ModelEntry, ServiceEntry},
 };
+use dragonflyrill_clock::{Clock, wall};
 use dragonflyrill_delivery::generation::StepTimes;
 use dragonflyrill_engines::wire;
 use dragonflyrill_protocol::{
@@ -25,7 +26,6 @@
 
 use crate::{
     admission::Admission,
-    clock::{Clock, wall_ms},
     control::{
         self, ControlSender, actor, engines,
         peers::{Inbound, Outbox},
@@ -44,7 +44,7 @@
 pub struct Host {
     /// The settings that the host was started with.
     pub settings: Settings,
-    /// The monotonic clock of all times in this state.
+    /// The clock of all times in this state.
     pub clock: Clock,
     /// Connections to endpoints.
     pub pool: Pool,
@@ -97,15 +97,21 @@
         // Milliseconds since the epoch, so that each incarnation is higher than the one before.
         let me = HostRef {
             id: HostId(settings.host.clone()),
-            incarnation: wall_ms(),
+            incarnation: wall::epoch_ms(),
         };
         let router = routing::Router::new(settings.data_centre.clone(), seed);
         let table = Table::new(settings.platform, TABLE_TIMEOUT);
         let dc = settings.data_centre.clone();
-        let admission = Admission::new(clock, me.clone(), dc, control.clone(), table.clone());
+        let admission = Admission::new(
+            clock.clone(),
+            me.clone(),
+            dc,
+            control.clone(),
+            table.clone(),
+        );
         Rc::new(Self {
             settings,
-            clock,
+            clock: clock.clone(),
             pool: Pool::new(),
             router: RefCell::new(router),
             recording: Recording::new(clock, me.clone(), table.clone()),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,9 +9,10 @@
 //! [`pool`]. [`requests`] keeps the answer, which any number of callers may read. [`stalls`]
 //! reports that the request arbiter made no progress. [`node`] assembles these parts.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod admission;
 pub mod caller;
-pub mod clock;
 pub mod control;
 pub mod drive;
 pub mod host;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,11 +1,12 @@
 //! Assembles an entry host: its listeners, its two arbiters and its shutdown.
 
+use dragonflyrill_clock::Clock;
 use std::{io, net::SocketAddr, rc::Rc};
 
 use actix_rt::task::JoinHandle;
 use tokio::{net::TcpListener, sync::mpsc};
 
-use crate::{clock::Clock, control, host::Host, serve, settings::Settings, stalls};
+use crate::{control, host::Host, serve, settings::Settings, stalls};
 
 /// A running entry host. Belongs to the thread of the request arbiter.
 pub struct Node {
@@ -28,7 +29,7 @@
             .map_err(|e| bind_error(settings.peers_addr, &e))?;
         let addrs = (callers.local_addr()?, peers.local_addr()?);
         let (control_tx, control_rx) = mpsc::unbounded_channel();
-        let host = Host::new(settings.clone(), Clock::start(), control_tx.clone());
+        let host = Host::new(settings.clone(), Clock::system(), control_tx.clone());
         let start = control::StartConfig {
             me: control::Identity {
                 host: host.me.clone(),
@@ -36,7 +37,7 @@
                 peers: addrs.1,
                 callers: addrs.0,
             },
-            clock: host.clock,
+            clock: host.clock.clone(),
             listener: peers,
             platform: settings.platform,
             seeds: settings.seeds.clone(),
--- a/crates/entry/src/recording.rs
+++ b/crates/entry/src/recording.rs
@@ -10,6 +10,7 @@
 };
 
 use dragonflyrill_adapter::store::Table;
+use dragonflyrill_clock::{Clock, wall};
 use dragonflyrill_delivery::record::{
     Action, Config, ExpiredPermit, Outcome, Permit, Record, RecordTicket, Recorder, TxnId,
 };
@@ -17,10 +18,7 @@
 use dragonflyrill_store::table::{TableApi, TableCall};
 use tokio::sync::{Notify, oneshot};
 
-use crate::{
-    clock::{Clock, wall_ms},
-    requests::{Refusal, RequestKey},
-};
+use crate::requests::{Refusal, RequestKey};
 
 /// The timer waits at least this long before it runs the recorder, so that it can't starve the
 /// arbiter.
@@ -64,7 +62,7 @@
 impl Recording {
     /// Creates the recorder of host `me` and starts its timer.
     pub fn new(clock: Clock, me: HostRef, table: Table) -> Rc<Self> {
-        let unix_origin = Duration::from_millis(wall_ms()).saturating_sub(clock.now());
+        let unix_origin = Duration::from_millis(wall::epoch_ms()).saturating_sub(clock.now());
         let recording = Rc::new(Self {
             clock,
             recorder: RefCell::new(Recorder::new(Config::new(me, unix_origin))),
@@ -178,7 +176,7 @@
             let next = next.clamp(now + MIN_SLEEP, latest);
             self.timer_deadline.set(next);
             tokio::select! {
-                () = actix_rt::time::sleep(next.saturating_sub(now)) => {
+                () = self.clock.sleep_until(next) => {
                     let mut actions = Vec::new();
                     self.recorder.borrow_mut().tick(self.clock.now(), &mut actions);
                     self.execute(actions);
--- a/crates/entry/src/requests/follow.rs
+++ b/crates/entry/src/requests/follow.rs
@@ -5,6 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_delivery::{ErrorKind, dedup};
 use dragonflyrill_protocol::{
     HostRef,
@@ -203,7 +204,7 @@
     let from = query.from as usize;
     let wait = Duration::from_millis(query.wait_ms.into());
     // After a timeout the answer holds no new tokens and no end.
-    let _ = actix_rt::time::timeout(wait, slot.wait_for_more(from)).await;
+    let _ = awake::timeout(wait, slot.wait_for_more(from)).await;
     Found::Known(answer_from(&slot, from))
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections, and drains the host on shutdown.
 
+use dragonflyrill_clock::awake;
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpService, Request};
@@ -77,6 +78,6 @@
         if running == 0 || host.now() >= until {
             return running;
         }
-        actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
+        awake::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/crates/entry/src/stalls.rs
+++ b/crates/entry/src/stalls.rs
@@ -4,6 +4,7 @@
 //! Requests whose deadline passes meanwhile fail although nothing else was wrong, and only this tells them from requests
 //! that waited for an endpoint or a right.
 
+use dragonflyrill_clock::awake;
 use std::{rc::Rc, time::Duration};
 
 use crate::host::Host;
@@ -25,7 +26,10 @@
 pub async fn watch(host: Rc<Host>) {
     loop {
         let due = host.now() + CHECK_INTERVAL;
-        actix_rt::time::sleep(CHECK_INTERVAL).await;
+        awake::sleep(CHECK_INTERVAL).await;
+        if let Some(suspended) = host.clock.check() {
+            log::warn!("host: The machine was suspended for {suspended:?}.");
+        }
         if let Some(stall) = stalled_for(due, host.now()) {
             host.metrics.stalls.inc();
             log::warn!("host: Nothing ran for {stall:?}.");
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -14,14 +14,12 @@
 use dragonflyrill_catalogue::{
     Catalogue, DataCentre, EndpointId, Entry, Name, TargetName, declare, state::Revision,
 };
+use dragonflyrill_clock::Clock;
 use dragonflyrill_engines::{
     EngineClient,
     wire::{EngineState, Layers, Order},
 };
-use dragonflyrill_entry::{
-    clock::Clock,
-    control::orders::{self, OrdersHandle},
-};
+use dragonflyrill_entry::control::orders::{self, OrdersHandle};
 use dragonflyrill_orders::{group::GroupConfig, lease::LeaseConfig};
 use dragonflyrill_protocol::{HostId, HostRef};
 use dragonflyrill_routing as routing;
@@ -181,7 +179,7 @@
             max_drain_time: ms(400),
         },
     };
-    let handle = orders::start(cfg, Clock::start());
+    let handle = orders::start(cfg, Clock::system());
     handle.set_peers(&[]);
     handle.set_endpoints(&engines.listed());
     handle.set_catalogue(declared);
--- a/crates/entry/tests/reports.rs
+++ b/crates/entry/tests/reports.rs
@@ -9,9 +9,9 @@
 use common::{Fleet, expected_text, settings, until};
 use dragonflyrill_adapter_standin::store::{DownAs, Faults};
 use dragonflyrill_catalogue::EndpointId;
+use dragonflyrill_clock::Clock;
 use dragonflyrill_engines::wire;
 use dragonflyrill_entry::{
-    clock::Clock,
     control::{self, ControlUpdate},
     node::Node,
     settings::Settings,
@@ -141,7 +141,7 @@
             peers,
             callers: common::any_port(),
         },
-        clock: Clock::start(),
+        clock: Clock::system(),
         listener,
         platform,
         seeds: Vec::new(),
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -3,7 +3,8 @@
 //! A revoked key must not be accepted after a configured time. While the store is unreachable, a
 //! host cannot learn of a revocation, so it stops by itself: a catalogue is fresh for that time,
 //! less a margin, counted from the moment at which the latest read that found nothing newer was
-//! *sent*. All times are those of a monotonic clock.
+//! *sent*. All times are those of a monotonic clock that counts the time for which the machine was
+//! suspended: a host that wakes has not heard of what was revoked meanwhile.
 
 use std::time::Duration;
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,6 +35,8 @@
 //! - [`write_batch`] joins the writes of several hosts' rows in one call to the store.
 //! - [`token_bucket`] bounds a rate, for example of log lines or of bytes.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod adaptive_timeout;
 pub mod admission;
 pub mod arrivals;
--- a/crates/gateway/src/control/catalogue.rs
+++ b/crates/gateway/src/control/catalogue.rs
@@ -34,15 +34,19 @@
         }
         let sent_at = gateway.now();
         // While the store is unavailable, this is the only call that shows that it is available again, so that it does
-        // not wait for a change.
-        let wait = match gateway.store_unavailable() {
+        // not wait for a change. Neither does the first call after a suspension, for whose proof requests wait.
+        let wait = match gateway.store_unavailable() || gateway.news_due().is_some() {
             true => Duration::ZERO,
             false => wait,
         };
         let read = gateway.platform.store.catalogue(revision, wait);
-        let read = StoreCall::Catalogue
-            .run(&gateway, wait + READ_MARGIN, read)
-            .await;
+        let read = StoreCall::Catalogue.run(&gateway, wait + READ_MARGIN, read);
+        let read = tokio::select! {
+            biased;
+            read = read => read,
+            // The proof of a call that was made before the suspension is as old as the call.
+            () = gateway.clock().resumed() => continue,
+        };
         match read {
             Ok(update) if !continues(&gateway, revision, update.revision) => {
                 log::info!(target: "catalogue", after:? = revision, answer:? = update.revision; "The answer does not continue from the last one; the catalogue is read in full.");
@@ -53,7 +57,8 @@
             }
             Ok(update) => {
                 backoff.reset(&gateway);
-                gateway.record_store_answer(StoreRead::Catalogue, gateway.now());
+                let answered_at = gateway.answered_at(sent_at);
+                gateway.record_store_answer(StoreRead::Catalogue, answered_at);
                 revision = Some(apply_update(&gateway, update, sent_at));
             }
             Err(PlatformError::HistoryTrimmed) => {
@@ -69,6 +74,7 @@
                 tokio::select! {
                     () = backoff.pause(&gateway) => {}
                     () = gateway.wait_until_not_reading() => {}
+                    () = gateway.clock().resumed() => {}
                 }
             }
         }
--- a/crates/gateway/src/control/endpoints.rs
+++ b/crates/gateway/src/control/endpoints.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use dragonflyrill_store::PlatformError;
-use tokio::time;
 
 use super::{Backoff, ReadLimit, StoreCall, continues};
 use crate::{
@@ -45,30 +44,41 @@
             follower.revision = None;
         }
         follower.gateway.wait_until_store_readable().await;
-        let started_at = time::Instant::now();
-        match follower.read().await {
-            Ok(()) => backoff.reset(&follower.gateway),
+        let gateway = follower.gateway.clone();
+        let started_at = gateway.now();
+        let read = tokio::select! {
+            biased;
+            read = follower.read() => read,
+            // The answer may have been sent before the suspension.
+            () = gateway.clock().resumed() => continue,
+        };
+        match read {
+            Ok(()) => backoff.reset(&gateway),
             Err(e) => {
                 log::warn!(target: "fleet", why:% = e; "The list of endpoints could not be read.");
-                backoff.pause(&follower.gateway).await;
+                backoff.pause(&gateway).await;
             }
         }
-        follower.gateway.expire_entries();
-        time::sleep_until(started_at + interval).await;
+        gateway.expire_entries();
+        tokio::select! {
+            () = gateway.clock().sleep_until(started_at + interval) => {}
+            () = gateway.clock().resumed() => {}
+        }
     }
 }
 
 impl Follower {
     async fn read(&mut self) -> Result<(), PlatformError> {
-        let read = self
-            .gateway
-            .platform
-            .store
-            .endpoints(self.revision, MAX_WAIT);
+        // Requests wait for the first list after a suspension.
+        let wait = match self.gateway.news_due() {
+            Some(_) => Duration::ZERO,
+            None => MAX_WAIT,
+        };
+        let read = self.gateway.platform.store.endpoints(self.revision, wait);
         let sent_at = self.gateway.now();
         let limit = self
             .read_limit
-            .limit(self.revision.is_none(), MAX_WAIT + READ_MARGIN);
+            .limit(self.revision.is_none(), wait + READ_MARGIN);
         let read = StoreCall::List.run(&self.gateway, limit, read).await;
         self.read_limit.record(&read);
         match read {
@@ -82,7 +92,8 @@
             }
             Ok(update) => {
                 self.gateway.record_list_as_of(sent_at);
-                self.apply_update(update);
+                let answered_at = self.gateway.answered_at(sent_at);
+                self.apply_update(update, answered_at);
                 Ok(())
             }
             Err(PlatformError::HistoryTrimmed) => {
@@ -96,10 +107,10 @@
         }
     }
 
-    fn apply_update(&mut self, update: EndpointUpdate) {
+    fn apply_update(&mut self, update: EndpointUpdate, answered_at: Duration) {
         self.revision = Some(update.revision);
-        let now = self.gateway.now();
-        self.gateway.record_store_answer(StoreRead::List, now);
+        self.gateway
+            .record_store_answer(StoreRead::List, answered_at);
         let known = self.gateway.list_revision.get();
         self.gateway.list_revision.set(known.max(update.revision));
         let mut removed = self.ids_of(&update.removed);
--- a/crates/gateway/src/control/host_row.rs
+++ b/crates/gateway/src/control/host_row.rs
@@ -7,6 +7,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     quarantine::PersistRevision,
     row_writes::{
@@ -17,7 +18,6 @@
 use dragonflyrill_protocol::exchange::{FleetHost, HostRow, RowWriteResponse};
 use dragonflyrill_store::PlatformError;
 use rand::Rng;
-use tokio::time;
 
 use super::{Backoff, StoreCall, limit_rows, quarantine_rows};
 use crate::{
@@ -199,10 +199,10 @@
                     backoff.pause(&gateway).await;
                 }
             }
-            time::sleep(writer.write_pause(urgency)).await;
+            awake::sleep(writer.write_pause(urgency)).await;
         } else {
             tokio::select! {
-                () = time::sleep(CHECK_INTERVAL) => {}
+                () = awake::sleep(CHECK_INTERVAL) => {}
                 () = gateway.bounds.write_requested() => {}
             }
         }
@@ -269,7 +269,7 @@
         loop {
             tokio::select! {
                 () = gateway.bounds.write_requested() => {}
-                () = time::sleep(CHECK_INTERVAL) => {}
+                () = awake::sleep(CHECK_INTERVAL) => {}
             }
             let now = gateway.now();
             let record = gateway.bounds.record_due(now) && self.record.may_be_due(now);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -12,9 +12,9 @@
 
 use std::time::Duration;
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_store::PlatformError;
 use rand::Rng;
-use tokio::time;
 
 use crate::{gateway::Gateway, ports::StoreRevision};
 
@@ -51,7 +51,7 @@
         let pause = MIN_RETRY_PAUSE * 2u32.pow(self.failures.min(5));
         self.failures += 1;
         let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(pause.min(max).mul_f64(jitter)).await;
+        gateway.clock().sleep(pause.min(max).mul_f64(jitter)).await;
     }
 }
 
@@ -131,10 +131,10 @@
         limit: Duration,
         call: impl Future<Output = Result<T, PlatformError>>,
     ) -> Result<T, PlatformError> {
-        let started_at = time::Instant::now();
+        let started_at = awake::Instant::now();
         let sent_at = gateway.now();
         let timeline = gateway.timeline();
-        let result = match time::timeout(limit, call).await {
+        let result = match awake::timeout(limit, call).await {
             Ok(result) => result,
             Err(_) => {
                 let why = "no answer in time".to_owned();
--- a/crates/gateway/src/control/placing.rs
+++ b/crates/gateway/src/control/placing.rs
@@ -6,6 +6,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     endpoints::Endpoint,
     placement::{
@@ -16,7 +17,6 @@
 };
 use futures_util::{StreamExt, stream};
 use rustc_hash::FxHashMap;
-use tokio::time;
 
 use super::tenure::{LeaseState, Tenure};
 use crate::{
@@ -47,7 +47,7 @@
             Some(tenure) => placer.round(tenure).await,
             None => placer.observe(),
         }
-        time::sleep(CHECK_INTERVAL).await;
+        awake::sleep(CHECK_INTERVAL).await;
     }
 }
 
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     leader_lease::{LeaderLease, LeaseRecord, NO_HOLDER, Step, WriteOutcome},
     timeline::Timeline,
@@ -11,7 +12,6 @@
 use dragonflyrill_store::PlatformError;
 use futures_util::future;
 use rustc_hash::FxHashMap;
-use tokio::time;
 
 use super::{
     Backoff, StoreCall,
@@ -110,7 +110,7 @@
             Discovery::Settled => CHECK_INTERVAL,
             Discovery::NoRows | Discovery::NoPeers => DISCOVERY_CHECK_INTERVAL,
         };
-        time::sleep(tick).await;
+        awake::sleep(tick).await;
     }
 }
 
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -39,7 +39,7 @@
     /// Records that the stream is refused for lack of memory. Without admission control the refusal stays as it is.
     pub(super) fn record_overload(&self, gateway: &Gateway, attempts: &mut Attempts) {
         if gateway.settings.admission.is_some() {
-            let delay = gateway.return_delay(self.fingerprint(), self.time_left());
+            let delay = gateway.return_delay(self.fingerprint(), self.time_left(gateway));
             attempts.record_overload(delay);
         }
     }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -6,11 +6,12 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     adaptive_timeout::REPLACEMENT_INTERVAL, budget::RetryReason, endpoints::Endpoint,
 };
 use futures_util::future::{self, FutureExt, LocalBoxFuture};
-use tokio::{sync::watch, time};
+use tokio::sync::watch;
 
 use super::{
     AdmittedRequest, ForwardError, RunProgress,
@@ -114,14 +115,14 @@
     /// The attempts that failed.
     attempts: Attempts,
     /// An answer with a server error, and until when a better one is waited for.
-    failure: Option<(CompleteAnswer, time::Instant)>,
+    failure: Option<(CompleteAnswer, Duration)>,
 }
 
 /// An attempt to get an answer from an endpoint. Dropping it cancels it.
 struct Attempt<'a> {
     endpoint: Rc<Endpoint>,
     /// When it counts as silent.
-    stalls_at: time::Instant,
+    stalls_at: awake::Instant,
     /// Whether its connection is known to carry nothing.
     path_lost: watch::Receiver<bool>,
     /// Whether its endpoint is avoided because it is silent.
@@ -167,7 +168,7 @@
         if let Some((complete, _)) = self.failure.take() {
             return Ok(complete);
         }
-        match self.attempts.may_have_run() && self.admitted.time_left().is_zero() {
+        match self.attempts.may_have_run() && self.admitted.time_left(self.gateway).is_zero() {
             true => Err(Refusal::OutOfTime),
             false => Err(self.attempts.refusal()),
         }
@@ -178,7 +179,7 @@
     async fn next_endpoint(&mut self) -> Option<Rc<Endpoint>> {
         let (gateway, admitted) = (self.gateway, self.admitted);
         if self.started >= self.max_started()
-            || admitted.time_left().is_zero()
+            || admitted.time_left(gateway).is_zero()
             || !admitted.may_dispatch(gateway, &mut self.attempts)
         {
             return None;
@@ -207,10 +208,10 @@
             .record_dispatch(to, Duration::ZERO, 0.0, None);
         let open = self.open.len() as u32 + 1;
         let before_next = match admitted.may_dispatch_beside(&self.attempts, open) {
-            true => admitted.time_left().mul_f64(NON_FINAL_TIME_FRACTION),
-            false => admitted.time_left(),
+            true => admitted.time_left(gateway).mul_f64(NON_FINAL_TIME_FRACTION),
+            false => admitted.time_left(gateway),
         };
-        let stalls_at = time::Instant::now() + before_next;
+        let stalls_at = awake::Instant::now() + before_next;
         let (lost, path_lost) = watch::channel(false);
         let result = attempt(gateway, admitted, endpoint.clone(), stalls_at, lost);
         self.open.push(Attempt {
@@ -239,7 +240,7 @@
                 Step::Ended(index, Box::new(result))
             }
             endpoint = replacement => Step::Replacement(endpoint),
-            () = time::sleep_until(settles_at), if failure.is_some() => Step::Settled,
+            () = self.gateway.clock().sleep_until(settles_at), if failure.is_some() => Step::Settled,
             () = &mut self.stalled => Step::Stalled,
         }
     }
@@ -252,7 +253,7 @@
         let (stalls_at, mut path_lost) = (newest.stalls_at, newest.path_lost.clone());
         let stalled = async move {
             tokio::select! {
-                () = time::sleep_until(stalls_at) => {}
+                () = awake::sleep_until(stalls_at) => {}
                 // The sender lives as long as the attempt.
                 _ = path_lost.wait_for(|lost| *lost) => {}
             }
@@ -263,7 +264,7 @@
     /// Starts to make another attempt beside those that are open.
     fn add_attempt(&mut self) {
         let (gateway, admitted) = (self.gateway, self.admitted);
-        self.stalled = time::sleep(REPLACEMENT_INTERVAL).boxed_local();
+        self.stalled = awake::sleep(REPLACEMENT_INTERVAL).boxed_local();
         self.avoid_silent();
         if let Some(newest) = self.open.last().filter(|a| *a.path_lost.borrow()) {
             // Only the connection is lost: the endpoint may be reached over another one.
@@ -288,7 +289,7 @@
     fn avoid_silent(&mut self) {
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.borrow_mut();
-        let silent = |a: &&mut Attempt<'_>| a.stalls_at <= time::Instant::now();
+        let silent = |a: &&mut Attempt<'_>| a.stalls_at <= awake::Instant::now();
         for attempt in self.open.iter_mut().filter(silent).filter(|a| !a.avoided) {
             attempt.avoided = true;
             directory.record_failure(&attempt.endpoint.id, now);
@@ -309,8 +310,8 @@
                 if !may_improve || !complete.answer.head.status.is_server_error() {
                     return Some(complete);
                 }
-                let settles_in = admitted.time_left().mul_f64(NON_FINAL_TIME_FRACTION);
-                self.failure = Some((complete, time::Instant::now() + settles_in));
+                let settles_in = admitted.time_left(gateway).mul_f64(NON_FINAL_TIME_FRACTION);
+                self.failure = Some((complete, gateway.now() + settles_in));
                 self.attempts.record_error_answer();
                 return None;
             }
@@ -373,7 +374,7 @@
     gateway: &Rc<Gateway>,
     admitted: &AdmittedRequest,
     endpoint: Rc<Endpoint>,
-    connected_by: time::Instant,
+    connected_by: awake::Instant,
     path_lost: watch::Sender<bool>,
 ) -> Result<CompleteAnswer, DispatchError> {
     let state = DispatchState::default();
@@ -397,7 +398,7 @@
         let body = answer
             .connection
             .read_body_into(&mut reservation, MAX_ANSWER_BYTES);
-        match time::timeout_at(admitted.due, body).await {
+        match gateway.clock().timeout_at(admitted.due, body).await {
             Ok(Ok(body)) => Ok(CompleteAnswer {
                 answer,
                 body,
@@ -409,7 +410,8 @@
             )),
         }
     };
-    let kept_until = time::Instant::now() + admitted.time_left().mul_f64(NON_FINAL_TIME_FRACTION);
+    let kept_until =
+        awake::Instant::now() + admitted.time_left(gateway).mul_f64(NON_FINAL_TIME_FRACTION);
     let result = tokio::select! {
         biased;
         result = exchange => result,
@@ -456,11 +458,11 @@
     admitted: &AdmittedRequest,
     target: &Target<'_>,
     lost: &watch::Sender<bool>,
-    kept_until: time::Instant,
+    kept_until: awake::Instant,
 ) {
     let mut pause = admitted.route.latency_target.mul_f64(PATH_CHECK_TARGETS);
     loop {
-        time::sleep(pause).await;
+        awake::sleep(pause).await;
         pause = PATH_CHECK_INTERVAL;
         let Some(via) = target.state.via.get() else {
             continue;
@@ -468,7 +470,7 @@
         gateway.check_path(target.addr).await;
         if gateway.paths.is_lost(target.addr, via) {
             lost.send_replace(true);
-            if time::Instant::now() >= kept_until {
+            if awake::Instant::now() >= kept_until {
                 return;
             }
         }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -35,7 +35,6 @@
 };
 use http::StatusCode;
 use rand::Rng;
-use tokio::time::Instant;
 
 use crate::{
     gateway::Gateway,
@@ -76,9 +75,9 @@
     service: Rc<Service>,
     workspace: Option<Rc<str>>,
     priority: u8,
-    received_at: Instant,
+    received_at: Duration,
     /// When the answer must be complete: after the route's timeout or the caller's deadline, whichever is earlier.
-    due: Instant,
+    due: Duration,
     /// The decisions on the request.
     request_log: RequestLog,
     /// The request is sent although parts of its prompt are quarantined.
@@ -89,8 +88,8 @@
 
 impl AdmittedRequest {
     /// The time left until the answer must be complete.
-    fn time_left(&self) -> Duration {
-        self.due.saturating_duration_since(Instant::now())
+    fn time_left(&self, gateway: &Gateway) -> Duration {
+        self.due.saturating_sub(gateway.now())
     }
 
     /// The maximum number of dispatches of the request.
@@ -248,12 +247,12 @@
         Self { gateway }
     }
 
-    fn admit(&self, received: Received) -> Result<AdmittedRequest, Box<Denial>> {
-        let Received {
-            mut head,
-            body,
-            at: received_at,
-        } = received;
+    fn admit(
+        &self,
+        received: Received,
+        received_at: Duration,
+    ) -> Result<AdmittedRequest, Box<Denial>> {
+        let Received { mut head, body } = received;
         let gateway = &self.gateway;
         if !gateway.accepts_requests() {
             let incoming = gateway.platform.dialect.read_request(&mut head);
@@ -281,7 +280,7 @@
                     workspace: workspace.as_ref().map(|w| w.name.clone()),
                     catalogue: gateway.catalogue_version(),
                     proof_age: gateway.proof_age().unwrap_or_default(),
-                    time_left: due.saturating_duration_since(received_at),
+                    time_left: due.saturating_sub(received_at),
                 });
                 Ok(AdmittedRequest {
                     due,
@@ -343,7 +342,10 @@
     async fn handle(&self, received: Received, out: &mut Responder<'_>) -> io::Result<()> {
         let gateway = &self.gateway;
         let _open = OpenRequestGuard::new(gateway);
-        let admitted = match self.admit(received) {
+        let received_at = gateway.now();
+        gateway.check_suspension();
+        gateway.until_current().await;
+        let admitted = match self.admit(received, received_at) {
             Ok(admitted) => admitted,
             Err(denial) => {
                 let Denial { incoming, refusal } = *denial;
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -8,6 +8,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     chains::{Chain, Stage},
     endpoints::Endpoint,
@@ -15,7 +16,7 @@
 };
 use futures_util::future::{self, Either};
 use rustc_hash::FxHashMap;
-use tokio::{sync::watch, time};
+use tokio::sync::watch;
 
 use crate::{
     gateway::{EnginePoll, Gateway},
@@ -193,7 +194,7 @@
 async fn call_by_any_way(gateway: &Rc<Gateway>, stage: &Stage) -> EnginePoll {
     let calls = std::pin::pin!(call_twice(gateway, stage));
     let path = std::pin::pin!(async {
-        time::sleep(PATH_CHECK_DELAY).await;
+        awake::sleep(PATH_CHECK_DELAY).await;
         gateway.check_path(stage.addr).await
     });
     let (reply, path) = match future::select(calls, path).await {
@@ -211,7 +212,7 @@
 async fn call_twice(gateway: &Gateway, stage: &Stage) -> EnginePoll {
     let first = std::pin::pin!(call(gateway, &stage.id, stage.addr));
     let second = std::pin::pin!(async {
-        time::sleep(SECOND_CALL_DELAY).await;
+        awake::sleep(SECOND_CALL_DELAY).await;
         call(gateway, &stage.id, stage.addr).await
     });
     let (answered, other) = future::select(first, second).await.factor_first();
@@ -230,7 +231,7 @@
 async fn poll_until_healthy(gateway: Rc<Gateway>, endpoint: PolledEndpoint, first: Duration) {
     let mut pause = first;
     for poll in 0u32.. {
-        time::sleep(pause).await;
+        gateway.clock().sleep(pause).await;
         if !gateway.directory.borrow().is_active(&endpoint.id) {
             return;
         }
--- a/crates/gateway/src/forward/refusal.rs
+++ b/crates/gateway/src/forward/refusal.rs
@@ -138,7 +138,7 @@
         target: "forward",
         id = admitted.request_log.id(),
         route = &*admitted.route.name,
-        after_ms = admitted.received_at.elapsed().as_millis() as u64,
+        after_ms = admitted.request_log.age().as_millis() as u64,
         why:? = refusal;
         "Request is not served."
     );
--- a/crates/gateway/src/forward/request_log.rs
+++ b/crates/gateway/src/forward/request_log.rs
@@ -19,7 +19,6 @@
     token_bucket::TokenBucket,
 };
 use http::StatusCode;
-use tokio::time::Instant;
 
 use crate::{gateway::Gateway, metrics::Outcome};
 
@@ -28,7 +27,6 @@
 
 /// SharedBounds the rate of successful requests that are logged.
 pub struct RequestLogBudget {
-    started_at: Instant,
     bucket: RefCell<TokenBucket>,
 }
 
@@ -36,16 +34,13 @@
     /// A budget of `per_s` requests per second.
     pub fn new(per_s: f64) -> Self {
         Self {
-            started_at: Instant::now(),
             bucket: RefCell::new(TokenBucket::new(per_s, per_s * LOG_BURST_S)),
         }
     }
 
     /// Acquires the right to log one request; false if the budget is used up.
-    fn try_acquire(&self) -> bool {
-        self.bucket
-            .borrow_mut()
-            .try_acquire(1.0, self.started_at.elapsed())
+    fn try_acquire(&self, now: Duration) -> bool {
+        self.bucket.borrow_mut().try_acquire(1.0, now)
     }
 }
 
@@ -192,7 +187,7 @@
     gateway: Rc<Gateway>,
     id: String,
     kind: &'static str,
-    received_at: Instant,
+    received_at: Duration,
     /// The target for the time to the answer, or to its first event.
     first_event_target: Duration,
     /// Decisions that are not written yet, with the time of each since the request arrived; `None` once decisions
@@ -202,7 +197,7 @@
     first_event: Cell<Option<Duration>>,
     /// The longest pause between events that meets the target.
     gap_target: Duration,
-    last_event: Cell<Option<Instant>>,
+    last_event: Cell<Option<Duration>>,
     longest_pause: Cell<Duration>,
     finished: Cell<bool>,
 }
@@ -213,10 +208,10 @@
         gateway: &Rc<Gateway>,
         id: &str,
         kind: &'static str,
-        received_at: Instant,
+        received_at: Duration,
         route: &Route,
     ) -> Self {
-        let written = gateway.log_budget.try_acquire();
+        let written = gateway.log_budget.try_acquire(gateway.now());
         Self {
             gateway: gateway.clone(),
             id: id.to_owned(),
@@ -238,9 +233,14 @@
         &self.id
     }
 
+    /// The time since the request was received.
+    pub(super) fn age(&self) -> Duration {
+        self.gateway.now().saturating_sub(self.received_at)
+    }
+
     /// Records a decision.
     pub(super) fn record(&self, decision: Decision) {
-        let after = self.received_at.elapsed();
+        let after = self.age();
         match &mut *self.buffered.borrow_mut() {
             Some(buffered) => buffered.push((after, decision)),
             None => decision.write(&self.id, after),
@@ -269,15 +269,15 @@
 
     /// Records that events of the answer were relayed to the caller.
     pub(super) fn record_relayed_events(&self) {
-        let now = Instant::now();
+        let now = self.gateway.now();
         let Some(last) = self.last_event.replace(Some(now)) else {
-            let after = now.saturating_duration_since(self.received_at);
+            let after = now.saturating_sub(self.received_at);
             self.first_event.set(Some(after));
             let seconds = after.as_secs_f64();
             self.gateway.metrics.first_event_seconds.observe(seconds);
             return;
         };
-        let pause = now.saturating_duration_since(last);
+        let pause = now.saturating_sub(last);
         self.longest_pause.set(self.longest_pause.get().max(pause));
     }
 
@@ -325,7 +325,7 @@
     }
 
     fn observe_end(&self, outcome: Outcome) -> Duration {
-        let after = self.received_at.elapsed();
+        let after = self.age();
         self.finished.set(true);
         let seconds = &self.gateway.metrics.request_seconds;
         seconds
--- a/crates/gateway/src/forward/run_monitor.rs
+++ b/crates/gateway/src/forward/run_monitor.rs
@@ -2,12 +2,12 @@
 
 use std::rc::Rc;
 
+use dragonflyrill_clock::awake::{self, Instant};
 use dragonflyrill_fleet::{
     adaptive_timeout::{Doubt, RunTiming, Silence, Step},
     chains::Chain,
     probing::Suspicion,
 };
-use tokio::time::{self, Instant};
 
 use super::{probe, send::DispatchState};
 use crate::gateway::Gateway;
@@ -95,7 +95,7 @@
                 }
                 Step::Wait(wait) => {
                     tokio::select! {
-                        () = time::sleep(wait) => {}
+                        () = awake::sleep(wait) => {}
                         // The sender lives as long as the gateway.
                         _ = failures.changed() => {}
                     }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -3,8 +3,8 @@
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ResponseHead};
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{endpoints::Directory, layers::LayerRange};
-use tokio::time;
 
 use super::{AdmittedRequest, probe};
 use crate::{
@@ -105,9 +105,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Deadlines {
     /// A connection must be open.
-    pub(super) connection: time::Instant,
-    /// The head of the answer must have arrived.
-    pub(super) answer: time::Instant,
+    pub(super) connection: awake::Instant,
+    /// The head of the answer must have arrived, by the clock of the host.
+    pub(super) answer: Duration,
 }
 
 /// Sends a request and reads the head of the answer.
@@ -126,6 +126,8 @@
     let mut permitted = false;
     for _ in 0..MAX_RELAYS {
         let opened = open(gateway, target, deadlines.connection).await?;
+        gateway.check_suspension();
+        gateway.until_current().await;
         check_before_send(gateway, admitted, target)?;
         permitted = permitted || gateway.try_acquire_permits(target.endpoint_ids);
         if !permitted {
@@ -152,6 +154,10 @@
             "the catalogue may be outdated".to_owned(),
         ));
     }
+    // This host may have been suspended.
+    if admitted.time_left(gateway).is_zero() {
+        return Err(DispatchError::NotSent("its time is over".to_owned()));
+    }
     // Other hosts may have quarantined the request.
     if admitted.quarantine_refusal(gateway).is_some() {
         return Err(DispatchError::NotSent(
@@ -175,7 +181,7 @@
     admitted: &AdmittedRequest,
     target: &Target<'_>,
     opened: OpenedPath,
-    until: time::Instant,
+    until: Duration,
 ) -> Result<Option<Answer>, DispatchError> {
     let OpenedPath {
         mut connection,
@@ -183,9 +189,12 @@
     } = opened;
     target.state.via.set(Some(via));
     target.state.sending.set(true);
-    let sent_at = time::Instant::now();
+    let clock = gateway.clock();
+    let sent_at = awake::Instant::now();
     let head = outgoing_head(gateway, admitted, target, via);
-    let sent = time::timeout_at(until, connection.send(head, admitted.body.clone())).await;
+    let sent = clock
+        .timeout_at(until, connection.send(head, admitted.body.clone()))
+        .await;
     match sent {
         Ok(Ok(())) => {}
         Ok(Err((0, e))) => return Err(DispatchError::NotSent(format!("nothing was sent: {e}"))),
@@ -196,7 +205,7 @@
             ));
         }
     }
-    let head = match time::timeout_at(until, connection.read_head()).await {
+    let head = match clock.timeout_at(until, connection.read_head()).await {
         Ok(Ok(head)) => head,
         Ok(Err(e)) => return Err(DispatchError::BrokeOff(e.to_string())),
         Err(_) => return Err(DispatchError::MayHaveRun("no answer in time".to_owned())),
@@ -222,14 +231,14 @@
 async fn open(
     gateway: &Rc<Gateway>,
     target: &Target<'_>,
-    until: time::Instant,
+    until: awake::Instant,
 ) -> Result<OpenedPath, DispatchError> {
     let failed = FailedConnect {
         id: target.id.clone(),
         addr: target.addr,
         is_engine: !target.chain.is_empty(),
     };
-    match time::timeout_at(until, gateway.open_path(target.addr)).await {
+    match awake::timeout_at(until, gateway.open_path(target.addr)).await {
         Ok(Ok(opened)) => Ok(opened),
         Ok(Err(e)) => {
             failed.record(gateway, &e);
@@ -351,7 +360,7 @@
     via: Via,
 ) -> RequestHead {
     let out = DispatchMetadata {
-        deadline: admitted.time_left(),
+        deadline: admitted.time_left(gateway),
         endpoint: target.name,
         workspace: admitted.workspace.as_deref(),
         priority: admitted.priority,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,7 +8,7 @@
 mod plan;
 mod run;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use dragonflyrill_fleet::{
@@ -17,7 +17,6 @@
 };
 use futures_util::future::{self, FutureExt};
 use http::StatusCode;
-use tokio::time::{self, Instant};
 
 use super::{
     AdmittedRequest, ForwardError, RunProgress,
@@ -52,7 +51,8 @@
         attempts: Attempts::new(Refusal::NoEndpoint("no chain covers all layers")),
         lacked: Lack::Time,
     };
-    let run = time::timeout_at(admitted.due, stream.run(out)).await;
+    let run = gateway.clock().timeout_at(admitted.due, stream.run(out));
+    let run = run.await;
     match run {
         Ok(Ok(status)) => {
             gateway.metrics.answered(admitted.kind_label(), status);
@@ -112,7 +112,7 @@
     /// The id of the last event that was relayed, or that the caller had before.
     last_event: Option<u64>,
     /// When the last events were relayed.
-    last_event_at: Option<Instant>,
+    last_event_at: Option<Duration>,
     /// The runs that may still yield events, in the order of their start. All but the newest are silent.
     runs: Vec<Run<'a>>,
     /// The run that is to be started beside them once a retry is acquired.
@@ -382,7 +382,7 @@
         out.send_chunk(events).await?;
         self.admitted.request_log.record_relayed_events();
         self.last_event = run.exchange.last_event();
-        self.last_event_at = Some(Instant::now());
+        self.last_event_at = Some(self.gateway.now());
         run.load.end_prefill();
         if run.monitor.started() {
             self.record_begun_answer();
--- a/crates/gateway/src/forward/stream/plan.rs
+++ b/crates/gateway/src/forward/stream/plan.rs
@@ -10,7 +10,6 @@
     choice::{self, Choice, Estimate, RequestDemand},
 };
 use rand::Rng;
-use tokio::time::Instant;
 
 use super::{Stream, run::Run};
 use crate::{forward::refusal::Refusal, ports::RequestMetadata};
@@ -92,7 +91,7 @@
             Some(at) => at + route.gap_target,
             None => self.admitted.received_at + route.latency_target,
         };
-        let left = on_time.saturating_duration_since(Instant::now());
+        let left = on_time.saturating_sub(self.gateway.now());
         RequestDemand {
             prompt_tokens,
             answer_tokens: expected_answer_tokens
@@ -115,9 +114,9 @@
             max_gap: route.gap_target,
             expected_first: planned.expected_first(),
             waited_before: self
-                .last_event_at
-                .unwrap_or(self.admitted.received_at)
-                .elapsed(),
+                .gateway
+                .now()
+                .saturating_sub(self.last_event_at.unwrap_or(self.admitted.received_at)),
         }
     }
 
--- a/crates/gateway/src/forward/stream/run.rs
+++ b/crates/gateway/src/forward/stream/run.rs
@@ -4,10 +4,10 @@
 
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{adaptive_timeout::RunTiming, chains::Chain, layers::LayerRange};
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use http::StatusCode;
-use tokio::time::Instant;
 
 use super::plan::PlannedRun;
 use crate::{
@@ -59,7 +59,7 @@
         } = planned;
         let dispatch = Rc::new(DispatchState::default());
         let deadlines = Deadlines {
-            connection: Instant::now() + timing.timeout(),
+            connection: awake::Instant::now() + timing.timeout(),
             // The monitor decides how long to wait for the answer.
             answer: admitted.due,
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 mod reading;
 mod returns;
 mod suspects;
+mod suspension;
 mod timeline;
 
 use std::{
@@ -20,6 +21,7 @@
 
 use actix_http::ServiceConfig;
 use bytes::Bytes;
+use dragonflyrill_clock::{Clock, awake};
 use dragonflyrill_fleet::{
     admission::{Rank, RankPosition, ServiceLoad},
     budget::{BudgetState, RetryReason},
@@ -40,10 +42,7 @@
 use dragonflyrill_protocol::exchange::FleetHost;
 use rand::Rng;
 use rustc_hash::FxHashMap;
-use tokio::{
-    sync::watch,
-    time::{self, Instant},
-};
+use tokio::sync::{Notify, watch};
 
 pub(crate) use self::engine_calls::EnginePoll;
 use self::listing::IgnoredEntry;
@@ -82,6 +81,8 @@
     pub engines: Rc<dyn Engines>,
     /// Opens connections to endpoints.
     pub network: Rc<dyn Network>,
+    /// The clock of all times that hosts, endpoints, callers and the store rely on.
+    pub clock: Clock,
 }
 
 /// What a read of the store returns. Each kind of read has its own age.
@@ -116,6 +117,12 @@
     store_answered_at: Cell<[Option<Duration>; 2]>,
     /// Time at which the list of endpoints that this host uses was last known to be current.
     list_as_of: Cell<Option<Duration>>,
+    /// When a suspension of the machine was last noticed.
+    resumed_at: Cell<Option<Duration>>,
+    /// Whether requests wait for the news since then.
+    lacks_news: Cell<bool>,
+    /// Notified when the store has answered, and when the catalogue was proved to be the newest.
+    news: Notify,
     /// Ids of endpoints whose entries lapsed during an outage of the store, with the time until
     /// which the entries may be written again.
     pub lapsed_endpoints: RefCell<FxHashMap<Rc<str>, Duration>>,
@@ -150,9 +157,8 @@
     /// This host's share of the bounds that apply to all hosts together.
     pub bounds: SharedBounds,
     chain_cache: RefCell<FxHashMap<Rc<str>, CachedChains>>,
-    epoch: Instant,
     /// When this host began to shut down.
-    shutdown_started_at: Cell<Option<Instant>>,
+    shutdown_started_at: Cell<Option<Duration>>,
     closing: watch::Sender<bool>,
     reads_store: watch::Sender<bool>,
     /// Results of this host's own reads of the store.
@@ -195,11 +201,15 @@
         let outage = StoreOutage::new(settings.endpoint_heartbeat);
         let mut usage = WorkspaceUsage::default();
         usage.set_enabled(settings.admission.is_some());
+        let clock = platform.clock.clone();
         Rc::new(Self {
             settings,
             platform,
             store_answered_at: Cell::default(),
             list_as_of: Cell::default(),
+            resumed_at: Cell::default(),
+            lacks_news: Cell::default(),
+            news: Notify::new(),
             lapsed_endpoints: RefCell::default(),
             ignored_entries: RefCell::default(),
             list_revision: Cell::default(),
@@ -213,11 +223,10 @@
             usage: RefCell::new(usage),
             rank_demand: RefCell::default(),
             hosts: Cell::new(1),
-            idle: IdleConnections::default(),
+            idle: IdleConnections::new(clock.clone()),
             metrics: Metrics::default(),
             bounds,
             chain_cache: RefCell::default(),
-            epoch: Instant::now(),
             shutdown_started_at: Cell::new(None),
             closing: watch::Sender::new(false),
             reads_store: watch::Sender::new(true),
@@ -232,15 +241,20 @@
             urgent_proof: Cell::new(0),
             termination_checks: TerminationChecks::default(),
             limits: RefCell::default(),
-            paths: EndpointPaths::new(codec.clone()),
+            paths: EndpointPaths::new(codec.clone(), clock),
             body_memory: BodyMemory::default(),
             codec,
         })
     }
 
-    /// The monotonic time since this host was created.
+    /// The time by the clock of this host, which counts the time for which the machine was suspended.
     pub fn now(&self) -> Duration {
-        self.epoch.elapsed()
+        self.platform.clock.now()
+    }
+
+    /// The clock of this host.
+    pub fn clock(&self) -> &Clock {
+        &self.platform.clock
     }
 
     /// Whether the catalogue is fresh enough to be used.
@@ -253,6 +267,7 @@
         let mut freshness = self.freshness.get();
         freshness.record_proof(sent_at);
         self.freshness.set(freshness);
+        self.news.notify_waiters();
     }
 
     /// The version of the newest known catalogue; 0 if none is known.
@@ -319,13 +334,13 @@
     /// arrives later could not be completed.
     pub fn accepts_requests(&self) -> bool {
         let started_at = self.shutdown_started_at.get();
-        started_at.is_none_or(|started_at| started_at.elapsed() < SHUTDOWN_ACCEPT_PERIOD)
+        started_at.is_none_or(|started_at| self.now() < started_at + SHUTDOWN_ACCEPT_PERIOD)
     }
 
     /// Begins the shutdown: this host is no longer ready for new connections, and each open
     /// connection ends with its next answer.
     pub fn begin_shutdown(&self) {
-        self.shutdown_started_at.set(Some(Instant::now()));
+        self.shutdown_started_at.set(Some(self.now()));
     }
 
     /// Closes idle inbound connections from now on.
@@ -407,12 +422,12 @@
     /// first. Returns after `MAX_RETRY_RECORD_WAIT` at the latest, or once the record can't be
     /// written.
     pub async fn wait_for_retry_record(&self, service: &Rc<str>, reason: RetryReason) {
-        let until = Instant::now() + MAX_RETRY_RECORD_WAIT;
+        let until = awake::Instant::now() + MAX_RETRY_RECORD_WAIT;
         let mut waiter = None;
         while self.retry_budget_state(service).needs_record(reason) && self.bounds.can_write_row() {
             waiter.get_or_insert_with(|| self.bounds.begin_retry_wait(service));
             let mut written = self.bounds.request_write();
-            if time::timeout_at(until, written.changed()).await.is_err() {
+            if awake::timeout_at(until, written.changed()).await.is_err() {
                 return;
             }
         }
--- a/crates/gateway/src/gateway/engine_calls.rs
+++ b/crates/gateway/src/gateway/engine_calls.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{layers::LayerRange, paths::Way};
-use tokio::time;
 
 use super::Gateway;
 use crate::{
@@ -38,7 +38,7 @@
         }
         let way = self.paths.known().way(addr);
         let poll = self.platform.engines.report(call_path(addr, way));
-        let Ok(reply) = time::timeout(timeout, poll).await else {
+        let Ok(reply) = awake::timeout(timeout, poll).await else {
             return EnginePoll::Silent;
         };
         match reply.result {
@@ -98,7 +98,7 @@
         }
         let path = call_path(addr, self.paths.known().way(addr));
         let order = self.platform.engines.place(path, layers, Some(orders));
-        Some(match time::timeout(timeout, order).await {
+        Some(match awake::timeout(timeout, order).await {
             Ok(reply) => {
                 self.record_availability(id, reply.availability);
                 reply.result
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -17,6 +17,7 @@
         let before = answered_at[read as usize];
         answered_at[read as usize] = before.max(Some(at));
         self.store_answered_at.set(answered_at);
+        self.news.notify_waiters();
         if read == StoreRead::List {
             self.outage
                 .borrow_mut()
@@ -43,8 +44,13 @@
 
     /// Whether this host reads the store itself and no longer gets answers.
     pub fn store_reads_fail(&self) -> bool {
-        let stale = self.store_answer_age().is_some() && !self.has_fresh_store_data();
-        self.reads_store() && (self.store_unavailable() || stale)
+        let max_silence = catalogue::max_store_silence(&self.settings);
+        let [catalogue, list] = self.store_answered_at.get();
+        let answered_at = catalogue
+            .zip(list)
+            .map(|(catalogue, list)| catalogue.min(list));
+        let silent = answered_at.is_some_and(|at| self.running_since(at) > max_silence);
+        self.reads_store() && (self.store_unavailable() || silent)
     }
 
     /// Records the result of a call to the store, or what another host has reported about the
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -4,11 +4,11 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use dragonflyrill_clock::{awake, wall};
 use http::StatusCode;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     signal::unix::{Signal, SignalKind, signal},
-    time::{self, Instant},
 };
 
 use crate::{
@@ -70,6 +70,7 @@
     actix_rt::spawn(accept(readiness, status.clone(), gateway.clone()));
     actix_rt::spawn(accept(metrics, status, gateway.clone()));
     actix_rt::spawn(sweep(gateway.clone()));
+    actix_rt::spawn(gateway.clone().watch_suspensions());
     loop {
         tokio::select! {
             _ = signals.terminate.recv() => break,
@@ -84,7 +85,7 @@
 /// the store open as many connections as those that do.
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
-        time::sleep(SWEEP_INTERVAL).await;
+        gateway.clock().sleep(SWEEP_INTERVAL).await;
         gateway.idle.sweep();
     }
 }
@@ -92,23 +93,25 @@
 /// The incarnation number of this process: the time since the Unix epoch in microseconds, so that it is higher than
 /// that of earlier processes unless the clock was set back. It is random if the clock is before the epoch.
 fn incarnation() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or_else(|_| rand::random(), |since| since.as_micros() as u64)
+    wall::since_epoch().map_or_else(rand::random, |since| since.as_micros() as u64)
 }
 
 /// Stops accepting requests, and waits until the accepted ones have ended or the grace time is over.
 async fn drain(gateway: &Gateway) {
     log::info!(target: "host", open = gateway.open_requests.get(); "Host stops.");
-    let stop_requested_at = Instant::now();
+    let clock = gateway.clock();
+    let stop_requested_at = clock.now();
     let until = stop_requested_at + gateway.settings.grace.saturating_sub(KILL_MARGIN);
     gateway.begin_shutdown();
-    time::sleep_until((stop_requested_at + SHUTDOWN_ACCEPT_PERIOD).min(until)).await;
+    clock
+        .sleep_until((stop_requested_at + SHUTDOWN_ACCEPT_PERIOD).min(until))
+        .await;
     gateway.close_idle_connections();
-    while gateway.open_requests.get() > 0 && Instant::now() < until {
-        time::sleep(POLL_INTERVAL).await;
+    while gateway.open_requests.get() > 0 && clock.now() < until {
+        awake::sleep(POLL_INTERVAL).await;
     }
     // The last bytes written are still in transit to the callers.
-    time::sleep(POLL_INTERVAL).await;
+    awake::sleep(POLL_INTERVAL).await;
     log::info!(target: "host", cut = gateway.open_requests.get(); "Host has stopped.");
 }
 
@@ -128,7 +131,7 @@
             Ok((io, _)) => serve(io, handler.clone(), &gateway),
             Err(e) => {
                 log::warn!(target: "host", why:% = e; "A connection can't be accepted.");
-                time::sleep(POLL_INTERVAL).await;
+                awake::sleep(POLL_INTERVAL).await;
             }
         }
     }
--- a/crates/gateway/src/http/call.rs
+++ b/crates/gateway/src/http/call.rs
@@ -4,8 +4,8 @@
 
 use actix_http::{RequestHead, ServiceConfig, header::HeaderMap};
 use bytes::Bytes;
+use dragonflyrill_clock::{Clock, awake};
 use http::{Method, StatusCode, Uri, header};
-use tokio::time;
 
 use super::{
     connection::{AnswerError, Connection},
@@ -152,16 +152,16 @@
 
 impl Client {
     /// Creates a client without connections.
-    pub fn new(config: ServiceConfig) -> Self {
-        Self::with_network(Rc::new(SystemNetwork), config)
+    pub fn new(config: ServiceConfig, clock: Clock) -> Self {
+        Self::with_network(Rc::new(SystemNetwork), config, clock)
     }
 
     /// Creates a client that opens its connections through `network`.
-    pub fn with_network(network: Rc<dyn Network>, config: ServiceConfig) -> Self {
+    pub fn with_network(network: Rc<dyn Network>, config: ServiceConfig, clock: Clock) -> Self {
         Self {
             network,
             config,
-            idle: IdleConnections::default(),
+            idle: IdleConnections::new(clock),
         }
     }
 
@@ -172,7 +172,7 @@
         call: Call,
         limit: Duration,
     ) -> Result<Answer, CallError> {
-        match time::timeout(limit, self.exchange(path.into(), call)).await {
+        match awake::timeout(limit, self.exchange(path.into(), call)).await {
             Ok(result) => result,
             Err(_) => Err(CallError::Unknown(format!("none within {limit:?}"))),
         }
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -9,6 +9,7 @@
     header::{self, HeaderMap},
 };
 use bytes::{Bytes, BytesMut};
+use dragonflyrill_clock::awake::{self, Instant};
 use dragonflyrill_fleet::catalogue::CallerLimits;
 use http::StatusCode;
 use tokio::{
@@ -19,7 +20,6 @@
     },
     sync::watch,
     task,
-    time::{self, Instant},
 };
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -41,8 +41,6 @@
     pub head: RequestHead,
     /// The body.
     pub body: Bytes,
-    /// When the last byte of the request had been read.
-    pub at: Instant,
 }
 
 /// Answers requests.
@@ -245,7 +243,6 @@
     Ok(Received {
         head: into_head(request),
         body,
-        at: Instant::now(),
     })
 }
 
@@ -293,7 +290,7 @@
 
 async fn fill(io: &mut TcpStream, buf: &mut BytesMut, limit: Duration) -> Result<(), ReadFailure> {
     buf.reserve(READ_CHUNK_BYTES);
-    match time::timeout(limit, io.read_buf(buf)).await {
+    match awake::timeout(limit, io.read_buf(buf)).await {
         Ok(Ok(n)) if n > 0 => Ok(()),
         _ => Err(ReadFailure::Ended),
     }
@@ -341,5 +338,5 @@
     let mut rest = [0; 1024];
     let drained = async { while io.read(&mut rest).await.is_ok_and(|n| n > 0) {} };
     // If the caller has not closed its side by then, closing the connection resets it; the limit bounds the wait.
-    let _ = time::timeout(LINGER_TIMEOUT, drained).await;
+    let _ = awake::timeout(LINGER_TIMEOUT, drained).await;
 }
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -9,8 +9,9 @@
     header,
 };
 use bytes::{Bytes, BytesMut};
+use dragonflyrill_clock::awake;
 use http::{Method, StatusCode};
-use tokio::{io::Interest, net::TcpStream, task, time};
+use tokio::{io::Interest, net::TcpStream, task};
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::{
@@ -384,7 +385,7 @@
     config: &ServiceConfig,
     limit: Duration,
 ) -> io::Result<Connection> {
-    match time::timeout(limit, Connection::open_through(network, addr, config)).await {
+    match awake::timeout(limit, Connection::open_through(network, addr, config)).await {
         Ok(opened) => opened,
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -2,8 +2,8 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
+use dragonflyrill_clock::Clock;
 use rustc_hash::FxHashMap;
-use tokio::time::Instant;
 
 use super::connection::Connection;
 
@@ -21,41 +21,50 @@
 
 /// An idle connection and how long it can be reused.
 struct IdleConnection {
-    /// When it stops being reusable.
-    until: Instant,
+    /// When it stops being reusable. Its server counts the time for which this machine is suspended.
+    until: Duration,
     connection: Connection,
 }
 
 impl IdleConnection {
-    fn new(connection: Connection) -> Self {
+    fn new(connection: Connection, now: Duration) -> Self {
         let stated = connection.idle_timeout();
         let max = stated.map_or(MAX_IDLE, |t| {
             t.saturating_sub(TIMEOUT_MARGIN).min(MAX_IDLE_STATED)
         });
         Self {
-            until: Instant::now() + max,
+            until: now + max,
             connection,
         }
     }
 
-    fn is_usable(&self) -> bool {
-        Instant::now() < self.until
+    fn is_usable(&self, now: Duration) -> bool {
+        now < self.until
     }
 }
 
 /// A pool of idle connections.
-#[derive(Default)]
 pub struct IdleConnections {
+    clock: Clock,
     by_addr: RefCell<FxHashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl IdleConnections {
+    /// Creates an empty pool.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            by_addr: RefCell::default(),
+        }
+    }
+
     /// Removes and returns the most recently used connection to an address that can still be reused.
     pub fn take(&self, addr: SocketAddr) -> Option<Connection> {
         let mut by_addr = self.by_addr.borrow_mut();
         let kept = by_addr.get_mut(&addr)?;
+        let now = self.clock.now();
         while let Some(mut kept) = kept.pop() {
-            if kept.is_usable() && kept.connection.reusable() {
+            if kept.is_usable(now) && kept.connection.reusable() {
                 return Some(kept.connection);
             }
         }
@@ -67,7 +76,7 @@
         let mut by_addr = self.by_addr.borrow_mut();
         let kept = by_addr.entry(addr).or_default();
         if kept.len() < max.min(MAX_KEPT_PER_ADDR) {
-            kept.push(IdleConnection::new(connection));
+            kept.push(IdleConnection::new(connection, self.clock.now()));
         }
     }
 
@@ -78,9 +87,10 @@
 
     /// Closes the connections that have been idle for too long or whose peers have sent something or closed them.
     pub fn sweep(&self) {
+        let now = self.clock.now();
         let mut by_addr = self.by_addr.borrow_mut();
         by_addr.retain(|_, kept| {
-            kept.retain_mut(|idle| idle.is_usable() && idle.connection.reusable());
+            kept.retain_mut(|idle| idle.is_usable(now) && idle.connection.reusable());
             !kept.is_empty()
         });
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,8 @@
 //!
 //! Where to start: [`host::run`] starts all tasks; [`gateway::Gateway`] is the state that they share.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod bounds;
 pub mod control;
 pub mod forward;
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -12,9 +12,13 @@
         mpsc::{self, SyncSender, TrySendError},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use dragonflyrill_clock::{
+    awake::{self, Instant},
+    wall,
+};
 use log::kv::{Key, Value, VisitSource};
 use serde_json::{Map, json};
 
@@ -59,7 +63,7 @@
             if Instant::now() >= until {
                 return false;
             }
-            thread::sleep(FULL_QUEUE_PAUSE);
+            awake::block(FULL_QUEUE_PAUSE);
         }
         let left = until.saturating_duration_since(Instant::now());
         written.recv_timeout(left).is_ok()
@@ -118,7 +122,7 @@
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             let notice = json!({
-                "t": now_ms(), "level": "WARN", "part": "logs", "m": "Lines were dropped.",
+                "t": wall::epoch_ms(), "level": "WARN", "part": "logs", "m": "Lines were dropped.",
                 "dropped": lost,
             });
             if output.write_all(format!("{notice}\n").as_bytes()).is_err() {
@@ -142,11 +146,6 @@
     }
 }
 
-fn now_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
-}
-
 /// Sets up logging to standard output, filtered by `RUST_LOG`.
 ///
 /// A line contains the time since the Unix epoch in ms (`t`), the `level`, the `part` of the program, the message (`m`)
@@ -160,7 +159,7 @@
         .target(env_logger::Target::Pipe(Box::new(lines)))
         .format(|out, record| {
             let mut line = Map::new();
-            line.insert("t".to_owned(), json!(now_ms()));
+            line.insert("t".to_owned(), json!(wall::epoch_ms()));
             line.insert("level".to_owned(), json!(record.level().as_str()));
             line.insert("part".to_owned(), json!(record.target()));
             line.insert("m".to_owned(), json!(record.args().to_string()));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,8 +5,8 @@
 use dragonflyrill_fleet::admission::Level;
 use http::StatusCode;
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector, exponential_buckets,
+    Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, IntGaugeVec, Opts, Registry, TextEncoder, core::Collector, exponential_buckets,
 };
 
 /// The buckets of the histograms: the lowest bound in seconds, the factor between bounds, and the number of bounds.
@@ -76,6 +76,10 @@
     pub endpoint_restarts: IntCounter,
     /// Restorations of the store from a copy, as this host has heard of them.
     pub store_restorations: IntCounter,
+    /// Suspensions of the machine.
+    pub suspensions: IntCounter,
+    /// The total time of these suspensions, in seconds.
+    pub suspended_seconds: Counter,
     /// Entries that describe no usable endpoint, by fault.
     pub entries_ignored: IntCounterVec,
     /// Endpoints, by state.
@@ -162,6 +166,10 @@
             let gauge = Gauge::with_opts(options(name, help)).expect("a valid name");
             register(&registry, gauge)
         };
+        let suspended = Counter::with_opts(options(
+            "suspended_seconds_total",
+            "Time for which the machine was suspended",
+        ));
         let endpoints = IntGaugeVec::new(options("endpoints", "Endpoints"), &["state"]);
         Self {
             answers: vector("answers_total", "Answers to callers", &["kind", "status"]),
@@ -203,6 +211,8 @@
                 "store_restorations_total",
                 "Restorations of the store from a copy.",
             ),
+            suspensions: counter("suspensions_total", "Suspensions of the machine"),
+            suspended_seconds: register(&registry, suspended.expect("a valid name")),
             endpoint_restarts: counter(
                 "endpoint_restarts_total",
                 "Endpoints that ended because another start took their place",
--- a/crates/gateway/src/paths/mod.rs
+++ b/crates/gateway/src/paths/mod.rs
@@ -27,6 +27,7 @@
 };
 
 use actix_http::ServiceConfig;
+use dragonflyrill_clock::Clock;
 use dragonflyrill_fleet::paths::{CutKind, Paths, Way};
 use rustc_hash::FxHashSet;
 
@@ -56,12 +57,12 @@
 
 impl EndpointPaths {
     /// Creates the state of a host to which no cut path is known.
-    pub(crate) fn new(codec: ServiceConfig) -> Self {
+    pub(crate) fn new(codec: ServiceConfig, clock: Clock) -> Self {
         Self {
             known: RefCell::default(),
             stopping: RefCell::default(),
             checks: PathChecks::default(),
-            client: Client::new(codec),
+            client: Client::new(codec, clock),
         }
     }
 
--- a/crates/gateway/src/paths/open.rs
+++ b/crates/gateway/src/paths/open.rs
@@ -2,9 +2,9 @@
 
 use std::{future::Future, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::paths::Way;
 use futures_util::future::{self, Either};
-use tokio::time;
 
 use super::{Via, check};
 use crate::{
@@ -103,7 +103,7 @@
     };
     let first = pin!(open());
     let second = pin!(async {
-        time::sleep(SECOND_ATTEMPT_DELAY).await;
+        awake::sleep(SECOND_ATTEMPT_DELAY).await;
         open().await
     });
     let both = async {
@@ -118,7 +118,7 @@
 }
 
 async fn within<T>(limit: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    match time::timeout(limit, work).await {
+    match awake::timeout(limit, work).await {
         Ok(result) => result,
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::Endpoint,
@@ -19,7 +20,6 @@
 };
 use dragonflyrill_store::PlatformError;
 use tarpc::{client, context, serde_transport::tcp, tokio_serde::formats::Bincode};
-use tokio::time;
 
 use super::{
     MAX_POLLED_HOSTS, PeerReport, avoided_from_wire, avoided_to_wire, documents, from_wire, limits,
@@ -36,8 +36,8 @@
 /// Interval between two polls. Changes are in force on all hosts within a few intervals.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between two polls while neither this host nor the polled host has any data yet, because
-/// all hosts have just started.
-const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// all hosts have just started, and while requests wait for the news since a suspension.
+const SHORT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a call to another host: hosts are a fraction of a millisecond away, but may be busy.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(350);
 /// Timeout of the call by which a restarted host finds out whether the first host of its data
@@ -79,18 +79,20 @@
         startup: Startup::NotPolled,
     };
     loop {
-        let started_at = time::Instant::now();
-        follower.gateway.expire_limits();
-        follower.gateway.expire_availability();
-        follower.gateway.expire_paths();
-        follower.gateway.expire_entries();
+        let started_at = follower.gateway.now();
+        follower.gateway.check_suspension();
+        follower.gateway.expire();
         follower.poll().await;
-        let interval = match follower.gateway.store_answer_age() {
-            None => STARTUP_POLL_INTERVAL,
-            Some(_) => POLL_INTERVAL,
+        let has_data = follower.gateway.store_answer_age().is_some();
+        let interval = match has_data && follower.gateway.news_due().is_none() {
+            true => POLL_INTERVAL,
+            false => SHORT_POLL_INTERVAL,
         };
         let poll_requested = follower.gateway.peers.poll_requested.notified();
-        let _ = time::timeout_at(started_at + interval, poll_requested).await;
+        let clock = follower.gateway.clock();
+        let _ = clock
+            .timeout_at(started_at + interval, poll_requested)
+            .await;
     }
 }
 
@@ -145,7 +147,7 @@
     async fn has_fresh_data(&mut self, host: &FleetHost) -> bool {
         let offer = self.offer(&LoadMap::default(), false);
         let sent_at = self.gateway.now();
-        let answer = time::timeout(RESTART_CALL_TIMEOUT, self.exchange(host.addr, offer)).await;
+        let answer = awake::timeout(RESTART_CALL_TIMEOUT, self.exchange(host.addr, offer)).await;
         let news = answer.ok().flatten();
         news.is_some_and(|news| {
             limits::merge(&self.gateway, &news.limits, sent_at);
@@ -433,7 +435,7 @@
         offer.suspects_known = suspect_offer.known;
         offer.suspects = std::mem::take(&mut suspect_offer.suspects);
         let sent_at = self.gateway.now();
-        let result = time::timeout(CALL_TIMEOUT, self.exchange(host.addr, offer)).await;
+        let result = awake::timeout(CALL_TIMEOUT, self.exchange(host.addr, offer)).await;
         if let Ok(Some(mut news)) = result {
             limits::merge(&self.gateway, &news.limits, sent_at);
             if let Some(stated) = StatedTimelines::find(&news.loads, &host.host) {
@@ -467,7 +469,7 @@
             }
         };
         let mut cx = context::current();
-        cx.deadline = std::time::Instant::now() + CALL_TIMEOUT;
+        cx.deadline = (awake::Instant::now() + CALL_TIMEOUT).into_std();
         match client.exchange(cx, offer).await {
             Ok(news) => Some(news),
             Err(e) => {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -276,7 +276,7 @@
         let newer = self.newer_catalogue.borrow();
         let newer = newer.as_ref().filter(|newer| {
             newer.version > gateway.catalogue_version()
-                && newer.told_at + PEER_REPORT_TTL > gateway.now()
+                && gateway.running_since(newer.told_at) < PEER_REPORT_TTL
         });
         newer.map(|newer| newer.known_by.clone())
     }
--- a/crates/gateway/src/peers/row_writes.rs
+++ b/crates/gateway/src/peers/row_writes.rs
@@ -9,6 +9,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     share::MAX_SUBMISSION_DELAY,
     write_batch::{PendingWrite, WriteBatch},
@@ -16,7 +17,7 @@
 use dragonflyrill_protocol::exchange::{RowWriteRequest, RowWriteResponse};
 use dragonflyrill_store::PlatformError;
 use tarpc::context;
-use tokio::{sync::oneshot, time};
+use tokio::sync::oneshot;
 
 use super::follow;
 use crate::{
@@ -73,7 +74,7 @@
 }
 
 async fn write_gathered(gateway: Rc<Gateway>) {
-    time::sleep(GATHER_TIME).await;
+    awake::sleep(GATHER_TIME).await;
     write_all(gateway).await;
 }
 
@@ -156,8 +157,8 @@
         // The answers to polls, which are made meanwhile over another connection, must not wait for this one.
         let client = follow::connect(host.addr).await?;
         let mut cx = context::current();
-        cx.deadline = std::time::Instant::now() + ANSWER_TIMEOUT;
+        cx.deadline = (awake::Instant::now() + ANSWER_TIMEOUT).into_std();
         client.write_row(cx, request).await.ok()
     };
-    time::timeout(ANSWER_TIMEOUT, answer).await.ok()?
+    awake::timeout(ANSWER_TIMEOUT, answer).await.ok()?
 }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use dragonflyrill_clock::awake;
 use dragonflyrill_fleet::{
     choice::LoadMap,
     endpoints::{AvoidedEndpoint, Endpoint},
@@ -59,7 +60,7 @@
             }
             Err(e) => {
                 log::warn!(target: "peers", why:% = e; "A connection was not accepted.");
-                tokio::time::sleep(super::follow::POLL_INTERVAL).await;
+                awake::sleep(super::follow::POLL_INTERVAL).await;
             }
         }
     }
@@ -104,7 +105,8 @@
 }
 
 /// Applies what a polling host offers, and returns the updates that it lacks.
-pub fn answer(gateway: &Gateway, offer: &PollRequest) -> PollResponse {
+pub fn answer(gateway: &Rc<Gateway>, offer: &PollRequest) -> PollResponse {
+    gateway.check_suspension();
     let now = gateway.now();
     let peers = &gateway.peers;
     let near = &*gateway.settings.data_centre;
--- a/crates/gateway/tests/connection.rs
+++ b/crates/gateway/tests/connection.rs
@@ -4,6 +4,7 @@
 
 use actix_http::RequestHead;
 use bytes::Bytes;
+use dragonflyrill_clock::{Clock, SteppedTime};
 use dragonflyrill_gateway::http::{codec_config, connection::Connection, pool::IdleConnections};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -75,7 +76,7 @@
     connection.read_head().await.expect("an answer");
     connection.read_body(4).await.expect("a body");
     let addr = connection.peer_addr();
-    let idle = IdleConnections::default();
+    let idle = IdleConnections::new(Clock::with_source(SteppedTime::start()));
     idle.put(addr, connection, 1);
     time::pause();
     time::advance(after).await;
