Lease: a row that another host reports does not replace a newer one

A holder of the lease for placing layers could not renew it: it wrote the row with an outdated version every 100 ms, each time in vain, and lost the lease, so that layers were placed by nobody for seconds.

Cause: a host that does not read the store takes the row of the lease from the report of the host that it polls. After a conflict it knows a newer row than that report, which replaced it all the same at the next check.

Change: a reported row counts only if it is not older than the known one, within a timeline of the store.

Test: a_report_of_an_older_row_does_not_replace_the_known_one fails without the condition. leader_lease and leader_lease_search pass (9 and 7 tests).

--- a/crates/fleet/src/leader_lease.rs
+++ b/crates/fleet/src/leader_lease.rs
@@ -168,6 +168,16 @@
         self.update_row(now, row);
     }
 
+    /// Records the row as another host reports it, unless this host holds the lease or knows a newer row: it has read
+    /// one if a write conflicted.
+    pub fn record_report(&mut self, now: Duration, reported: LeaseRecord) {
+        let known = self.row.as_ref().filter(|_| self.changed_at.is_some());
+        let outdated = known.is_some_and(|known| reported.version < known.version);
+        if !outdated && !self.held(now) {
+            self.record_read(now, Some(reported));
+        }
+    }
+
     /// Records the outcome of a write that was sent at `sent_at`.
     pub fn record_write(&mut self, sent_at: Duration, now: Duration, outcome: WriteOutcome) {
         match outcome {
--- a/crates/fleet/tests/leader_lease.rs
+++ b/crates/fleet/tests/leader_lease.rs
@@ -51,6 +51,28 @@
     assert_eq!(lease.step(ms(1000)), Step::Write { expected: 7 });
 }
 
+/// Guards against a holder that writes its row with an outdated version again and again, as long as another host reports
+/// that version.
+#[test]
+fn a_report_of_an_older_row_does_not_replace_the_known_one() {
+    let own = |version| LeaseRecord {
+        holder: "host0 1".to_owned(),
+        version,
+    };
+    let mut lease = lease(0);
+    lease.record_read(ms(0), Some(own(3)));
+    let conflict = WriteOutcome::Conflict(Some(own(5)));
+    lease.record_write(ms(1), ms(2), conflict);
+    lease.record_report(ms(100), own(3));
+    assert_eq!(lease.step(ms(100)), Step::Write { expected: 5 });
+    lease.record_report(ms(200), own(6));
+    assert_eq!(lease.step(ms(200)), Step::Write { expected: 6 });
+    // A restored store gives versions out again.
+    lease.record_restoration();
+    lease.record_report(ms(300), own(4));
+    assert_eq!(lease.step(ms(300)), Step::Write { expected: 4 });
+}
+
 #[test]
 fn a_row_that_is_unchanged_for_a_term_is_taken_over() {
     let mut lease = lease(1);
--- a/crates/gateway/src/control/roster.rs
+++ b/crates/gateway/src/control/roster.rs
@@ -169,10 +169,8 @@
         if self.gateway.reads_store() || self.read_at.is_none() {
             return;
         }
-        let reported = self.gateway.peers.lease();
-        if reported.is_some() && !self.lease.held(now) {
-            self.lease
-                .record_read(now, reported.as_ref().map(reported_record));
+        if let Some(reported) = self.gateway.peers.lease() {
+            self.lease.record_report(now, reported_record(&reported));
         }
     }
 
