Entry: a part of a service's answer is no longer relayed as a whole one

A caller of dragonflyrill-entry got 200 with an empty or short body, framed as whole, when a service broke off an answer in chunks, also right after its head; and 200 with an empty body when an answer without a length ended with its connection, or 200 when that was reset.

Cause: awc ends a body at the end of the connection and does not say whether the answer is complete. Only the length of bodies that state one was compared.

Change: plain services are called over the gateway's connections (actix-http's codec), which tell a complete answer from one that broke off. An incomplete answer is lost, as a broken connection was before: repeatable calls go to another endpoint, others get 502, may have run.

--- a/crates/entry/src/caller/call.rs
+++ b/crates/entry/src/caller/call.rs
@@ -3,9 +3,9 @@
 use std::{hash::Hasher, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{
-    HttpMessage, Method, Request, Response, StatusCode,
+    HttpMessage, Method, Request, RequestHead, Response, StatusCode, Uri,
     body::BoxBody,
-    header::{CONTENT_TYPE, HeaderValue},
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
 use bytes::Bytes;
 use dragonflyrill_catalogue::{
@@ -18,7 +18,7 @@
     lifecycle,
     record::{Outcome, Record, RecordState},
 };
-use dragonflyrill_engines::{CallError, body as answer_body};
+use dragonflyrill_engines::CallError;
 use dragonflyrill_limits as limits;
 use dragonflyrill_protocol::found;
 use dragonflyrill_routing as routing;
@@ -36,8 +36,6 @@
 
 /// The path prefix under which services are called; the service's name follows.
 pub const PREFIX: &str = "/services/";
-/// The maximum size of a service's answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The maximum number of attempts of a call that is repeatable or is known not to have run.
 const MAX_ATTEMPTS: usize = 3;
 /// The retry delay that callers get if no endpoint of a service answered.
@@ -336,35 +334,58 @@
     addr: SocketAddr,
 ) -> Result<CallAnswer, CallError> {
     let left = call.envelope.deadline.saturating_sub(host.now());
-    let url = format!("http://{addr}{}", call.path);
-    let mut req = host
-        .pool
-        .http()
-        .request(call.method.clone(), url)
-        .timeout(left)
-        .insert_header(("idempotency-key", slot.full_id()))
-        .insert_header(("x-request-id", slot.key.id.as_str()))
-        .insert_header(("x-deadline-ms", left.as_millis().to_string()));
-    if let Some(trace) = context::traceparent(&tracing::Span::current()) {
-        req = req.insert_header((context::TRACEPARENT, trace));
-    }
-    if let Some(content_type) = &call.content_type {
-        req = req.insert_header((CONTENT_TYPE, content_type.clone()));
-    }
-    let mut rsp = req
-        .send_body(call.body.clone())
-        .await
-        .map_err(|e| CallError::from_send(&e))?;
-    let content_type = rsp
-        .headers()
-        .get(CONTENT_TYPE)
-        .and_then(|v| v.to_str().ok());
-    let content_type = content_type.unwrap_or_default().to_owned();
-    let status = rsp.status().as_u16();
-    let body = answer_body::read(&mut rsp, MAX_ANSWER_BYTES).await?;
+    let head = request_head(slot, call, addr, left)?;
+    let until = call.envelope.deadline;
+    let (head, body) = host
+        .services
+        .call(addr, head, call.body.clone(), until)
+        .await?;
+    let content_type = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
     Ok(CallAnswer {
-        status,
-        content_type,
+        status: head.status.as_u16(),
+        content_type: content_type.unwrap_or_default().to_owned(),
         body,
     })
 }
+
+/// The head of the request to a service.
+///
+/// # Errors
+/// [`CallError::NotSent`] if it can't be written.
+fn request_head(
+    slot: &Slot,
+    call: &Call,
+    addr: SocketAddr,
+    left: Duration,
+) -> Result<RequestHead, CallError> {
+    let invalid = |e: &dyn std::error::Error| CallError::NotSent(e.to_string());
+    let mut head = RequestHead::default();
+    head.method = call.method.clone();
+    head.uri = Uri::try_from(&*call.path).map_err(|e| invalid(&e))?;
+    let trace = context::traceparent(&tracing::Span::current());
+    let fields = [
+        (HOST, Some(addr.to_string())),
+        (
+            HeaderName::from_static("idempotency-key"),
+            Some(slot.full_id()),
+        ),
+        (
+            HeaderName::from_static("x-request-id"),
+            Some(slot.key.id.as_str().to_owned()),
+        ),
+        (
+            HeaderName::from_static("x-deadline-ms"),
+            Some(left.as_millis().to_string()),
+        ),
+        (HeaderName::from_static(context::TRACEPARENT), trace),
+    ];
+    for (name, value) in fields {
+        let Some(value) = value else { continue };
+        let value = HeaderValue::try_from(value).map_err(|e| invalid(&e))?;
+        head.headers.insert(name, value);
+    }
+    if let Some(content_type) = &call.content_type {
+        head.headers.insert(CONTENT_TYPE, content_type.clone());
+    }
+    Ok(head)
+}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -34,6 +34,7 @@
     recording::Recording,
     requests::{Requests, claims::Claims, follow},
     retries::Retries,
+    services::ServiceClient,
     settings::Settings,
 };
 
@@ -46,8 +47,10 @@
     pub settings: Settings,
     /// The clock of all times in this state.
     pub clock: Clock,
-    /// Connections to endpoints.
+    /// Connections to engines.
     pub pool: Pool,
+    /// Connections to plain services.
+    pub services: ServiceClient,
     /// Chooses the endpoints of requests.
     pub router: RefCell<routing::Router>,
     /// Admits requests under the limits of their workspaces.
@@ -113,6 +116,7 @@
             settings,
             clock: clock.clone(),
             pool: Pool::new(),
+            services: ServiceClient::new(clock.clone()),
             router: RefCell::new(router),
             recording: Recording::new(clock, me.clone(), table.clone()),
             retries: Retries::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod requests;
 pub mod retries;
 pub mod serve;
+pub mod services;
 pub mod settings;
 pub mod stalls;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,13 +1,16 @@
 //! Assembles an entry host: its listeners, its two arbiters and its shutdown.
 
 use dragonflyrill_clock::Clock;
-use std::{io, net::SocketAddr, rc::Rc};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::task::JoinHandle;
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{control, host::Host, serve, settings::Settings, stalls};
 
+/// How often connections to services are checked for having been idle for too long.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A running entry host. Belongs to the thread of the request arbiter.
 pub struct Node {
     /// The state that requests share.
@@ -53,6 +56,7 @@
             actix_rt::spawn(apply_updates(host.clone(), rx)),
             actix_rt::spawn(serve_callers(host.clone(), callers)),
             actix_rt::spawn(stalls::watch(host.clone())),
+            actix_rt::spawn(sweep_connections(host.clone())),
         ];
         Ok(Self {
             host,
@@ -99,6 +103,14 @@
     }
 }
 
+/// Closes connections to services that have been idle for too long.
+async fn sweep_connections(host: Rc<Host>) {
+    loop {
+        host.clock.sleep(SWEEP_INTERVAL).await;
+        host.services.sweep();
+    }
+}
+
 async fn serve_callers(host: Rc<Host>, listener: TcpListener) {
     if let Err(e) = serve::serve(host, listener).await {
         log::error!("entry: Callers are not served: {e}.");
