Suspensions: entries that had lapsed are not taken for gone before the list is read

An endpoint whose entry had lapsed in an outage of the store was forgotten when its host woke from a suspension, as the two seconds in which the entry may be written again had passed meanwhile. If it had been written again, the endpoint was taken for one that is listed anew, and had to answer a poll first.

Change: lapsed entries expire only once the host has the news since the suspension, or no longer waits for it.

Test: an_endpoint_whose_entry_had_lapsed_is_kept_until_the_list_is_read_after_a_suspension fails without the condition (1 of 1) and passes with it; the other 9 tests of suspended_hosts pass.

--- a/crates/gateway/src/gateway/suspension.rs
+++ b/crates/gateway/src/gateway/suspension.rs
@@ -47,7 +47,10 @@
         self.expire_limits();
         self.expire_availability();
         self.expire_paths();
-        self.expire_entries();
+        // An entry that had lapsed may have been written again during a suspension.
+        if self.news_due().is_none() {
+            self.expire_entries();
+        }
     }
 
     /// Until when requests wait for the news that this host lacks since it was suspended; `None` if it lacks none.
