--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -316,9 +316,13 @@
     ver: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     ver: u64,
+    /// How often the store came back from a copy.
+    era: u64,
+    /// The store is away: it takes no connections and answers nothing.
+    away: bool,
     rows: BTreeMap<(String, String), Row>,
     /// Table, key, value, version, whether the row was dropped.
     history: Vec<(String, String, String, u64, bool)>,
@@ -339,6 +343,9 @@
     }
 }
 
+/// A copy of the store's rows.
+pub struct StoreCopy(Rows);
+
 /// The platform's store: rows, their feed and transactions. All rows are in the part with the empty name.
 #[derive(Clone)]
 pub struct Store {
@@ -358,12 +365,36 @@
         Self { state, start, addr }
     }
 
-    /// Writes a row as the operator or a server does.
-    pub fn put(&self, table: &str, key: &str, json: &str) {
+    /// Writes a row as the operator or a server does; returns whether the store has acknowledged it.
+    pub fn put(&self, table: &str, key: &str, json: &str) -> bool {
         let mut rows = self.state.0.lock().unwrap();
+        if rows.away {
+            return false;
+        }
         rows.ver += 1;
         rows.put(table, key, base64(json.as_bytes()));
         self.state.1.notify_all();
+        true
+    }
+
+    /// A copy of all that the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// The store goes away: its connections end, and no call is answered.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().away = true;
+        self.state.1.notify_all();
+    }
+
+    /// The store comes back with what a copy holds.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut rows = self.state.0.lock().unwrap();
+        let era = rows.era + 1;
+        *rows = copy.0;
+        rows.era = era;
+        rows.away = false;
     }
 
     /// Removes a row as the platform does.
@@ -379,6 +410,9 @@
         let mut reader = BufReader::new(io.try_clone()?);
         let mut writer = io;
         while let Some(request) = read_message(&mut reader)? {
+            if state.0.lock().unwrap().away {
+                return Ok(());
+            }
             let target = request.first.split(' ').nth(1).unwrap_or_default().to_owned();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let query: HashMap<&str, String> = query
@@ -394,9 +428,13 @@
             };
             // An answer of the store takes 4 ms.
             thread::sleep(Duration::from_millis(4));
+            let (away, era) = { let rows = state.0.lock().unwrap(); (rows.away, rows.era) };
+            if away {
+                return Ok(());
+            }
             write!(
                 writer,
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             )?;
         }
@@ -446,7 +484,12 @@
         let (after, wait) = (number("afterRevision"), number("waitMs").min(30_000));
         let until = Instant::now() + Duration::from_millis(wait);
         let mut rows = state.0.lock().unwrap();
+        let era = rows.era;
         loop {
+            // A version that the store does not have, or a wait that the store's absence has ended.
+            if after > rows.ver || rows.era != era || rows.away {
+                return ("410 Gone", "{}".to_owned());
+            }
             let found: Vec<String> = rows
                 .history
                 .iter()
@@ -507,18 +550,22 @@
     pub id: String,
     pub addr: SocketAddr,
     pub born: u64,
+    /// The attempts that it has run, and when each reached it.
+    pub ran_at: Arc<Mutex<Vec<(String, Duration)>>>,
 }
 
 impl Server {
     pub fn start(id: &str, work: Duration, record: &Record) -> Self {
         let (own, record) = (id.to_owned(), record.clone());
+        let ran_at: Arc<Mutex<Vec<(String, Duration)>>> = Arc::default();
+        let runs = ran_at.clone();
         let addr = listen(move |io| {
-            let _ = Self::serve(&own, work, &record, io);
+            let _ = Self::serve(&own, work, &record, &runs, io);
         });
-        Self { id: id.to_owned(), addr, born: unix_ms() }
+        Self { id: id.to_owned(), addr, born: unix_ms(), ran_at }
     }
 
-    fn serve(id: &str, work: Duration, record: &Record, io: TcpStream) -> io::Result<()> {
+    fn serve(id: &str, work: Duration, record: &Record, ran: &Mutex<Vec<(String, Duration)>>, io: TcpStream) -> io::Result<()> {
         io.set_nodelay(true)?;
         let mut reader = BufReader::new(io.try_clone()?);
         let mut writer = io;
@@ -537,6 +584,7 @@
                 continue;
             }
             record.note(format!("server {id} runs {attempt}"));
+            ran.lock().unwrap().push((attempt.clone(), record.now()));
             thread::sleep(work);
             let body = format!("answer of {id} to {attempt}");
             write!(
@@ -570,8 +618,11 @@
             if stop.load(Ordering::Relaxed) {
                 return;
             }
-            store.put("servers", &key, &entry(sequence));
-            thread::sleep(HEARTBEAT);
+            // A write that the store does not take is repeated soon.
+            match store.put("servers", &key, &entry(sequence)) {
+                true => thread::sleep(HEARTBEAT),
+                false => thread::sleep(Duration::from_millis(100)),
+            }
         }
     });
 }
@@ -693,6 +744,8 @@
 pub struct Attempt {
     pub id: String,
     pub path: String,
+    /// The key of the client.
+    pub key: &'static str,
     pub sent: Duration,
     /// The status of the whole answer; 0 without one.
     pub status: u16,
@@ -713,6 +766,7 @@
     pub fn start(
         n: usize,
         fronts: Vec<SocketAddr>,
+        key: &'static str,
         pause: Duration,
         record: &Record,
         make: impl Fn(u64) -> (&'static str, String) + Send + Sync + 'static,
@@ -733,7 +787,7 @@
                     let sent = record.now();
                     record.note(format!("client {client} sends {id} {method} {path} to front {}", front % fronts.len()));
                     let addr = fronts[front % fronts.len()];
-                    let answer = send(&mut kept, addr, method, &path, &id);
+                    let answer = send(&mut kept, addr, key, method, &path, &id);
                     let (status, text) = match &answer {
                         Ok(a) if a.complete => (a.status(), format!(
                             "{} seal={:?} retry-after={:?}", a.status(), a.header("response-seal"), a.header("retry-after")
@@ -742,7 +796,7 @@
                         Err(e) => (0, format!("no answer: {e}")),
                     };
                     record.note(format!("client {client} gets for {id}: {text}"));
-                    attempts.lock().unwrap().push(Attempt { id, path, sent, status });
+                    attempts.lock().unwrap().push(Attempt { id, path, key, sent, status });
                     let ends = answer.as_ref().map_or(true, |a| {
                         !a.complete || a.header("connection").eq_ignore_ascii_case("close")
                     });
@@ -759,6 +813,7 @@
         Self { attempts, stop, threads }
     }
 
+    /// Ends the clients once their requests have ended.
     pub fn end(self) -> Vec<Attempt> {
         self.stop.store(true, Ordering::Relaxed);
         for thread in self.threads {
@@ -772,6 +827,7 @@
 fn send(
     kept: &mut Option<BufReader<TcpStream>>,
     addr: SocketAddr,
+    key: &str,
     method: &str,
     path: &str,
     id: &str,
@@ -792,7 +848,7 @@
     let mut out = io.get_ref();
     write!(
         out,
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nRequest-Deadline: {}\r\nCredential: {KEY}\r\n{length}\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nRequest-Deadline: {}\r\nCredential: {key}\r\n{length}\r\n{body}",
         deadline.as_millis()
     )?;
     read_message(io)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
--- a/review/standins-2/reused-address.rs
+++ b/review/standins-2/reused-address.rs
@@ -97,7 +97,7 @@
     }
     let fronts = gateways.iter().map(|g| g.callers).collect();
     let begin = record.now();
-    let clients = Clients::start(18, fronts, Duration::from_millis(50), &record, |n| {
+    let clients = Clients::start(18, fronts, platform::KEY, Duration::from_millis(50), &record, |n| {
         ("POST", format!("/lohu930/{n:x}"))
     });
     sleep(Duration::from_secs(6));
